--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a fleet with stand-ins, real requests and a readable result."""
--- /dev/null
+++ b/src/hickorymux/__init__.py
@@ -0,0 +1,1 @@
+"""A router fleet for customers who share model and application capacity."""
--- /dev/null
+++ b/src/hickorymux/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""The implementation; nothing here is a public interface."""
--- /dev/null
+++ b/src/hickorymux/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line and its settings."""
--- /dev/null
+++ b/src/hickorymux/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the program."""
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, fairness, membership and claims among the routers."""
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/ports.py
@@ -0,0 +1,91 @@
+"""Interfaces that coordination needs; the transport layer provides them."""
+
+import dataclasses
+import datetime as dt
+from collections.abc import Sequence
+from typing import Any, Protocol
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LogRecord:
+    """One record of a stream; ``appended_at`` is the log service's time."""
+
+    offset: int
+    payload: bytes
+    appended_at: dt.datetime
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LogPage:
+    """A run of records; ``first_offset`` is the oldest that is retained.
+
+    ``next_offset`` is where the next read starts; it equals the end of the
+    stream when the page holds the newest record.
+    """
+
+    first_offset: int
+    next_offset: int
+    end_offset: int
+    records: tuple[LogRecord, ...]
+
+
+class LogClient(Protocol):
+    """The platform's append-only log service."""
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Append a record and return its offset.
+
+        Raises ``LogUnavailable`` when it certainly did not take effect and
+        ``LogAppendUnknown`` when it may have.
+        """
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        *,
+        limit: int = 1000,
+        wait_seconds: float = 0,
+    ) -> LogPage:
+        """Read records from an offset on, waiting for one if there is none.
+
+        Raises ``LogTrimmed`` when ``from_offset`` is no longer retained and
+        ``LogUnavailable`` when the service does not answer.
+        """
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Member:
+    """A router as the membership sees it."""
+
+    router_id: str
+    incarnation: int
+    zone: str
+    host: str
+    port: int
+    is_leaving: bool = False
+    config_version: int = 0
+
+
+class MemberView(Protocol):
+    """The live routers, as far as this router knows."""
+
+    @property
+    def myself(self) -> Member:
+        """Return this router."""
+
+    def live(self) -> Sequence[Member]:
+        """Return all live routers, this one included, ordered by id."""
+
+    def live_in_zone(self, zone: str) -> Sequence[Member]:
+        """Return the live routers of one availability zone, ordered by id."""
+
+
+class PeerSender(Protocol):
+    """Sends typed messages to other routers; delivery is not assured."""
+
+    def send(self, router_id: str, message: Any) -> bool:
+        """Queue a message; return whether there is a link to the router.
+
+        A message to this router itself is delivered on the next loop turn.
+        """
--- /dev/null
+++ b/src/hickorymux/_internal/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, codecs and the meaning of HTTP."""
--- /dev/null
+++ b/src/hickorymux/_internal/state/__init__.py
@@ -0,0 +1,1 @@
+"""Tables, log folds and counters: plain state and its pure rules."""
--- /dev/null
+++ b/src/hickorymux/_internal/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers and clients, and the links between routers."""
--- /dev/null
+++ b/src/hickorymux/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a layer."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: the test runner and the measurements."""
