Name the outcomes of a request by what they say

Cause: the linter refuses a member called no. Change: not_run, executed and unknown; first unit tests, so that the test command has something to judge.

--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -15,8 +15,8 @@
 class Ran(enum.StrEnum):
     """Whether a request was executed by an upstream."""
 
-    no = 'no'
-    yes = 'yes'
+    not_run = 'no'
+    executed = 'yes'
     unknown = 'unknown'
 
 
@@ -52,7 +52,7 @@
         self,
         detail: str,
         *,
-        ran: Ran = Ran.no,
+        ran: Ran = Ran.not_run,
         retry_after: float | None = None,
         where: str = '',
         hint: str = '',
--- /dev/null
+++ b/tests/unit/test_exceptions.py
@@ -0,0 +1,12 @@
+"""The errors tell what is wrong, where, and whether the request ran."""
+
+from hickorymux._internal.exceptions import Ran, RouteNotFound
+
+
+def test_error_names_place_code_and_hint() -> None:
+    error = RouteNotFound('no route', where='body.model', hint='add a route')
+    assert str(error) == 'body.model: [route_not_found] no route (add a route)'
+
+
+def test_refusal_is_not_run_unless_stated() -> None:
+    assert RouteNotFound('no route').ran is Ran.not_run
