Link routers: authenticated thrift frames, membership by zone

Cause: routers need each other's counters, leases and configuration within 4 KB a second. Ruled out: a full mesh of heartbeats, which at 410 nodes would take ten times the budget.

--- /dev/null
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -0,0 +1,20 @@
+"""The registry of messages between routers: type code, mechanism, class.
+
+Codes are never reused. A router skips codes that it does not know.
+"""
+
+import functools
+
+from hickorymux._internal.protocol.peer_codec import PeerCodec
+
+MESSAGE_REGISTRY: tuple[tuple[int, str, str], ...] = (
+    (1, 'membership', 'Heartbeat'),
+    (2, 'membership', 'ZoneDigest'),
+    (3, 'membership', 'DigestRequest'),
+)
+
+
+@functools.cache
+def default_codec() -> PeerCodec:
+    """Return the codec for all messages of this version."""
+    return PeerCodec(MESSAGE_REGISTRY)
--- /dev/null
+++ b/src/hickorymux/_internal/transport/peer_network.py
@@ -0,0 +1,344 @@
+"""The links between routers: datagrams for membership, TCP for the rest.
+
+Each router listens on one address for both. To send over TCP it dials the
+other router, takes the challenge that the other side opens with, and then
+only sends; answers come over the link that the other router dials. One task
+serves each link. A link that breaks drops what it holds: every mechanism on
+top repeats or expires by itself.
+"""
+
+import asyncio
+import contextlib
+import datetime as dt
+import logging
+import secrets
+from collections.abc import Callable
+from typing import Any, final
+
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.exceptions import FrameError
+from hickorymux._internal.protocol.frames import (
+    LENGTH_PREFIX,
+    MAX_DATAGRAM_BYTES,
+    MAX_FRAME_BYTES,
+    Envelope,
+    FrameSealer,
+)
+from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.utils.clock import Clock
+
+CHALLENGE_BYTES = 16
+CONNECT_TIMEOUT_SECONDS = 2
+REDIAL_DELAY_SECONDS = 0.2
+IDLE_LINK_SECONDS = 60
+MAX_QUEUED_FRAMES = 1024
+DATAGRAM_AGE_LIMIT = dt.timedelta(seconds=30)
+
+_MS_PER_SECOND = 1000
+
+_logger = logging.getLogger(__name__)
+
+MessageHandler = Callable[[str, Any], None]
+FindMember = Callable[[str], Member | None]
+
+
+@final
+class TrafficMeter:
+    """Counts of what went over the links, in frames and octets."""
+
+    __slots__ = (
+        'frames_in',
+        'frames_out',
+        'octets_in',
+        'octets_out',
+        'refused',
+    )
+
+    def __init__(self) -> None:
+        self.frames_in = 0
+        self.frames_out = 0
+        self.octets_in = 0
+        self.octets_out = 0
+        self.refused = 0
+
+    def sent(self, octets: int) -> None:
+        """Count one frame that was sent."""
+        self.frames_out += 1
+        self.octets_out += octets
+
+    def received(self, octets: int) -> None:
+        """Count one frame that was accepted."""
+        self.frames_in += 1
+        self.octets_in += octets
+
+
+@final
+class _Link:
+    """An outgoing link: its queue of encoded messages and its task."""
+
+    __slots__ = ('queue', 'task')
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[tuple[int, bytes]] = asyncio.Queue(
+            MAX_QUEUED_FRAMES,
+        )
+        self.task: asyncio.Task[None] | None = None
+
+
+@final
+class _DatagramReceiver(asyncio.DatagramProtocol):
+    """Hands datagrams to the network."""
+
+    def __init__(self, network: 'PeerNetwork') -> None:
+        self.network = network
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take one datagram; a malformed one is counted and dropped."""
+        self.network.take_datagram(data)
+
+
+@final
+class PeerNetwork:
+    """Sends and receives typed messages between routers.
+
+    ``find`` maps a router id to its address, ``handler`` takes each message
+    with the id of its sender. Implements ``PeerSender``.
+    """
+
+    __slots__ = (
+        'clock',
+        'codec',
+        'datagrams',
+        'datagram_sequences',
+        'find',
+        'handler',
+        'links',
+        'meter',
+        'me',
+        'sealer',
+        'sequence',
+        'server',
+        'tasks',
+    )
+
+    def __init__(
+        self,
+        me: Member,
+        sealer: FrameSealer,
+        clock: Clock,
+    ) -> None:
+        self.me = me
+        self.sealer = sealer
+        self.clock = clock
+        self.codec = default_codec()
+        self.meter = TrafficMeter()
+        self.find: FindMember = dict[str, Member]().get
+        self.handler: MessageHandler = _drop_message
+        self.links: dict[str, _Link] = {}
+        self.sequence = 0
+        self.datagram_sequences: dict[tuple[str, int], int] = {}
+        self.datagrams: asyncio.DatagramTransport | None = None
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen on TCP and UDP of one port; return the port."""
+        self.server = await asyncio.start_server(self._serve, host, port)
+        bound: int = self.server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        endpoint = await loop.create_datagram_endpoint(
+            lambda: _DatagramReceiver(self),
+            local_addr=(host, bound),
+        )
+        self.datagrams = endpoint[0]
+        return bound
+
+    async def close(self) -> None:
+        """Stop listening and end all links."""
+        if self.server is not None:
+            self.server.close()
+        if self.datagrams is not None:
+            self.datagrams.close()
+        tasks = list(self.tasks)
+        tasks.extend(link.task for link in self.links.values() if link.task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def send(self, router_id: str, message: Any) -> bool:
+        """Queue a message for a router; see ``PeerSender``."""
+        if router_id == self.me.router_id:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.handler, router_id, message)
+            return True
+        link = self._link_to(router_id)
+        if link is None:
+            return False
+        try:
+            link.queue.put_nowait(self.codec.encode(message))
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    def send_datagram(self, member: Member, message: Any) -> None:
+        """Send a small message that may be lost, without a link."""
+        if self.datagrams is None:
+            return
+        code, body = self.codec.encode(message)
+        sent_at_ms = int(self.clock.wall().timestamp() * _MS_PER_SECOND)
+        frame = self.sealer.seal(self._envelope(code, body, sent_at_ms))
+        if len(frame) > MAX_DATAGRAM_BYTES:
+            self.send(member.router_id, message)
+            return
+        self.meter.sent(len(frame))
+        self.datagrams.sendto(frame, (member.host, member.port))
+
+    def take_datagram(self, frame: bytes) -> None:
+        """Open a datagram and deliver it, unless it is forged or replayed."""
+        try:
+            envelope = self.sealer.open(frame)
+            self._check_datagram(envelope)
+            message = self.codec.decode(envelope.type_code, envelope.body)
+        except FrameError as error:
+            self._refuse(error, 'datagram')
+            return
+        self.meter.received(len(frame))
+        if message is not None:
+            self.handler(envelope.sender, message)
+
+    def _check_datagram(self, envelope: Envelope) -> None:
+        wall_ms = self.clock.wall().timestamp() * _MS_PER_SECOND
+        limit_ms = DATAGRAM_AGE_LIMIT.total_seconds() * _MS_PER_SECOND
+        if abs(wall_ms - envelope.sent_at_ms) > limit_ms:
+            raise FrameError('datagram is too old', where=envelope.sender)
+        life = (envelope.sender, envelope.incarnation)
+        newest = self.datagram_sequences.get(life, 0)
+        if envelope.sequence <= newest:
+            raise FrameError('datagram was replayed', where=envelope.sender)
+        self.datagram_sequences[life] = envelope.sequence
+
+    def _envelope(self, code: int, body: bytes, sent_at_ms: int) -> Envelope:
+        self.sequence += 1
+        return Envelope(
+            self.me.router_id,
+            self.me.incarnation,
+            self.sequence,
+            code,
+            body,
+            sent_at_ms,
+        )
+
+    def _link_to(self, router_id: str) -> _Link | None:
+        link = self.links.get(router_id)
+        if link is not None:
+            return link
+        if self.find(router_id) is None:
+            return None
+        link = _Link()
+        self.links[router_id] = link
+        link.task = asyncio.create_task(self._run_link(router_id, link))
+        return link
+
+    async def _run_link(self, router_id: str, link: _Link) -> None:
+        """Dial the router and send its queue until the link is idle."""
+        try:
+            await self._dial_and_send(router_id, link)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            _logger.debug('link to %s broke: %r', router_id, error)
+            await self.clock.sleep(REDIAL_DELAY_SECONDS)
+        finally:
+            if self.links.get(router_id) is link:
+                self.links.pop(router_id)
+
+    async def _dial_and_send(self, router_id: str, link: _Link) -> None:
+        member = self.find(router_id)
+        if member is None:
+            return
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            reader, writer = await asyncio.open_connection(
+                member.host,
+                member.port,
+            )
+            challenge = await reader.readexactly(CHALLENGE_BYTES)
+        closed = asyncio.ensure_future(reader.read())
+        try:
+            await self._send_queue(link, writer, challenge, closed)
+        finally:
+            closed.cancel()
+            writer.close()
+
+    async def _send_queue(
+        self,
+        link: _Link,
+        writer: asyncio.StreamWriter,
+        challenge: bytes,
+        closed: 'asyncio.Future[bytes]',
+    ) -> None:
+        while not closed.done():
+            try:
+                async with asyncio.timeout(IDLE_LINK_SECONDS):
+                    code, body = await link.queue.get()
+            except TimeoutError:
+                return
+            frame = self.sealer.seal(self._envelope(code, body, 0), challenge)
+            self.meter.sent(len(frame) + LENGTH_PREFIX.size)
+            writer.write(LENGTH_PREFIX.pack(len(frame)) + frame)
+            await writer.drain()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve one incoming link until it ends or breaks a rule."""
+        task = asyncio.current_task()
+        if task is not None:
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        challenge = secrets.token_bytes(CHALLENGE_BYTES)
+        writer.write(challenge)
+        try:
+            await self._receive(reader, challenge)
+        except FrameError as error:
+            self._refuse(error, 'link')
+        except (OSError, asyncio.IncompleteReadError) as error:
+            _logger.debug('incoming link ended: %r', error)
+        finally:
+            with contextlib.suppress(OSError):
+                writer.close()
+
+    async def _receive(
+        self,
+        reader: asyncio.StreamReader,
+        challenge: bytes,
+    ) -> None:
+        newest = 0
+        while True:
+            prefix = await reader.readexactly(LENGTH_PREFIX.size)
+            size = LENGTH_PREFIX.unpack(prefix)[0]
+            if size > MAX_FRAME_BYTES:
+                raise FrameError(f'frame of {size} octets is too large')
+            frame = await reader.readexactly(size)
+            envelope = self.sealer.open(frame, challenge)
+            if envelope.sequence <= newest:
+                raise FrameError('frame was replayed', where=envelope.sender)
+            newest = envelope.sequence
+            message = self.codec.decode(envelope.type_code, envelope.body)
+            self.meter.received(size + LENGTH_PREFIX.size)
+            if message is not None:
+                self.handler(envelope.sender, message)
+
+    def _refuse(self, error: FrameError, kind: str) -> None:
+        self.meter.refused += 1
+        _logger.warning(
+            'frame refused',
+            extra={
+                'event': 'frame_refused',
+                'kind': kind,
+                'reason': str(error),
+            },
+        )
+
+
+def _drop_message(sender_id: str, message: Any) -> None:
+    """Stand in until the router takes messages."""
