Send attempts to upstreams and record decisions and metrics

Cause: the walk of a request needs to know whether an octet of it was sent. Ruled out: the library's own resend on stale connections, which would repeat PUT and DELETE. Change: the check of lease and claim runs directly before the first octet; requests that may not be repeated get a fresh connection; answers that name another request are refused.

--- /dev/null
+++ b/src/hickorymux/_internal/coordination/decisions.py
@@ -0,0 +1,60 @@
+"""One log line for each routing or placement decision, kept for a while.
+
+The lines go to the log as JSON; the newest ones also stay in memory by request
+id, so that ``hickorymux explain`` can show why a request went where it went.
+"""
+
+import collections
+import logging
+from typing import Any, final
+
+from hickorymux._internal.utils.clock import Clock
+
+MAX_EXPLAINED_REQUESTS = 2000
+
+_logger = logging.getLogger(__name__)
+
+
+@final
+class DecisionLog:
+    """Writes decisions and remembers the newest by request."""
+
+    __slots__ = ('clock', 'lines', 'router_id')
+
+    def __init__(self, router_id: str, clock: Clock) -> None:
+        self.router_id = router_id
+        self.clock = clock
+        self.lines: collections.OrderedDict[str, list[dict[str, Any]]] = (
+            collections.OrderedDict()
+        )
+
+    def record(
+        self,
+        request_id: str,
+        event: str,
+        reason: str,
+        **fields: Any,
+    ) -> None:
+        """Write one decision with its reason."""
+        line = {
+            'event': event,
+            'request_id': request_id,
+            'reason': reason,
+            **fields,
+        }
+        _logger.info(event, extra={'router': self.router_id, **line})
+        self._remember(request_id, line)
+
+    def explain(self, request_id: str) -> list[dict[str, Any]]:
+        """Return the decisions on a request, oldest first."""
+        return list(self.lines.get(request_id, ()))
+
+    def _remember(self, request_id: str, line: dict[str, Any]) -> None:
+        known = self.lines.get(request_id)
+        if known is None:
+            if len(self.lines) >= MAX_EXPLAINED_REQUESTS:
+                self.lines.popitem(last=False)
+            known = []
+            self.lines[request_id] = known
+        at = self.clock.wall().isoformat(timespec='milliseconds')
+        known.append({'time': at, **line})
--- /dev/null
+++ b/src/hickorymux/_internal/transport/metrics.py
@@ -0,0 +1,124 @@
+"""Metrics of a router: HDR histograms and counts, in Prometheus text format.
+
+Times are recorded in microseconds with three significant digits and shown in
+seconds.
+"""
+
+import collections
+from collections.abc import Iterator
+from typing import Any, final
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 3
+QUANTILES = (0.5, 0.95, 0.99, 0.999)
+
+_US_PER_SECOND = 1_000_000
+_PERCENT = 100
+
+_HELP = {
+    'queue_wait': 'Time from arrival to a slot',
+    'first_byte': 'Time from arrival to the first octet of the answer',
+    'whole_answer': 'Time from arrival to the end of the answer',
+}
+
+
+@final
+class RouterMetrics(Collector):
+    """Everything that a router counts, by pool."""
+
+    def __init__(self) -> None:
+        self.histograms: dict[tuple[str, str], Any] = {}
+        self.outcomes: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.service: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.gauges: dict[str, float] = {}
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+
+    def observe(self, name: str, pool: str, seconds: float) -> None:
+        """Record a duration in seconds."""
+        histogram = self.histograms.get((name, pool))
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self.histograms[name, pool] = histogram
+        value_us = max(LOWEST_US, int(seconds * _US_PER_SECOND))
+        histogram.record_value(min(value_us, HIGHEST_US))
+
+    def count_outcome(self, pool: str, code: str) -> None:
+        """Count how a request ended: ``answered`` or an error code."""
+        self.outcomes[pool, code] += 1
+
+    def count_service(self, pool: str, customer: str, cost: float) -> None:
+        """Count service that a customer received."""
+        self.service[pool, customer] += int(cost)
+
+    def text(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metric families."""
+        yield from self._summaries()
+        requests = CounterMetricFamily(
+            'hickorymux_requests',
+            'Requests by how they ended',
+            labels=('pool', 'outcome'),
+        )
+        for labels, count in self.outcomes.items():
+            requests.add_metric(labels, count)
+        yield requests
+        service = CounterMetricFamily(
+            'hickorymux_service',
+            'Service received, in tokens or milliseconds of slot time',
+            labels=('pool', 'customer'),
+        )
+        for labels, cost in self.service.items():
+            service.add_metric(labels, cost)
+        yield service
+        for name, reading in self.gauges.items():
+            yield GaugeMetricFamily(f'hickorymux_{name}', name, value=reading)
+
+    def _summaries(self) -> Iterator[Any]:
+        for name, help_text in _HELP.items():
+            quantiles = GaugeMetricFamily(
+                f'hickorymux_{name}_seconds',
+                help_text,
+                labels=('pool', 'quantile'),
+            )
+            totals = SummaryMetricFamily(
+                f'hickorymux_{name}',
+                help_text,
+                labels=('pool',),
+            )
+            for (kind, pool), histogram in self.histograms.items():
+                if kind != name:
+                    continue
+                _add_quantiles(quantiles, pool, histogram)
+                count = histogram.get_total_count()
+                mean_us = histogram.get_mean_value()
+                totals.add_metric(
+                    (pool,),
+                    count_value=count,
+                    sum_value=count * mean_us / _US_PER_SECOND,
+                )
+            yield quantiles
+            yield totals
+
+
+def _add_quantiles(family: Any, pool: str, histogram: Any) -> None:
+    for quantile in QUANTILES:
+        value_us = histogram.get_value_at_percentile(quantile * _PERCENT)
+        family.add_metric((pool, str(quantile)), value_us / _US_PER_SECOND)
--- /dev/null
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -0,0 +1,295 @@
+"""Sends one attempt of a request to an upstream.
+
+An attempt knows whether any octet of it went towards the upstream. The check
+of its lease and its claim runs directly before the first octet is written;
+a refusal there means that the attempt certainly did not run.
+"""
+
+import asyncio
+import contextvars
+import dataclasses
+import datetime as dt
+import functools
+from collections.abc import AsyncIterator, Callable
+from typing import Any, final
+
+import aiohttp
+from multidict import CIMultiDict
+
+from hickorymux._internal.exceptions import HickorymuxError
+from hickorymux._internal.protocol import http
+from hickorymux._internal.state.tables import Upstream
+
+KEEPALIVE_SECONDS = 30
+CANCEL_TIMEOUT_SECONDS = 2
+MAX_LINE_OCTETS = 16384
+READ_BUFFER_OCTETS = 1 << 16
+
+_current: contextvars.ContextVar['Attempt | None'] = contextvars.ContextVar(
+    'attempt',
+    default=None,
+)
+
+
+class AttemptError(HickorymuxError):
+    """An attempt failed; ``attempt.sent`` tells whether it may have run."""
+
+    code = 'attempt_failed'
+
+
+class ConnectFailed(AttemptError):
+    """No connection to the upstream; nothing was sent."""
+
+    code = 'connect_failed'
+
+
+class UpstreamCut(AttemptError):
+    """The upstream closed the connection before its answer was whole."""
+
+    code = 'upstream_cut'
+
+
+class AttemptTimeout(AttemptError):
+    """The upstream kept silent for longer than the limit."""
+
+    code = 'attempt_timeout'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamTimeouts:
+    """How long to wait for an upstream."""
+
+    connect: dt.timedelta = dt.timedelta(seconds=1)
+    first_byte: dt.timedelta = dt.timedelta(seconds=60)
+    idle: dt.timedelta = dt.timedelta(seconds=30)
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One try to run a request on one upstream."""
+
+    attempt_id: str
+    request_id: str
+    upstream: Upstream
+    method: str
+    path: str
+    headers: CIMultiDict[str]
+    body: bytes
+    is_repeatable: bool
+    check_before_send: Callable[[], None]
+    sent: bool = False
+
+    @property
+    def url(self) -> str:
+        """Return where the attempt goes."""
+        return f'http://{self.upstream.address}{self.path}'
+
+
+@final
+class _CheckedRequest(aiohttp.ClientRequest):
+    """A client request that checks its attempt before the first octet."""
+
+    async def send(self, conn: Any) -> aiohttp.ClientResponse:
+        """Check the attempt, mark it as sent, and write the request."""
+        attempt = _current.get()
+        if attempt is not None:
+            if attempt.sent:
+                # The library repeats PUT and DELETE on a stale connection.
+                raise UpstreamCut('connection ended and nothing is repeated')
+            attempt.check_before_send()
+            attempt.sent = True
+        return await super().send(conn)
+
+
+@final
+class UpstreamAnswer:
+    """The answer of an upstream, with its body as a stream of chunks."""
+
+    __slots__ = ('attempt', 'idle_seconds', 'response')
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        response: aiohttp.ClientResponse,
+        idle: dt.timedelta,
+    ) -> None:
+        self.attempt = attempt
+        self.response = response
+        self.idle_seconds = idle.total_seconds()
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self.response.status
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Return whether the body is a stream of server-sent events."""
+        return self.response.content_type == http.EVENT_STREAM_TYPE
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises ``UpstreamCut`` when it ends before it is whole and
+        ``AttemptTimeout`` when nothing comes for the idle limit.
+        """
+        body = self.response.content
+        try:
+            while True:
+                chunk = await body.readany()
+                if not chunk:
+                    return
+                yield chunk
+        except aiohttp.ServerTimeoutError as error:
+            raise AttemptTimeout('no data within the idle limit') from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise UpstreamCut(f'answer was cut: {error!r}') from error
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+        return b''.join([chunk async for chunk in self.chunks()])
+
+    def close(self) -> None:
+        """End the exchange; an unread answer closes the connection."""
+        self.response.close()
+
+    def release(self) -> None:
+        """Give the connection back after a whole answer."""
+        self.response.release()
+
+
+@final
+class UpstreamClient:
+    """HTTP towards upstreams; one pair of sessions for the whole router.
+
+    Requests that may not be repeated get a fresh connection each, so that an
+    idle connection which the upstream is just closing leaves no doubt about
+    whether they ran.
+    """
+
+    __slots__ = ('fresh_session', 'session', 'timeouts')
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
+        timeouts: UpstreamTimeouts,
+    ) -> None:
+        self.session = session
+        self.fresh_session = fresh_session
+        self.timeouts = timeouts
+
+    @classmethod
+    def from_config(cls, timeouts: UpstreamTimeouts) -> 'UpstreamClient':
+        """Open a session; must be called on a running event loop."""
+        kept = aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+        )
+        fresh = aiohttp.TCPConnector(limit=0, force_close=True)
+        return cls(
+            _new_session(kept, timeouts),
+            _new_session(fresh, timeouts),
+            timeouts,
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+        await self.fresh_session.close()
+
+    async def open(self, attempt: Attempt) -> UpstreamAnswer:
+        """Send the attempt and return the answer once its headers are there.
+
+        Raises ``ConnectFailed``, ``UpstreamCut`` or ``AttemptTimeout``, and
+        whatever the attempt's check raises.
+        """
+        token = _current.set(attempt)
+        try:
+            async with asyncio.timeout(self._first_byte_seconds()):
+                response = await self._request(attempt)
+        except TimeoutError as error:
+            raise _timed_out(attempt) from error
+        except aiohttp.ClientConnectorError as error:
+            raise ConnectFailed(str(error)) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise UpstreamCut(f'no answer: {error!r}') from error
+        finally:
+            _current.reset(token)
+        _check_answers(attempt, response)
+        return UpstreamAnswer(attempt, response, self.timeouts.idle)
+
+    async def cancel(self, attempt: Attempt) -> None:
+        """Ask a model engine to stop the work of an attempt."""
+        address = attempt.upstream.address
+        url = f'http://{address}/v1/requests/{attempt.request_id}/cancel'
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_SECONDS)
+        try:
+            async with self.session.post(url, timeout=timeout):
+                return
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+
+    async def get_json(self, upstream: Upstream, path: str) -> bytes:
+        """Return the body of a small status page of an upstream."""
+        url = f'http://{upstream.address}{path}'
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_SECONDS)
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                response.raise_for_status()
+                return await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise ConnectFailed(f'{path}: {error!r}') from error
+
+    def _first_byte_seconds(self) -> float:
+        return self.timeouts.first_byte.total_seconds()
+
+    async def _request(self, attempt: Attempt) -> aiohttp.ClientResponse:
+        headers = attempt.headers.copy()
+        headers[http.REQUEST_ID] = attempt.request_id
+        headers[http.ATTEMPT_ID] = attempt.attempt_id
+        session = self.session if attempt.is_repeatable else self.fresh_session
+        send = functools.partial(
+            session.request,
+            attempt.method,
+            attempt.url,
+            headers=headers,
+            allow_redirects=False,
+        )
+        return await send(data=attempt.body or None)
+
+
+def _new_session(
+    connector: aiohttp.TCPConnector,
+    timeouts: UpstreamTimeouts,
+) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        request_class=_CheckedRequest,
+        read_bufsize=READ_BUFFER_OCTETS,
+        max_line_size=MAX_LINE_OCTETS,
+        timeout=aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=timeouts.connect.total_seconds(),
+            sock_read=timeouts.idle.total_seconds(),
+        ),
+    )
+
+
+def _check_answers(
+    attempt: Attempt,
+    response: aiohttp.ClientResponse,
+) -> None:
+    """Refuse an answer that names another request as its own."""
+    echoed = response.headers.get(http.REQUEST_ID, attempt.request_id)
+    if echoed != attempt.request_id:
+        response.close()
+        raise UpstreamCut(f'answer belongs to request {echoed}')
+
+
+def _timed_out(attempt: Attempt) -> AttemptError:
+    if attempt.sent:
+        return AttemptTimeout('no first byte within the limit')
+    return ConnectFailed('no connection within the limit')
