Add stand-ins for the platform and upstreams, and clients for the platform

Routers need a log service, a host list and upstreams to run against. Each stand-in is one aiohttp server behind a published interface (docs/platform.md) with a control path for the failures that tests need.

Ruled out: keeping the stand-ins in the tests, since the demo needs them as processes; a generated token stream of random words, since a reader could not tell a whole answer to its own request from another's.

LogTrimmed carries the oldest offset.

--- a/src/hickorymux/_internal/coordination/ports.py
+++ b/src/hickorymux/_internal/coordination/ports.py
@@ -89,3 +89,24 @@
 
         A message to this router itself is delivered on the next loop turn.
         """
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HostEntry:
+    """A host as the platform's lagging host list shows it."""
+
+    router_id: str
+    zone: str
+    host: str
+    port: int
+    is_leaving: bool = False
+
+
+class HostListClient(Protocol):
+    """The platform's list of live and leaving hosts."""
+
+    async def fetch(self) -> tuple[HostEntry, ...]:
+        """Return the hosts as listed now.
+
+        Raises ``HostListUnavailable`` when there is no usable answer.
+        """
--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -172,10 +172,30 @@
 
 
 class LogTrimmed(LogError):
-    """The records asked for are no longer retained."""
+    """The records asked for are no longer retained.
+
+    ``first_offset`` is the oldest offset that is still retained.
+    """
 
     code = 'log_trimmed'
 
+    def __init__(
+        self,
+        detail: str,
+        *,
+        first_offset: int = 0,
+        where: str = '',
+        hint: str = '',
+    ) -> None:
+        super().__init__(detail, where=where, hint=hint)
+        self.first_offset = first_offset
+
+
+class HostListUnavailable(HickorymuxError):
+    """The host list refused, could not be reached or made no sense."""
+
+    code = 'host_list_unavailable'
+
 
 class ConfigError(HickorymuxError):
     """A table or a setting is not valid."""
--- a/src/hickorymux_emulator/__init__.py
+++ b/src/hickorymux_emulator/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform and the upstreams, for the demo and the tests."""
+"""Stand-ins for the platform and for upstreams, for tests and the demo."""
--- /dev/null
+++ b/src/hickorymux_emulator/completions.py
@@ -0,0 +1,158 @@
+"""The published chat-completions shape: requests, chunks and answers."""
+
+import dataclasses
+import itertools
+import re
+import time
+from collections.abc import Iterator
+from typing import Any, Final, final
+
+import msgspec
+
+DONE_EVENT: Final = b'data: [DONE]\n\n'
+DEFAULT_TOKENS: Final = 32
+_LENGTH_MARK: Final = re.compile(r'\btokens=(\d+)\b')
+
+
+class Message(msgspec.Struct):
+    """One message of a conversation."""
+
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+    @property
+    def text(self) -> str:
+        """Return the text of the message, its parts joined."""
+        if isinstance(self.content, str):
+            return self.content
+        parts = self.content or []
+        return ' '.join(str(part.get('text', '')) for part in parts)
+
+
+class StreamOptions(msgspec.Struct):
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+class CompletionRequest(msgspec.Struct):
+    """The fields of a chat-completions request that the engine heeds."""
+
+    model: str
+    messages: list[Message]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+
+    @property
+    def text(self) -> str:
+        """Return the texts of all messages."""
+        return ' '.join(message.text for message in self.messages)
+
+    @property
+    def token_limit(self) -> int:
+        """Return the largest number of tokens that the answer may have."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_TOKENS
+
+    @property
+    def wants_usage(self) -> bool:
+        """Return whether a streamed answer ends with a usage chunk."""
+        options = self.stream_options
+        return options is not None and options.include_usage
+
+
+def answer_tokens(text: str, limit: int) -> Iterator[str]:
+    """Yield the tokens of the answer to a text.
+
+    The words of the text are repeated and numbered, so that a reader can
+    tell a whole answer to its own request from any other. The mark
+    ``tokens=N`` in the text ends the answer after N tokens.
+
+    Example::
+
+        assert ''.join(answer_tokens('menu costs', 3)) == (
+            'menu.0 costs.1 menu.2 '
+        )
+    """
+    mark = _LENGTH_MARK.search(text)
+    count = min(limit, int(mark.group(1))) if mark else limit
+    words = itertools.cycle(text.split() or ['empty'])
+    for index, word in enumerate(itertools.islice(words, count)):
+        yield f'{word}.{index} '
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerShape:
+    """Builds the chunks and the whole answer of one completion."""
+
+    completion_id: str
+    model: str
+    prompt_tokens: int
+    created: int
+
+    @classmethod
+    def from_request(
+        cls,
+        request_id: str,
+        request: CompletionRequest,
+    ) -> 'AnswerShape':
+        """Return the shape for a request."""
+        return cls(
+            completion_id=f'chatcmpl-{request_id}',
+            model=request.model,
+            prompt_tokens=len(request.text.split()),
+            created=int(time.time()),
+        )
+
+    def role_event(self) -> bytes:
+        """Return the first event, which names the role."""
+        return self._event({'role': 'assistant', 'content': ''}, None)
+
+    def token_event(self, token: str) -> bytes:
+        """Return the event of one token."""
+        return self._event({'content': token}, None)
+
+    def finish_event(self, reason: str) -> bytes:
+        """Return the event that tells why the answer ended."""
+        return self._event({}, reason)
+
+    def usage_event(self, count: int) -> bytes:
+        """Return the event with the numbers of tokens and no choice."""
+        body = self._body('chat.completion.chunk', [])
+        return _encoded({**body, 'usage': self._usage(count)})
+
+    def whole(self, text: str, count: int, reason: str) -> dict[str, Any]:
+        """Return the answer that is not streamed."""
+        choice = {
+            'index': 0,
+            'message': {'role': 'assistant', 'content': text},
+            'finish_reason': reason,
+        }
+        body = self._body('chat.completion', [choice])
+        return {**body, 'usage': self._usage(count)}
+
+    def _event(self, delta: dict[str, str], reason: str | None) -> bytes:
+        choice = {'index': 0, 'delta': delta, 'finish_reason': reason}
+        return _encoded(self._body('chat.completion.chunk', [choice]))
+
+    def _body(self, kind: str, choices: list[Any]) -> dict[str, Any]:
+        return {
+            'id': self.completion_id,
+            'object': kind,
+            'created': self.created,
+            'model': self.model,
+            'choices': choices,
+        }
+
+    def _usage(self, count: int) -> dict[str, int]:
+        return {
+            'prompt_tokens': self.prompt_tokens,
+            'completion_tokens': count,
+            'total_tokens': self.prompt_tokens + count,
+        }
+
+
+def _encoded(body: dict[str, Any]) -> bytes:
+    return b'data: %s\n\n' % msgspec.json.encode(body)
--- /dev/null
+++ b/src/hickorymux_emulator/engine.py
@@ -0,0 +1,232 @@
+"""A model engine in memory: slots, cold start, runs and crashes."""
+
+import asyncio
+import collections
+import dataclasses
+import datetime as dt
+import enum
+import secrets
+from collections.abc import Callable
+from typing import Final, final
+
+from hickorymux_emulator.completions import (
+    DONE_EVENT,
+    AnswerShape,
+    CompletionRequest,
+    answer_tokens,
+)
+from hickorymux_emulator.runs import Run, RunEnd
+
+_MS_PER_SECOND: Final = 1000
+
+
+class EngineState(enum.StrEnum):
+    """Whether an engine bears its whole load or only a little."""
+
+    cold = 'cold'
+    warm = 'warm'
+
+
+@dataclasses.dataclass(slots=True)
+class EngineSettings:
+    """Sizes and times of one engine.
+
+    ``resume_seconds`` is how long a run goes on without a reader.
+    """
+
+    slots: int = 8
+    cold_slots: int = 1
+    cold_seconds: float = 0
+    token_ms: float = 10
+    resume_seconds: float = 5
+    load_lag_seconds: float = 1
+    models: list[str] = dataclasses.field(default_factory=lambda: ['default'])
+    checks_fence: bool = False
+    truncate_after: int | None = None
+    truncate_cleanly: bool = False
+    crash_on_text: str = ''
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadReport:
+    """The load of an engine at one moment."""
+
+    instance: str
+    state: EngineState
+    slots: int
+    cold_slots: int
+    running: int
+    waiting: int
+    models: tuple[str, ...]
+    reported_at: dt.datetime
+
+
+@final
+class Engine:
+    """Takes requests as they arrive, queues over its slots, falls over cold.
+
+    A request that arrives while ``cold_slots`` requests are running or
+    waiting on a cold engine makes it fall over: every run and every
+    connection is cut, and it starts again, cold and as a new instance.
+    ``on_crash`` is called to cut the connections but the one it is given.
+    """
+
+    __slots__ = (
+        'awake',
+        'instance',
+        'on_crash',
+        'records',
+        'running',
+        'runs',
+        'settings',
+        'state',
+        'waiting',
+        'warm_timer',
+    )
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        on_crash: Callable[[asyncio.BaseTransport | None], None],
+    ) -> None:
+        self.settings = settings
+        self.on_crash = on_crash
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.records: list[Run] = []
+        self.runs: dict[str, Run] = {}
+        self.running: list[Run] = []
+        self.waiting: collections.deque[Run] = collections.deque()
+        self.warm_timer: asyncio.TimerHandle | None = None
+        self.instance = _new_instance()
+        self.state = EngineState.warm
+        if settings.cold_seconds > 0:
+            self.turn_cold()
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run now."""
+        if self.state is EngineState.cold:
+            return self.settings.cold_slots
+        return self.settings.slots
+
+    def turn_cold(self) -> None:
+        """Become cold without a crash; what runs goes on."""
+        if self.warm_timer is not None:
+            self.warm_timer.cancel()
+        self.state = EngineState.cold
+        self.warm_timer = asyncio.get_running_loop().call_later(
+            self.settings.cold_seconds,
+            self._turn_warm,
+        )
+        self._note_peaks()
+
+    def crash(self, spared: asyncio.BaseTransport | None = None) -> None:
+        """Cut every run and start again, cold, as a new instance."""
+        for run in [*self.running, *self.waiting]:
+            run.close(RunEnd.crashed)
+        self.running.clear()
+        self.waiting.clear()
+        self.runs.clear()
+        self.instance = _new_instance()
+        self.turn_cold()
+        self.on_crash(spared)
+
+    def start(self, request_id: str, request: CompletionRequest) -> Run | None:
+        """Take a request; return nothing if it made the engine crash."""
+        run = Run(
+            request_id=request_id,
+            request=request,
+            shape=AnswerShape.from_request(request_id, request),
+            started_at=dt.datetime.now(dt.UTC),
+        )
+        self.records.append(run)
+        self.runs[request_id] = run
+        self.waiting.append(run)
+        if self._falls_over(request.text):
+            self._note_peaks()
+            self.crash()
+            return None
+        run.task = asyncio.create_task(self._generate(run))
+        self._grant()
+        return run
+
+    def cancel(self, run: Run) -> None:
+        """End a run that nobody wants any more."""
+        run.close(RunEnd.cancelled)
+        self._release(run)
+
+    def report(self) -> LoadReport:
+        """Return the load as it is now."""
+        return LoadReport(
+            instance=self.instance,
+            state=self.state,
+            slots=self.settings.slots,
+            cold_slots=self.settings.cold_slots,
+            running=len(self.running),
+            waiting=len(self.waiting),
+            models=tuple(self.settings.models),
+            reported_at=dt.datetime.now(dt.UTC),
+        )
+
+    def _falls_over(self, text: str) -> bool:
+        mark = self.settings.crash_on_text
+        if mark and mark in text:
+            return True
+        load = len(self.running) + len(self.waiting)
+        return self.state is EngineState.cold and load > self.limit
+
+    def _turn_warm(self) -> None:
+        self.warm_timer = None
+        self.state = EngineState.warm
+        self._grant()
+
+    def _grant(self) -> None:
+        while self.waiting and len(self.running) < self.limit:
+            run = self.waiting.popleft()
+            self.running.append(run)
+            run.granted.set()
+        self._note_peaks()
+
+    def _release(self, run: Run) -> None:
+        if run in self.running:
+            self.running.remove(run)
+        if run in self.waiting:
+            self.waiting.remove(run)
+        self._grant()
+
+    def _note_peaks(self) -> None:
+        is_cold = self.state is EngineState.cold
+        count = len(self.running)
+        if is_cold:
+            count += len(self.waiting)
+        for run in [*self.running, *self.waiting]:
+            run.peak_running = max(run.peak_running, count)
+            if is_cold:
+                run.peak_running_cold = max(run.peak_running_cold, count)
+
+    async def _generate(self, run: Run) -> None:
+        await run.granted.wait()
+        request = run.request
+        run.add_event(run.shape.role_event())
+        for token in answer_tokens(request.text, request.token_limit):
+            await asyncio.sleep(self.settings.token_ms / _MS_PER_SECOND)
+            await self.awake.wait()
+            run.tokens.append(token)
+            run.add_event(run.shape.token_event(token))
+        self._finish(run)
+
+    def _finish(self, run: Run) -> None:
+        count = len(run.tokens)
+        is_cut_short = count >= run.request.token_limit
+        run.finish_reason = 'length' if is_cut_short else 'stop'
+        run.add_event(run.shape.finish_event(run.finish_reason))
+        if run.request.wants_usage:
+            run.add_event(run.shape.usage_event(count))
+        run.add_event(DONE_EVENT)
+        run.close(RunEnd.finished)
+        self._release(run)
+
+
+def _new_instance() -> str:
+    return secrets.token_hex(8)
--- /dev/null
+++ b/src/hickorymux_emulator/host_list.py
@@ -0,0 +1,97 @@
+"""Stand-in for the platform's lagging list of live and leaving hosts."""
+
+import asyncio
+import enum
+from typing import final
+
+import msgspec
+from aiohttp import web
+
+from hickorymux_emulator.outage import Outage, OutageMode
+from hickorymux_emulator.serving import new_app
+
+
+class HostStatus(enum.StrEnum):
+    """Whether a host takes work or is about to go."""
+
+    live = 'live'
+    leaving = 'leaving'
+
+
+class HostBody(msgspec.Struct, frozen=True):
+    """What the platform says of one host."""
+
+    zone: str
+    host: str
+    port: int
+    status: HostStatus = HostStatus.live
+
+
+class HostListControl(msgspec.Struct, forbid_unknown_fields=True):
+    """Changes to the behaviour of the host list; unset fields stay."""
+
+    outage: OutageMode | None = None
+    lag_seconds: float | None = None
+
+
+@final
+class HostList:
+    """The hosts as they are shown, and the HTTP handlers."""
+
+    __slots__ = ('hosts', 'lag_seconds', 'outage')
+
+    def __init__(self, lag_seconds: float) -> None:
+        self.lag_seconds = lag_seconds
+        self.outage = Outage()
+        self.hosts: dict[str, HostBody] = {}
+
+    def app(self) -> web.Application:
+        """Return the application with all paths of the service."""
+        app = new_app()
+        app.router.add_get('/hosts', self.show)
+        app.router.add_put('/hosts/{router_id}', self.put)
+        app.router.add_delete('/hosts/{router_id}', self.delete)
+        app.router.add_post('/control', self.control)
+        return app
+
+    async def show(self, _request: web.Request) -> web.Response:
+        """Answer the hosts in the order of their ids."""
+        await self.outage.passed()
+        hosts = [
+            {'router_id': router_id, **msgspec.to_builtins(host)}
+            for router_id, host in sorted(self.hosts.items())
+        ]
+        return web.json_response({'hosts': hosts})
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Add or replace a host; it shows after the lag."""
+        host = msgspec.json.decode(await request.read(), type=HostBody)
+        self._set_later(request.match_info['router_id'], host)
+        return web.json_response({}, status=202)
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Remove a host; it is shown until the lag is over."""
+        self._set_later(request.match_info['router_id'], None)
+        return web.json_response({}, status=202)
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Change the lag or start and end an outage."""
+        change = msgspec.json.decode(await request.read(), type=HostListControl)
+        if change.lag_seconds is not None:
+            self.lag_seconds = change.lag_seconds
+        if change.outage is not None:
+            await self.outage.switch(change.outage)
+        return web.json_response({'lag_seconds': self.lag_seconds})
+
+    def _set_later(self, router_id: str, host: HostBody | None) -> None:
+        loop = asyncio.get_running_loop()
+        if self.lag_seconds <= 0:
+            self._set(router_id, host)
+            return
+        loop.call_later(self.lag_seconds, self._set, router_id, host)
+
+    def _set(self, router_id: str, host: HostBody | None) -> None:
+        if host is None:
+            self.hosts.pop(router_id, None)
+            return
+        self.hosts[router_id] = host
--- /dev/null
+++ b/src/hickorymux_emulator/plain_service.py
@@ -0,0 +1,207 @@
+"""Stand-in for a plain service whose writes may not be repeated."""
+
+import asyncio
+import dataclasses
+import datetime as dt
+import hashlib
+import secrets
+from collections.abc import AsyncIterator
+from typing import Final, final
+
+import msgspec
+from aiohttp import web
+
+from hickorymux_emulator.engine import EngineState, LoadReport
+from hickorymux_emulator.lagging import Lagging
+from hickorymux_emulator.serving import CONNECTIONS, cut, new_app
+
+_SAMPLE_SECONDS: Final = 0.05
+_MS_PER_SECOND: Final = 1000
+_READ_METHODS: Final = frozenset(('GET', 'HEAD'))
+
+
+class ServiceControl(msgspec.Struct, forbid_unknown_fields=True):
+    """Changes to the behaviour of a service; unset fields stay."""
+
+    latency_ms: float | None = None
+    hang: bool | None = None
+    crash: bool = False
+    crash_on_text: str | None = None
+    lose_answers: bool | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceSettings:
+    """Sizes and times of one service.
+
+    A write takes effect when it gets a slot; its answer follows after the
+    latency. With ``lose_answers`` it takes effect and is not answered.
+    """
+
+    name: str = 'service'
+    slots: int = 16
+    latency_ms: float = 5
+    load_lag_seconds: float = 1
+    crash_on_text: str = ''
+    lose_answers: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Execution:
+    """One write that took effect."""
+
+    method: str
+    path: str
+    idempotency_key: str
+    request_id: str
+    body_digest: str
+
+
+@final
+class PlainService:
+    """The executions and the HTTP handlers of one service."""
+
+    __slots__ = (
+        'awake',
+        'executions',
+        'free',
+        'instance',
+        'load',
+        'pending',
+        'settings',
+        'web_app',
+    )
+
+    def __init__(self, settings: ServiceSettings) -> None:
+        self.settings = settings
+        self.web_app = new_app()
+        self.instance = secrets.token_hex(8)
+        self.executions: list[Execution] = []
+        self.free = asyncio.Semaphore(settings.slots)
+        self.pending = 0
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.load = Lagging(self._report, settings.load_lag_seconds)
+
+    def app(self) -> web.Application:
+        """Return the application with all paths of the service."""
+        paths = self.web_app.router
+        paths.add_get('/load', self.show_load)
+        paths.add_get('/executions', self.show_executions)
+        paths.add_post('/control', self.control)
+        paths.add_route('*', '/{path:.*}', self.handle)
+        self.web_app.cleanup_ctx.append(self._sampling)
+        return self.web_app
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer a read with a small record, or execute a write."""
+        await self.awake.wait()
+        body = await request.read()
+        mark = self.settings.crash_on_text.encode()
+        if mark and mark in body:
+            self._crash(None)
+            return cut(request)
+        self.pending += 1
+        try:
+            async with self.free:
+                return await self._answer(request, body)
+        finally:
+            self.pending -= 1
+
+    async def show_load(self, _request: web.Request) -> web.Response:
+        """Answer the load with its lag, in the shape of the engines."""
+        await self.awake.wait()
+        body = msgspec.json.encode(self.load.show())
+        return web.Response(body=body, content_type='application/json')
+
+    async def show_executions(self, _request: web.Request) -> web.Response:
+        """Answer the writes that took effect, oldest first."""
+        return web.json_response(msgspec.to_builtins(self.executions))
+
+    async def control(self, request: web.Request) -> web.Response:
+        """Change the behaviour, or cut all connections."""
+        change = msgspec.json.decode(await request.read(), type=ServiceControl)
+        for name in ('latency_ms', 'crash_on_text', 'lose_answers'):
+            wanted = getattr(change, name)
+            if wanted is not None:
+                setattr(self.settings, name, wanted)
+        if change.hang is True:
+            self.awake.clear()
+        if change.hang is False:
+            self.awake.set()
+        if change.crash:
+            self._crash(request.transport)
+        return web.json_response({'instance': self.instance})
+
+    async def _answer(
+        self,
+        request: web.Request,
+        body: bytes,
+    ) -> web.StreamResponse:
+        is_write = request.method not in _READ_METHODS
+        if is_write:
+            self.executions.append(_execution(request, body))
+        instance = self.instance
+        await asyncio.sleep(self.settings.latency_ms / _MS_PER_SECOND)
+        await self.awake.wait()
+        if is_write and self.settings.lose_answers:
+            return cut(request)
+        return self._record(request, body, instance)
+
+    def _record(
+        self,
+        request: web.Request,
+        body: bytes,
+        instance: str,
+    ) -> web.Response:
+        record = {
+            'service': self.settings.name,
+            'method': request.method,
+            'path': request.path_qs,
+            'body_digest': _digest(body),
+            'execution_count': len(self.executions),
+        }
+        headers = {
+            'X-Engine-Instance': instance,
+            'X-Engine-State': EngineState.warm.value,
+        }
+        request_id = request.headers.get('X-Request-Id')
+        if request_id:
+            headers['X-Request-Id'] = request_id
+        return web.json_response(record, headers=headers)
+
+    def _crash(self, spared: asyncio.BaseTransport | None) -> None:
+        self.instance = secrets.token_hex(8)
+        self.web_app[CONNECTIONS].cut_all(spared)
+
+    def _report(self) -> LoadReport:
+        running = min(self.pending, self.settings.slots)
+        return LoadReport(
+            instance=self.instance,
+            state=EngineState.warm,
+            slots=self.settings.slots,
+            cold_slots=self.settings.slots,
+            running=running,
+            waiting=self.pending - running,
+            models=(),
+            reported_at=dt.datetime.now(dt.UTC),
+        )
+
+    async def _sampling(self, _app: web.Application) -> AsyncIterator[None]:
+        task = asyncio.create_task(self.load.sample_forever(_SAMPLE_SECONDS))
+        yield
+        task.cancel()
+
+
+def _execution(request: web.Request, body: bytes) -> Execution:
+    return Execution(
+        method=request.method,
+        path=request.path_qs,
+        idempotency_key=request.headers.get('Idempotency-Key', ''),
+        request_id=request.headers.get('X-Request-Id', ''),
+        body_digest=_digest(body),
+    )
+
+
+def _digest(body: bytes) -> str:
+    return hashlib.sha256(body).hexdigest()
