Order requests by service received: counters and the fair queue

Cause: customers share a pool; cost is known only when a request ends, so neither FIFO nor round robin bounds the gap in service.

Ruled out: raw service divided by the present weight (a changed weight would rewrite the past as credit); adding up lifts of several routers (a customer that returns on seven routers would be lifted seven times); lifting without regard to requests waiting elsewhere (an always backlogged customer that flickers at one router would lose service each time).

Change: service in virtual units, split into own, zone and other zones, each a lower bound that merges by maximum; a lift that merges by maximum; a queue with a lazily corrected heap, estimates for work in flight, a floor for idle times and a limit on carried debt.

--- /dev/null
+++ b/tests/unit/test_fair_queue.py
@@ -0,0 +1,141 @@
+"""The fair queue orders customers by service received."""
+
+from hickorymux._internal.coordination.fair_queue import (
+    CustomerHead,
+    FairQueue,
+)
+from hickorymux._internal.state.service_counters import (
+    AccountUpdate,
+    ServiceCounters,
+)
+from hickorymux._internal.state.tables import Pool, PoolKind
+from lib.manual_clock import ManualClock
+
+
+def make_queue(weights=None, default_weight=1.0):
+    pool = Pool('p', PoolKind.model, (), weights or {}, default_weight)
+    counters = ServiceCounters.from_config(pool)
+    return FairQueue.from_config(pool, counters, ManualClock())
+
+
+def run_one(queue, cost):
+    ticket = queue.pop()
+    queue.settle(ticket, cost)
+    return ticket.customer
+
+
+def test_lowest_counter_goes_first():
+    queue = make_queue()
+    for _ in range(10):
+        queue.enqueue('big', 0, 100)
+        queue.enqueue('small', 0, 100)
+    served = {'big': 0, 'small': 0}
+    costs = {'big': 300, 'small': 100}
+    for _ in range(12):
+        ticket = queue.pop()
+        queue.settle(ticket, costs[ticket.customer])
+        served[ticket.customer] += costs[ticket.customer]
+    assert served == {'big': 900, 'small': 900}
+
+
+def test_weight_doubles_the_share():
+    queue = make_queue({'a': 2.0})
+    for _ in range(40):
+        queue.enqueue('a', 0, 100)
+        queue.enqueue('b', 0, 100)
+    order = [run_one(queue, 10) for _ in range(30)]
+    assert order.count('a') == 20
+
+
+def test_work_in_flight_counts_by_estimate():
+    queue = make_queue()
+    for _ in range(3):
+        queue.enqueue('a', 50, 100)
+        queue.enqueue('b', 50, 100)
+    started = [queue.pop().customer for _ in range(6)]
+    assert started == ['a', 'b'] * 3
+
+
+def test_settling_below_the_estimate_gives_the_difference_back():
+    queue = make_queue()
+    for customer in ('a', 'a', 'b', 'b'):
+        queue.enqueue(customer, 100, 100)
+    first = queue.pop()
+    queue.charge(first, 1)
+    queue.settle(first, 10)
+    assert queue.counters.total('a') == 10
+    assert [run_one(queue, 100), run_one(queue, 1)] == ['b', 'a']
+
+
+def test_idling_earns_no_credit():
+    queue = make_queue()
+    for _ in range(20):
+        queue.enqueue('busy', 0, 100)
+    for _ in range(10):
+        run_one(queue, 100)
+    queue.clock.advance(100)
+    queue.enqueue('idle', 0, 100)
+    assert queue.counters.counter('idle') == 1000
+
+
+def test_customer_waiting_elsewhere_is_not_lifted():
+    queue = make_queue()
+    for _ in range(20):
+        queue.enqueue('busy', 0, 100)
+    for _ in range(10):
+        run_one(queue, 100)
+    queue.counters.set_waits_elsewhere('behind', waits=True)
+    queue.enqueue('behind', 0, 100)
+    assert queue.counters.counter('behind') == 0
+
+
+def test_customer_is_lifted_to_the_least_waiting_elsewhere():
+    queue = make_queue()
+    queue.counters.merge(AccountUpdate('far', other_zones=700))
+    queue.counters.set_waits_elsewhere('far', waits=True)
+    queue.refresh(debt_limit=10_000)
+    queue.enqueue('new', 0, 100)
+    assert queue.counters.counter('new') == 700
+
+
+def test_removed_request_is_not_served():
+    queue = make_queue()
+    gone = queue.enqueue('a', 0, 100)
+    stays = queue.enqueue('a', 0, 100)
+    assert queue.remove(gone)
+    assert not queue.remove(gone)
+    assert queue.backlog == 1
+    assert queue.pop() is stays
+    assert queue.pop() is None
+
+
+def test_heads_are_in_order_and_limited():
+    queue = make_queue()
+    for customer, service in (('a', 30), ('b', 10), ('c', 20)):
+        queue.counters.merge(AccountUpdate(customer, in_zone=service))
+        queue.counters.set_waits_elsewhere(customer, waits=True)
+    for customer in ('a', 'b', 'b', 'c'):
+        queue.enqueue(customer, 0, 100)
+    assert queue.heads(2) == [
+        CustomerHead('b', 10, 2),
+        CustomerHead('c', 20, 1),
+    ]
+
+
+def test_debt_beyond_the_limit_is_forgiven():
+    queue = make_queue()
+    for customer, service in (('ahead', 5000), ('behind', 100)):
+        queue.counters.merge(AccountUpdate(customer, other_zones=service))
+        queue.counters.set_waits_elsewhere(customer, waits=True)
+    queue.refresh(debt_limit=1000)
+    assert queue.counters.counter('behind') == 4000
+
+
+def test_home_does_not_favour_a_router_with_no_memory():
+    home = make_queue()
+    home.counters.merge(AccountUpdate('a', other_zones=900))
+    home.counters.merge(AccountUpdate('b', other_zones=800))
+    home.counters.set_waits_elsewhere('b', waits=True)
+    home.refresh(debt_limit=10_000)
+    assert home.rank(CustomerHead('a', 5, 1)) == 900
+    assert home.rank(CustomerHead('unknown', 0, 1)) == 800
--- /dev/null
+++ b/tests/unit/test_service_counters.py
@@ -0,0 +1,68 @@
+"""Merging counters is commutative, idempotent and monotone."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hickorymux._internal.state.service_counters import (
+    AccountUpdate,
+    ServiceCounters,
+)
+from hickorymux._internal.state.tables import Pool, PoolKind
+
+AMOUNT = st.integers(0, 10**12)
+UPDATES = st.lists(
+    st.builds(
+        AccountUpdate,
+        st.sampled_from(('a', 'b', 'c')),
+        AMOUNT,
+        AMOUNT,
+        AMOUNT,
+    ),
+    max_size=12,
+)
+CHECK = settings(derandomize=True, max_examples=100, deadline=None)
+
+
+def merged(updates):
+    counters = ServiceCounters.from_config(Pool('p', PoolKind.model, ()))
+    for update in updates:
+        counters.merge(update)
+    return {
+        name: (one.in_zone, one.other_zones, one.lift)
+        for name, one in counters.accounts.items()
+    }
+
+
+@CHECK
+@given(UPDATES, st.randoms(use_true_random=False))
+def test_merge_is_commutative_and_idempotent(updates, random):
+    shuffled = updates + updates
+    random.shuffle(shuffled)
+    assert merged(shuffled) == merged(updates)
+
+
+@CHECK
+@given(UPDATES)
+def test_merge_never_lowers_a_counter(updates):
+    counters = ServiceCounters.from_config(Pool('p', PoolKind.model, ()))
+    for update in updates:
+        before = counters.counter(update.customer)
+        counters.merge(update)
+        assert counters.counter(update.customer) >= before
+
+
+def test_changed_weight_applies_to_later_charges_only():
+    counters = ServiceCounters.from_config(Pool('p', PoolKind.model, ()))
+    counters.charge('a', 100)
+    counters.configure(Pool('p', PoolKind.model, (), {'a': 2.0}))
+    counters.charge('a', 100)
+    assert counters.total('a') == 150
+
+
+def test_changed_since_yields_later_changes_only():
+    counters = ServiceCounters.from_config(Pool('p', PoolKind.model, ()))
+    counters.charge('a', 1)
+    closed = counters.next_revision()
+    counters.charge('b', 1)
+    changed = [one.customer for one in counters.changed_since(closed)]
+    assert changed == ['b']
