--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -172,10 +172,24 @@
 
 
 class LogTrimmed(LogError):
-    """The records asked for are no longer retained."""
+    """The records asked for are no longer retained.
+
+    ``first_offset`` is the oldest offset that is still retained.
+    """
 
     code = 'log_trimmed'
 
+    def __init__(
+        self,
+        detail: str,
+        *,
+        first_offset: int = 0,
+        where: str = '',
+        hint: str = '',
+    ) -> None:
+        super().__init__(detail, where=where, hint=hint)
+        self.first_offset = first_offset
+
 
 class ConfigError(HickorymuxError):
     """A table or a setting is not valid."""
@@ -183,6 +197,18 @@
     code = 'config_invalid'
 
 
+class SnapshotError(ConfigError):
+    """A snapshot of the configuration can't be read."""
+
+    code = 'snapshot_invalid'
+
+
+class ConfigOrderError(ConfigError):
+    """A record of the configuration was given out of offset order."""
+
+    code = 'config_order'
+
+
 class FrameError(HickorymuxError):
     """A frame from a peer is malformed, too large or not authentic."""
 
