Fold operators' changes into tables and follow them on every router

Cause: routers need the tables of the operators from the log, alike everywhere, never going back, through trimming and outages of the log.

--- /dev/null
+++ b/src/hickorymux/_internal/state/config_fold.py
@@ -0,0 +1,278 @@
+"""The fold of the configuration stream into the tables in force.
+
+Every router applies the records of the stream ``config`` in offset order by
+the same pure rules, so that all of them hold the same tables at the same
+offset. The version in force is the offset of the last accepted record plus
+one; it only grows.
+
+Example::
+
+    fold = ConfigFold()
+    match fold.apply_record(0, payload):
+        case Accepted(version=version):
+            print(f'version {version} is in force')
+        case Rejected(code=code, reason=reason):
+            print(f'{code}: {reason}')
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable, Mapping
+from typing import TypeAlias, final
+
+from hickorymux._internal.exceptions import ConfigOrderError, SnapshotError
+from hickorymux._internal.state.config_changes import (
+    ConfigChange,
+    MalformedChange,
+    decode_change,
+    row_updates,
+)
+from hickorymux._internal.state.config_history import (
+    ChangeHistory,
+    RowConflict,
+    RowTouch,
+)
+from hickorymux._internal.state.config_rows import ConfigRows
+from hickorymux._internal.state.config_snapshot import (
+    ConfigSnapshot,
+    SnapshotDecision,
+    SnapshotTouch,
+    decode_snapshot,
+    encode_snapshot,
+)
+from hickorymux._internal.state.row_checks import check_row
+from hickorymux._internal.state.rows import DrainRow, Row, RowKey, RowKind
+from hickorymux._internal.state.table_builder import TableBuilder
+from hickorymux._internal.state.tables import Tables
+
+# Records for which changed rows and change ids are remembered. All routers
+# must use the same number.
+HORIZON_RECORDS = 25_000
+
+
+class RejectCode(enum.StrEnum):
+    """Why a record took no effect."""
+
+    malformed = 'change_malformed'
+    row_invalid = 'row_invalid'
+    base_unknown = 'base_unknown'
+    base_too_old = 'base_too_old'
+    conflict = 'change_conflict'
+    not_joined = 'tables_not_joined'
+    duplicate = 'change_duplicate'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Accepted:
+    """A record took effect and made a new version."""
+
+    version: int
+    change_id: str
+    author: str
+    touched: tuple[RowKey, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rejected:
+    """A record took no effect, on any router."""
+
+    code: RejectCode
+    reason: str
+    change_id: str = ''
+    conflicts: tuple[RowConflict, ...] = ()
+
+
+Outcome: TypeAlias = Accepted | Rejected
+
+
+@final
+class ConfigFold:
+    """The configuration as of one offset of the stream.
+
+    The cost of a record follows the rows that it touches. ``tables`` is built
+    when it is asked for, from the pools that changed since it was last built.
+    """
+
+    __slots__ = ('builder', 'history', 'next_offset', 'rows', 'version')
+
+    def __init__(self, *, horizon: int = HORIZON_RECORDS) -> None:
+        self.version = 0
+        self.next_offset = 0
+        self.rows = ConfigRows()
+        self.builder = TableBuilder(self.rows)
+        self.history = ChangeHistory(horizon)
+
+    @classmethod
+    def from_snapshot(
+        cls, encoded: bytes, *, horizon: int = HORIZON_RECORDS
+    ) -> 'ConfigFold':
+        """Return the fold that a snapshot holds; raise ``SnapshotError``."""
+        snapshot = decode_snapshot(encoded)
+        fold = cls(horizon=horizon)
+        fold.version = snapshot.version
+        fold.next_offset = snapshot.next_offset
+        rows = _snapshot_rows(snapshot)
+        problem = _row_problem(rows)
+        if problem is None:
+            fold.put_rows(rows)
+            problem = fold.join_problem(rows.keys() - _zone_drains(rows))
+        if problem is not None:
+            raise SnapshotError(problem.reason)
+        for touch in snapshot.touches:
+            key = RowKey(touch.kind, touch.name)
+            fold.history.touch(key, RowTouch(touch.version, touch.author))
+        for decision in snapshot.decisions:
+            fold.history.decide(decision.change_id, decision.offset)
+        return fold
+
+    @property
+    def tables(self) -> Tables:
+        """Return the tables in force."""
+        return self.builder.build(self.version)
+
+    def apply_record(self, offset: int, payload: bytes) -> Outcome:
+        """Fold the record at an offset, which must be the next one.
+
+        Raises ``ConfigOrderError`` when it is not.
+        """
+        if offset != self.next_offset:
+            raise ConfigOrderError(
+                f'record {offset} in place of {self.next_offset}'
+            )
+        self.next_offset = offset + 1
+        self.history.forget(offset)
+        try:
+            change = decode_change(payload)
+        except MalformedChange as error:
+            return Rejected(RejectCode.malformed, error.detail)
+        return self._decide(offset, change)
+
+    def join_problem(self, keys: Iterable[RowKey]) -> Rejected | None:
+        """Return why changed rows don't fit the others, if so."""
+        for key in keys:
+            for wrong in self.rows.check_joins(key):
+                reason = f'{key}: {wrong.key}: {wrong.detail}'
+                return Rejected(RejectCode.not_joined, reason)
+        return None
+
+    def put_rows(
+        self, updates: Mapping[RowKey, Row | None]
+    ) -> dict[RowKey, Row | None]:
+        """Put or delete rows and return the old ones."""
+        old_rows = {}
+        for key, row in updates.items():
+            old_rows[key] = self.rows.set_row(key, row)
+            self.builder.mark(key, old_rows[key])
+        return old_rows
+
+    def snapshot(self) -> bytes:
+        """Return all of the state as JSON, to start another fold from."""
+        rows = self.rows
+        return encode_snapshot(
+            ConfigSnapshot(
+                version=self.version,
+                next_offset=self.next_offset,
+                routes=tuple(rows.all_routes()),
+                pools=tuple(rows.all_pools()),
+                upstreams=tuple(rows.all_upstreams()),
+                drained_zones=tuple(rows.names(RowKind.zone_drain)),
+                drained_upstreams=tuple(rows.names(RowKind.upstream_drain)),
+                touches=tuple(
+                    SnapshotTouch(
+                        key.kind, key.name, touch.version, touch.author
+                    )
+                    for key, touch in self.history.touches.items()
+                ),
+                decisions=tuple(
+                    SnapshotDecision(change_id, offset)
+                    for change_id, offset in self.history.decided.items()
+                ),
+            )
+        )
+
+    def _decide(self, offset: int, change: ConfigChange) -> Outcome:
+        """Accept or reject a change; an id is decided once."""
+        if change.id in self.history.decided:
+            return _rejected(
+                change, RejectCode.duplicate, 'the id was decided before'
+            )
+        if change.base < self.history.oldest_base(offset):
+            reason = f'base {change.base} is too old'
+            return _rejected(change, RejectCode.base_too_old, reason)
+        self.history.decide(change.id, offset)
+        if change.base > offset:
+            reason = f'base {change.base} is not on the stream yet'
+            return _rejected(change, RejectCode.base_unknown, reason)
+        return self._decide_rows(offset, change)
+
+    def _decide_rows(self, offset: int, change: ConfigChange) -> Outcome:
+        pairs = [
+            pair
+            for operation in change.operations
+            for pair in row_updates(operation)
+        ]
+        updates = dict(pairs)
+        if len(updates) < len(pairs):
+            reason = 'a row is changed twice'
+            return _rejected(change, RejectCode.malformed, reason)
+        conflicts = self.history.conflicts(change.base, updates)
+        if conflicts:
+            return Rejected(
+                RejectCode.conflict,
+                '; '.join(str(conflict) for conflict in conflicts),
+                change.id,
+                conflicts,
+            )
+        return self._put_change(offset, change, updates)
+
+    def _put_change(
+        self,
+        offset: int,
+        change: ConfigChange,
+        updates: Mapping[RowKey, Row | None],
+    ) -> Outcome:
+        problem = _row_problem(updates)
+        if problem is not None:
+            return _rejected(change, problem.code, problem.reason)
+        old_rows = self.put_rows(updates)
+        problem = self.join_problem(updates)
+        if problem is not None:
+            self.put_rows(old_rows)
+            return _rejected(change, problem.code, problem.reason)
+        self.version = offset + 1
+        for key in updates:
+            self.history.touch(key, RowTouch(self.version, change.author))
+        return Accepted(self.version, change.id, change.author, tuple(updates))
+
+
+def _row_problem(updates: Mapping[RowKey, Row | None]) -> Rejected | None:
+    """Return what is wrong with the form of the rows, if anything is."""
+    for key, row in updates.items():
+        for wrong in () if row is None else check_row(row):
+            reason = f'{key}: {wrong.key}: {wrong.detail}'
+            return Rejected(RejectCode.row_invalid, reason)
+    return None
+
+
+def _zone_drains(rows: Iterable[RowKey]) -> set[RowKey]:
+    """Return the drains of zones, which may outlive their upstreams."""
+    return {key for key in rows if key.kind is RowKind.zone_drain}
+
+
+def _rejected(change: ConfigChange, code: RejectCode, reason: str) -> Rejected:
+    return Rejected(code, reason, change.id)
+
+
+def _snapshot_rows(snapshot: ConfigSnapshot) -> dict[RowKey, Row | None]:
+    rows: dict[RowKey, Row | None] = {}
+    for route in snapshot.routes:
+        rows[RowKey(RowKind.route, route.name)] = route
+    for pool in snapshot.pools:
+        rows[RowKey(RowKind.pool, pool.name)] = pool
+    for upstream in snapshot.upstreams:
+        rows[RowKey(RowKind.upstream, upstream.name)] = upstream
+    for zone in snapshot.drained_zones:
+        rows[RowKey(RowKind.zone_drain, zone)] = DrainRow()
+    for name in snapshot.drained_upstreams:
+        rows[RowKey(RowKind.upstream_drain, name)] = DrainRow()
+    return rows
--- /dev/null
+++ b/src/hickorymux/_internal/state/config_rows.py
@@ -0,0 +1,269 @@
+"""The rows in force with the indexes that make a change cheap to check."""
+
+import collections
+import functools
+from collections.abc import Iterable, Iterator
+from typing import TypeVar, final
+
+from hickorymux._internal.state.row_checks import RowProblem
+from hickorymux._internal.state.rows import (
+    DrainRow,
+    PoolRow,
+    RouteRow,
+    Row,
+    RowKey,
+    RowKind,
+    UpstreamRow,
+)
+from hickorymux._internal.state.tables import PoolKind
+from hickorymux._internal.utils.suggestions import nearest_hint
+
+ANY_CUSTOMER = ''
+
+_KeyT = TypeVar('_KeyT')
+
+
+@final
+class ConfigRows:
+    """All rows by key, joined by names.
+
+    Setting a row costs time in proportion to that row; checking the joins of
+    a row costs time in proportion to the rows that are joined to it. With
+    ``gives_hints`` the problems suggest names, which looks at all rows.
+    """
+
+    __slots__ = (
+        'by_kind',
+        'gives_hints',
+        'matches',
+        'pool_routes',
+        'pool_upstreams',
+        'rows',
+        'zones',
+    )
+
+    def __init__(self, *, gives_hints: bool = False) -> None:
+        self.gives_hints = gives_hints
+        self.rows: dict[RowKey, Row] = {}
+        self.by_kind: dict[RowKind, set[str]] = {
+            kind: set() for kind in RowKind
+        }
+        self.matches: dict[tuple[str, str, str], set[str]] = {}
+        self.pool_routes: dict[str, set[str]] = {}
+        self.pool_upstreams: dict[str, set[str]] = {}
+        self.zones: collections.Counter[str] = collections.Counter()
+
+    def set_row(self, key: RowKey, row: Row | None) -> Row | None:
+        """Put a row, or delete it when it is ``None``; return the old one."""
+        old = self.rows.pop(key, None)
+        if old is not None:
+            self.by_kind[key.kind].discard(key.name)
+            _unindex_row(old, self)
+        if row is not None:
+            self.rows[key] = row
+            self.by_kind[key.kind].add(key.name)
+            _index_row(row, self)
+        return old
+
+    def route(self, name: str) -> RouteRow | None:
+        """Return a route by name."""
+        row = self.rows.get(RowKey(RowKind.route, name))
+        return row if isinstance(row, RouteRow) else None
+
+    def pool(self, name: str) -> PoolRow | None:
+        """Return a pool by name."""
+        row = self.rows.get(RowKey(RowKind.pool, name))
+        return row if isinstance(row, PoolRow) else None
+
+    def upstream(self, name: str) -> UpstreamRow | None:
+        """Return an upstream by name."""
+        row = self.rows.get(RowKey(RowKind.upstream, name))
+        return row if isinstance(row, UpstreamRow) else None
+
+    def names(self, kind: RowKind) -> list[str]:
+        """Return the names of all rows of a kind, in order."""
+        return sorted(self.by_kind[kind])
+
+    def drained(self, kind: RowKind) -> frozenset[str]:
+        """Return the names of the drains of a kind."""
+        return frozenset(self.by_kind[kind])
+
+    def all_routes(self) -> Iterator[RouteRow]:
+        """Yield the routes by name."""
+        for name in self.names(RowKind.route):
+            row = self.route(name)
+            if row is not None:
+                yield row
+
+    def all_pools(self) -> Iterator[PoolRow]:
+        """Yield the pools by name."""
+        for name in self.names(RowKind.pool):
+            row = self.pool(name)
+            if row is not None:
+                yield row
+
+    def all_upstreams(self) -> Iterator[UpstreamRow]:
+        """Yield the upstreams by name."""
+        for name in self.names(RowKind.upstream):
+            row = self.upstream(name)
+            if row is not None:
+                yield row
+
+    def check_joins(self, key: RowKey) -> Iterator[RowProblem]:
+        """Yield what is wrong between a changed row and the rest."""
+        row = self.rows.get(key)
+        if row is not None:
+            yield from _check_joined(row, key, self)
+        elif key.kind is RowKind.pool:
+            yield from self._check_deleted_pool(key.name)
+
+    def check_pool(self, name: str) -> Iterator[RowProblem]:
+        """Yield a problem when no pool has the name."""
+        if self.pool(name) is None:
+            yield RowProblem(
+                'pool',
+                f'unknown pool "{name}"',
+                self.hint(name, self.by_kind[RowKind.pool]),
+            )
+
+    def hint(self, name: str, known: Iterable[str]) -> str:
+        """Return what to write instead of an unknown name."""
+        return nearest_hint(name, sorted(known)) if self.gives_hints else ''
+
+    def _check_deleted_pool(self, name: str) -> Iterator[RowProblem]:
+        for route in sorted(self.pool_routes.get(name, ())):
+            yield RowProblem(
+                'pool', f'pool "{name}" is still used by route "{route}"'
+            )
+        if self.pool_upstreams.get(name):
+            yield RowProblem('pool', f'pool "{name}" still has upstreams')
+
+
+def match_keys(row: RouteRow) -> Iterator[tuple[str, str, str]]:
+    """Yield what a route matches: a field, its value and a customer."""
+    field, text = 'model', row.model
+    if row.path_prefix:
+        field, text = 'path_prefix', row.path_prefix
+    for customer in row.customers or (ANY_CUSTOMER,):
+        yield field, text, customer
+
+
+@functools.singledispatch
+def _index_row(row: Row, rows: ConfigRows) -> None:
+    """Add a row to the indexes."""
+
+
+@_index_row.register
+def _index_route(row: RouteRow, rows: ConfigRows) -> None:
+    for match in match_keys(row):
+        rows.matches.setdefault(match, set()).add(row.name)
+    rows.pool_routes.setdefault(row.pool, set()).add(row.name)
+
+
+@_index_row.register
+def _index_upstream(row: UpstreamRow, rows: ConfigRows) -> None:
+    rows.pool_upstreams.setdefault(row.pool, set()).add(row.name)
+    rows.zones[row.zone] += 1
+
+
+@functools.singledispatch
+def _unindex_row(row: Row, rows: ConfigRows) -> None:
+    """Take a row out of the indexes."""
+
+
+@_unindex_row.register
+def _unindex_route(row: RouteRow, rows: ConfigRows) -> None:
+    for match in set(match_keys(row)):
+        _discard(rows.matches, match, row.name)
+    _discard(rows.pool_routes, row.pool, row.name)
+
+
+@_unindex_row.register
+def _unindex_upstream(row: UpstreamRow, rows: ConfigRows) -> None:
+    _discard(rows.pool_upstreams, row.pool, row.name)
+    rows.zones[row.zone] -= 1
+    if not rows.zones[row.zone]:
+        rows.zones.pop(row.zone)
+
+
+def _discard(index: dict[_KeyT, set[str]], key: _KeyT, name: str) -> None:
+    names = index[key]
+    names.discard(name)
+    if not names:
+        index.pop(key)
+
+
+@functools.singledispatch
+def _check_joined(
+    row: Row, key: RowKey, rows: ConfigRows
+) -> Iterator[RowProblem]:
+    """Yield what is wrong between a row in force and the rest."""
+    raise NotImplementedError(type(row))
+
+
+@_check_joined.register
+def _check_joined_route(
+    row: RouteRow, key: RowKey, rows: ConfigRows
+) -> Iterator[RowProblem]:
+    yield from rows.check_pool(row.pool)
+    yield from _check_kind(row, rows)
+    others: set[str] = set()
+    for match in match_keys(row):
+        others |= rows.matches[match]
+    for other in sorted(others - {row.name}):
+        yield RowProblem(
+            'path_prefix' if row.path_prefix else 'model',
+            f'overlaps route "{other}"',
+            'give each model or path prefix and customer to one route',
+        )
+
+
+@_check_joined.register
+def _check_joined_pool(
+    row: PoolRow, key: RowKey, rows: ConfigRows
+) -> Iterator[RowProblem]:
+    for name in sorted(rows.pool_routes.get(row.name, ())):
+        route = rows.route(name)
+        if route is not None:
+            yield from _check_kind(route, rows)
+
+
+@_check_joined.register
+def _check_joined_upstream(
+    row: UpstreamRow, key: RowKey, rows: ConfigRows
+) -> Iterator[RowProblem]:
+    yield from rows.check_pool(row.pool)
+
+
+@_check_joined.register
+def _check_joined_drain(
+    row: DrainRow, key: RowKey, rows: ConfigRows
+) -> Iterator[RowProblem]:
+    if key.kind is RowKind.zone_drain:
+        if key.name not in rows.zones:
+            yield RowProblem(
+                'zone',
+                f'no upstream is in zone "{key.name}"',
+                rows.hint(key.name, rows.zones),
+            )
+    elif rows.upstream(key.name) is None:
+        yield RowProblem(
+            'upstream',
+            f'unknown upstream "{key.name}"',
+            rows.hint(key.name, rows.by_kind[RowKind.upstream]),
+        )
+
+
+def _check_kind(row: RouteRow, rows: ConfigRows) -> Iterator[RowProblem]:
+    pool = rows.pool(row.pool)
+    if pool is None:
+        return
+    wanted = PoolKind.service if row.path_prefix else PoolKind.model
+    if pool.kind is not wanted:
+        yield RowProblem(
+            'path_prefix' if row.path_prefix else 'model',
+            f'route "{row.name}" leads to pool "{row.pool}"'
+            + f' of kind "{pool.kind}"',
+            'a "model" leads to a pool of kind "model",'
+            + ' a "path_prefix" to one of kind "service"',
+        )
--- /dev/null
+++ b/src/hickorymux/_internal/state/table_builder.py
@@ -0,0 +1,105 @@
+"""Builds the tables in force from the rows, as little as a change needs."""
+
+import functools
+from typing import final
+
+from hickorymux._internal.state.config_rows import ConfigRows
+from hickorymux._internal.state.rows import (
+    DrainRow,
+    PoolRow,
+    RouteRow,
+    Row,
+    RowKey,
+    RowKind,
+    UpstreamRow,
+)
+from hickorymux._internal.state.tables import Pool, Route, Tables, Upstream
+
+
+@final
+class TableBuilder:
+    """Keeps the built routes and pools and renews the changed ones.
+
+    ``mark`` costs constant time. ``build`` costs the changed pools and one
+    reference for each route and pool.
+    """
+
+    __slots__ = ('changed_pools', 'pools', 'routes', 'rows', 'tables')
+
+    def __init__(self, rows: ConfigRows) -> None:
+        self.rows = rows
+        self.routes: dict[str, Route] = {}
+        self.pools: dict[str, Pool] = {}
+        self.changed_pools: set[str] = set()
+        self.tables = Tables()
+
+    def mark(self, key: RowKey, old: Row | None) -> None:
+        """Note that a row changed from its old content."""
+        row = self.rows.rows.get(key)
+        if old is not None:
+            _unmark_row(old, self)
+        if row is not None:
+            _mark_row(row, self)
+
+    def build(self, version: int) -> Tables:
+        """Return the tables as of a version."""
+        if self.tables.version == version:
+            return self.tables
+        for name in self.changed_pools:
+            self._build_pool(name)
+        self.changed_pools.clear()
+        self.tables = Tables(
+            version=version,
+            routes=dict(sorted(self.routes.items())),
+            pools=dict(sorted(self.pools.items())),
+            drained_zones=self.rows.drained(RowKind.zone_drain),
+            drained_upstreams=self.rows.drained(RowKind.upstream_drain),
+        )
+        return self.tables
+
+    def _build_pool(self, name: str) -> None:
+        row = self.rows.pool(name)
+        if row is None:
+            self.pools.pop(name, None)
+            return
+        self.pools[name] = row.to_pool(self._upstreams(name))
+
+    def _upstreams(self, pool: str) -> tuple[Upstream, ...]:
+        names = sorted(self.rows.pool_upstreams.get(pool, ()))
+        rows = (self.rows.upstream(name) for name in names)
+        return tuple(row.to_upstream() for row in rows if row is not None)
+
+
+@functools.singledispatch
+def _mark_row(row: Row, builder: TableBuilder) -> None:
+    raise NotImplementedError(type(row))
+
+
+@_mark_row.register
+def _mark_route(row: RouteRow, builder: TableBuilder) -> None:
+    builder.routes[row.name] = row.to_route()
+
+
+@_mark_row.register
+def _mark_pool(row: PoolRow, builder: TableBuilder) -> None:
+    builder.changed_pools.add(row.name)
+
+
+@_mark_row.register
+def _mark_upstream(row: UpstreamRow, builder: TableBuilder) -> None:
+    builder.changed_pools.add(row.pool)
+
+
+@_mark_row.register
+def _mark_drain(row: DrainRow, builder: TableBuilder) -> None:
+    """Drains are kept by the rows themselves."""
+
+
+@functools.singledispatch
+def _unmark_row(row: Row, builder: TableBuilder) -> None:
+    _mark_row(row, builder)
+
+
+@_unmark_row.register
+def _unmark_route(row: RouteRow, builder: TableBuilder) -> None:
+    builder.routes.pop(row.name, None)
--- /dev/null
+++ b/tests/unit/test_config_follower.py
@@ -0,0 +1,197 @@
+"""The follower keeps up with the log, its trimming and its outages."""
+
+import asyncio
+import contextlib
+import datetime as dt
+
+import pytest
+from lib.config_samples import base_operations, change
+from lib.fake_clock import FakeClock
+from lib.fake_log import FakeLog
+
+from hickorymux._internal.coordination.config_follower import ConfigFollower
+from hickorymux._internal.coordination.config_messages import (
+    ConfigOffer,
+    ConfigRequest,
+)
+from hickorymux._internal.coordination.config_snapshots import SnapshotPolicy
+from hickorymux._internal.exceptions import (
+    LogTrimmed,
+    LogUnavailable,
+    SnapshotError,
+)
+from hickorymux._internal.state.config_changes import (
+    CONFIG_STREAM,
+    DrainZone,
+    RestoreZone,
+)
+from hickorymux._internal.state.config_fold import ConfigFold
+from hickorymux._internal.state.config_snapshot import SNAPSHOT_STREAM
+from hickorymux._internal.state.tables import Tables
+
+
+class Fleet:
+    """Followers of one log with one clock."""
+
+    def __init__(self) -> None:
+        self.log = FakeLog()
+        self.clock = FakeClock()
+        self.log.put(CONFIG_STREAM, change(0, *base_operations()))
+
+    def follower(self, router_id: str = 'r1') -> ConfigFollower:
+        policy = SnapshotPolicy(
+            interval=dt.timedelta(seconds=60),
+            spread=dt.timedelta(seconds=10),
+            records=5,
+        )
+        return ConfigFollower(
+            self.log, self.clock, router_id=router_id, policy=policy
+        )
+
+    async def read(self, follower: ConfigFollower) -> None:
+        """Run the steps that need no waiting."""
+        while follower.fold.next_offset < self.log.end(CONFIG_STREAM):
+            await follower.step()
+
+
+async def test_listeners_get_each_page() -> None:
+    fleet = Fleet()
+    follower = fleet.follower()
+    seen: list[Tables] = []
+    follower.subscribe(seen.append)
+    await fleet.read(follower)
+    fleet.log.put(CONFIG_STREAM, change(1, DrainZone('a')))
+    await fleet.read(follower)
+    assert [tables.version for tables in seen] == [1, 2]
+    assert seen[-1].drained_zones == {'a'}
+    assert follower.missing() == ()
+
+
+async def test_start_after_trimming_uses_the_newest_snapshot() -> None:
+    fleet = Fleet()
+    first = fleet.follower()
+    await fleet.read(first)
+    fleet.log.put(SNAPSHOT_STREAM, first.snapshot())
+    fleet.log.put(SNAPSHOT_STREAM, b'broken')
+    fleet.log.put(CONFIG_STREAM, change(1, DrainZone('a')))
+    fleet.log.trim(CONFIG_STREAM, 1)
+    second = fleet.follower('r2')
+    await fleet.read(second)
+    await fleet.read(first)
+    assert second.tables == first.tables
+    assert second.version == 2
+
+
+async def test_start_after_trimming_without_snapshot_says_so() -> None:
+    fleet = Fleet()
+    fleet.log.put(CONFIG_STREAM, change(1, DrainZone('a')))
+    fleet.log.trim(CONFIG_STREAM, 1)
+    follower = fleet.follower()
+    with pytest.raises(LogTrimmed):
+        await follower.step()
+    assert 'trimmed' in follower.missing()[0]
+
+
+async def test_trimmed_snapshots_are_found_too() -> None:
+    fleet = Fleet()
+    first = fleet.follower()
+    await fleet.read(first)
+    for _ in range(9):
+        fleet.log.put(SNAPSHOT_STREAM, first.snapshot())
+    fleet.log.trim(SNAPSHOT_STREAM, 8)
+    fleet.log.trim(CONFIG_STREAM, 1)
+    second = fleet.follower('r2')
+    await second.step()
+    assert second.version == 1
+
+
+async def test_start_with_the_log_down_takes_a_peer_snapshot() -> None:
+    fleet = Fleet()
+    first = fleet.follower()
+    await fleet.read(first)
+    fleet.log.is_down = True
+    second = fleet.follower('r2')
+    with pytest.raises(LogUnavailable):
+        await second.step()
+    assert 'log service does not answer' in second.missing()[0]
+    offer = first.answer(ConfigRequest(second.version))
+    assert offer is not None
+    assert second.take_offer(offer)
+    assert second.missing() == ()
+    assert second.tables == first.tables
+    assert first.answer(ConfigRequest(second.version)) is None
+
+
+async def test_a_lower_version_is_never_adopted() -> None:
+    fleet = Fleet()
+    follower = fleet.follower()
+    await fleet.read(follower)
+    old = follower.snapshot()
+    fleet.log.put(CONFIG_STREAM, change(1, DrainZone('a')))
+    await fleet.read(follower)
+    assert not follower.adopt(old)
+    assert follower.version == 2
+
+
+@pytest.mark.parametrize('payload', [b'', b'x', b'x\x9c'])
+async def test_a_broken_offer_changes_nothing(payload: bytes) -> None:
+    follower = Fleet().follower()
+    with pytest.raises(SnapshotError):
+        follower.take_offer(ConfigOffer(9, payload))
+    assert follower.version == 0
+
+
+async def test_records_after_an_adopted_snapshot_are_folded() -> None:
+    fleet = Fleet()
+    first = fleet.follower()
+    await fleet.read(first)
+    second = fleet.follower('r2')
+    second.adopt(first.snapshot())
+    fleet.log.put(CONFIG_STREAM, change(1, DrainZone('a')))
+    fleet.log.put(CONFIG_STREAM, change(2, RestoreZone('a')))
+    await fleet.read(second)
+    assert second.version == 3
+
+
+async def test_one_router_writes_the_snapshot_in_its_turn() -> None:
+    fleet = Fleet()
+    followers = [fleet.follower(f'r{number}') for number in range(6)]
+    for follower in followers:
+        await fleet.read(follower)
+    for _ in range(80):
+        fleet.clock.advance(1)
+        for follower in followers:
+            if follower.turn.seconds_left(follower.fold.next_offset) == 0:
+                await follower.step()
+    assert fleet.log.end(SNAPSHOT_STREAM) == 1
+    fold = ConfigFold.from_snapshot(
+        fleet.log.page(SNAPSHOT_STREAM, 0, 1).records[0].payload
+    )
+    assert fold.tables == followers[0].tables
+
+
+async def test_many_records_bring_the_snapshot_forward() -> None:
+    fleet = Fleet()
+    follower = fleet.follower()
+    for _ in range(5):
+        fleet.log.put(CONFIG_STREAM, b'malformed')
+    fleet.clock.advance(11)
+    await follower.step()
+    assert fleet.log.end(SNAPSHOT_STREAM) == 1
+
+
+async def test_the_follower_survives_an_outage() -> None:
+    fleet = Fleet()
+    follower = fleet.follower()
+    fleet.log.is_down = True
+    task = asyncio.create_task(follower.run())
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert follower.version == 0
+    fleet.log.is_down = False
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert follower.version == 1
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
