Lend slots: homes, holders and what is known of an upstream

Cause: a router may send work only where the upstream can bear it, without asking anyone about a single request. Counts of slots only grow within a session, so lost, repeated or reordered messages free nothing that is in use; a mismatch of totals reopens the session. Ruled out: one lease a slot (renewals do not fit the message budget).

--- /dev/null
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -0,0 +1,539 @@
+"""The home of upstreams: lends their slots to the routers of the fleet."""
+
+import dataclasses
+import functools
+import logging
+import math
+from collections.abc import Callable, Iterable
+from typing import Any, final
+
+from hickorymux._internal.coordination.ports import MemberView, PeerSender
+from hickorymux._internal.coordination.slot_messages import (
+    GrantedSlots,
+    HandedLoan,
+    PoolDemand,
+    SlotCount,
+    SlotGrant,
+    SlotHandover,
+    SlotRenew,
+    SlotRequest,
+    SlotReturn,
+    UpstreamSign,
+)
+from hickorymux._internal.coordination.slot_placement import (
+    HomeMap,
+    all_upstreams,
+)
+from hickorymux._internal.coordination.slot_sharing import (
+    Share,
+    pick_furthest_ahead,
+    pick_neediest,
+)
+from hickorymux._internal.state.slot_ledger import (
+    SlotLedger,
+    wait_out_seconds,
+)
+from hickorymux._internal.state.tables import Pool, Tables, Upstream
+from hickorymux._internal.state.upstream_state import (
+    REFUSED,
+    REPORT_LAG_SECONDS,
+    LoadReport,
+    Phase,
+    UpstreamBook,
+)
+from hickorymux._internal.utils.clock import Clock
+
+LEASE_SECONDS = 3.0
+TICK_SECONDS = 0.25
+MS_PER_SECOND = 1000
+SHORTAGE_REPEAT_SECONDS = 0.5
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Borrower:
+    """The session of one router with this home."""
+
+    session: int
+    expires_at: float
+    sequence: int = 0
+    version: int = 0
+    sent_version: int = 0
+    warned_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    demands: dict[str, PoolDemand] = dataclasses.field(default_factory=dict)
+    changed: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def touch(self, upstream: str) -> None:
+        """Note that the loan of an upstream changed."""
+        self.version += 1
+        self.changed[upstream] = self.version
+
+
+@final
+class SlotHome:
+    """Lends the slots of the upstreams that this router is home of.
+
+    Any router may ask. A free slot goes at once to the router whose most
+    underserved backlogged customer is furthest behind. An upstream that is
+    drained, unknown or down lends nothing, and its unused slots are recalled.
+
+    Example::
+
+        home = SlotHome(members, sender, clock, UpstreamBook(), read_tables)
+        home.on_message('router-b', SlotRenew(session=1, is_opening=True))
+        home.tick()
+    """
+
+    __slots__ = (
+        'book',
+        'borrowers',
+        'clock',
+        'home_map',
+        'lease_seconds',
+        'ledgers',
+        'members',
+        'read_tables',
+        'sender',
+    )
+
+    def __init__(
+        self,
+        members: MemberView,
+        sender: PeerSender,
+        clock: Clock,
+        book: UpstreamBook,
+        read_tables: Callable[[], Tables],
+        lease_seconds: float = LEASE_SECONDS,
+    ) -> None:
+        self.members = members
+        self.sender = sender
+        self.clock = clock
+        self.book = book
+        self.read_tables = read_tables
+        self.lease_seconds = lease_seconds
+        self.home_map = HomeMap(members)
+        self.ledgers: dict[str, SlotLedger] = {}
+        self.borrowers: dict[str, Borrower] = {}
+
+    def upstreams(self) -> list[Upstream]:
+        """Return the upstreams that this router is home of, by the tables.
+
+        The caller polls the load reports of exactly these.
+        """
+        own_id = self.members.myself.router_id
+        return [
+            upstream
+            for upstream in all_upstreams(self.read_tables())
+            if self.home_map.home_of(upstream) == own_id
+        ]
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await self.clock.sleep(TICK_SECONDS)
+
+    def tick(self) -> None:
+        """Follow the membership, end the leases that ran out, lend again."""
+        now = self.clock.monotonic()
+        self._follow_homes(now)
+        for ledger in self.ledgers.values():
+            ledger.expire(now)
+        ended = [
+            router_id
+            for router_id, borrower in self.borrowers.items()
+            if now >= borrower.expires_at
+        ]
+        for router_id in ended:
+            self.borrowers.pop(router_id)
+        self._serve_all(now)
+
+    def on_load_report(self, name: str, report: LoadReport) -> None:
+        """Take the load report of an upstream, and lend what it allows."""
+        now = self.clock.monotonic()
+        state = self.book.find(name)
+        if state is None or not state.on_report(report, now):
+            return
+        ledger = self.ledgers.get(name)
+        if ledger is None:
+            return
+        ledger.settle(report.running, now - REPORT_LAG_SECONDS, now)
+        self._serve_all(now)
+
+    def on_message(self, sender_id: str, message: Any) -> None:
+        """Take a message of another router, or of the own holder."""
+        now = self.clock.monotonic()
+        _handle(message, self, sender_id, now)
+
+    def hand_over_all(self) -> None:
+        """Hand every upstream to its next home; for a graceful shutdown.
+
+        The membership must show this router as leaving.
+        """
+        self._follow_homes(self.clock.monotonic())
+
+    def open_session(
+        self, sender_id: str, message: SlotRenew, now: float
+    ) -> bool:
+        """Begin or extend a session; return whether it is known."""
+        known = self.borrowers.get(sender_id)
+        if known is not None and known.session > message.session:
+            return False
+        if known is None or known.session < message.session:
+            self._begin(sender_id, message, now)
+        return self.hear(sender_id, message.session, message.sequence, now)
+
+    def hear(
+        self, sender_id: str, session: int, sequence: int, now: float
+    ) -> bool:
+        """Extend a session; tell the router if it is not known."""
+        borrower = self.borrowers.get(sender_id)
+        if borrower is None or borrower.session != session:
+            answer = SlotGrant(session, sequence, is_unknown=True)
+            self.sender.send(sender_id, answer)
+            return False
+        borrower.sequence = max(borrower.sequence, sequence)
+        borrower.expires_at = now + self.lease_seconds
+        for ledger in self.ledgers.values():
+            ledger.renew(sender_id, session, borrower.expires_at)
+        return True
+
+    def take_demands(
+        self, sender_id: str, demands: Iterable[PoolDemand]
+    ) -> None:
+        """Replace what a router says it can use of some pools."""
+        borrower = self.borrowers[sender_id]
+        for demand in demands:
+            borrower.demands[demand.pool] = demand
+
+    def take_returns(
+        self, sender_id: str, session: int, returned: Iterable[SlotCount]
+    ) -> None:
+        """Take slots back."""
+        for count in returned:
+            ledger = self.ledgers.get(count.upstream)
+            if ledger is not None:
+                ledger.give_back(sender_id, session, count.slots)
+
+    def acknowledge(self, sender_id: str, message: SlotRenew) -> None:
+        """Answer a renewal with all loans that the holder has not seen."""
+        borrower = self.borrowers[sender_id]
+        if self._lost_message(sender_id, borrower, message):
+            self.borrowers.pop(sender_id)
+            answer = SlotGrant(message.session, is_unknown=True)
+            self.sender.send(sender_id, answer)
+            return
+        self._send_loans(sender_id, borrower, message.seen)
+
+    def serve(self, pool_name: str, now: float) -> None:
+        """Lend the free slots of a pool to whom they help most."""
+        pool = self.read_tables().pools.get(pool_name)
+        if pool is None:
+            return
+        served: set[str] = set()
+        for upstream in pool.upstreams:
+            ledger = self.ledgers.get(upstream.name)
+            if ledger is not None:
+                served |= self._serve_upstream(pool, upstream, ledger, now)
+        self._recall_for_waiting(pool, served, now)
+        for router_id in served:
+            self._push(router_id)
+
+    def limit(self, upstream: Upstream, now: float) -> int:
+        """Return how many slots of an upstream may be lent in all."""
+        if self.read_tables().is_drained(upstream):
+            return 0
+        return self.book.state_of(upstream).limit(now)
+
+    def _begin(self, sender_id: str, message: SlotRenew, now: float) -> None:
+        expires_at = now + self.lease_seconds
+        self.borrowers[sender_id] = Borrower(message.session, expires_at)
+        held = {count.upstream: count.slots for count in message.held}
+        for name, ledger in self.ledgers.items():
+            slots = held.get(name, 0)
+            ledger.open_loan(sender_id, message.session, slots, expires_at)
+
+    def _lost_message(
+        self, sender_id: str, borrower: Borrower, message: SlotRenew
+    ) -> bool:
+        if message.is_opening or message.seen != borrower.version:
+            return False
+        held = self._held(sender_id, self.ledgers)
+        return held != message.held_total
+
+    def _held(self, router_id: str, names: Iterable[str]) -> int:
+        held = 0
+        for name in names:
+            ledger = self.ledgers.get(name)
+            loan = ledger.loans.get(router_id) if ledger else None
+            held += loan.held if loan else 0
+        return held
+
+    def _follow_homes(self, now: float) -> None:
+        self.home_map.refresh(self.read_tables())
+        own = self.upstreams()
+        names = {upstream.name for upstream in own}
+        for name in list(self.ledgers):
+            if name not in names:
+                self._hand_over(name, self.ledgers.pop(name))
+        for upstream in own:
+            self.book.state_of(upstream)
+            if upstream.name not in self.ledgers:
+                lends_from = now + wait_out_seconds(self.lease_seconds)
+                self.ledgers[upstream.name] = SlotLedger(lends_from)
+
+    def _hand_over(self, name: str, ledger: SlotLedger) -> None:
+        state = self.book.find(name)
+        home_id = self.home_map.home_of(state.upstream) if state else ''
+        if not home_id:
+            return
+        loans = [
+            HandedLoan(router_id, slots)
+            for router_id, slots in ledger.holdings().items()
+        ]
+        epoch = self.members.myself.incarnation
+        self.sender.send(home_id, SlotHandover(name, epoch, loans))
+
+    def _serve_all(self, now: float) -> None:
+        pools = {
+            pool_name
+            for borrower in self.borrowers.values()
+            for pool_name in borrower.demands
+        }
+        for pool_name in pools:
+            self.serve(pool_name, now)
+        self._recall_excess(now)
+
+    def _serve_upstream(
+        self, pool: Pool, upstream: Upstream, ledger: SlotLedger, now: float
+    ) -> set[str]:
+        limit = self.limit(upstream, now)
+        served: set[str] = set()
+        while ledger.free(limit, now) > 0:
+            share = pick_neediest(self._borrowing(pool, ledger))
+            if share is None:
+                break
+            self._lend(share, upstream, ledger, limit, now)
+            served.add(share.router_id)
+        return served
+
+    def _lend(
+        self,
+        share: Share,
+        upstream: Upstream,
+        ledger: SlotLedger,
+        limit: int,
+        now: float,
+    ) -> None:
+        borrower = self.borrowers[share.router_id]
+        if share.router_id not in ledger.loans:
+            ledger.open_loan(
+                share.router_id, borrower.session, 0, borrower.expires_at
+            )
+        ledger.grant(share.router_id, 1, limit, now)
+        borrower.touch(upstream.name)
+        log.info(
+            'slot granted',
+            extra={
+                'event': 'slot_grant',
+                'upstream': upstream.name,
+                'pool': share.pool,
+                'router': share.router_id,
+                'customer': share.head.customer,
+                'reason': 'furthest_behind',
+                'counter': share.head.counter,
+                'held': ledger.held,
+                'limit': limit,
+            },
+        )
+
+    def _shares(self, pool: Pool) -> list[Share]:
+        names = [upstream.name for upstream in pool.upstreams]
+        shares = []
+        for router_id, borrower in self.borrowers.items():
+            held = self._held(router_id, names)
+            demand = borrower.demands.get(pool.name, PoolDemand(pool.name))
+            shares.append(Share.from_demand(router_id, demand, held))
+        return shares
+
+    def _borrowing(self, pool: Pool, ledger: SlotLedger) -> list[Share]:
+        return [
+            share
+            for share in self._shares(pool)
+            if ledger.can_lend_to(
+                share.router_id, self.borrowers[share.router_id].session
+            )
+        ]
+
+    def _recall_for_waiting(
+        self, pool: Pool, served: set[str], now: float
+    ) -> None:
+        shares = self._shares(pool)
+        waiting = pick_neediest(shares)
+        if waiting is None:
+            return
+        for share in shares:
+            borrower = self.borrowers[share.router_id]
+            warned_at = borrower.warned_at.get(pool.name, -math.inf)
+            if share.held and now - warned_at >= SHORTAGE_REPEAT_SECONDS:
+                served.add(share.router_id)
+        ahead = pick_furthest_ahead(shares, waiting)
+        if ahead is not None and not self._is_recalling(pool):
+            self._recall(ahead.router_id, pool, 1, served)
+
+    def _is_recalling(self, pool: Pool) -> bool:
+        for upstream in pool.upstreams:
+            ledger = self.ledgers.get(upstream.name)
+            loans = ledger.loans.values() if ledger else ()
+            if any(loan.recalled > loan.returned for loan in loans):
+                return True
+        return False
+
+    def _recall(
+        self, router_id: str, pool: Pool, slots: int, changed: set[str]
+    ) -> None:
+        pending = slots
+        for upstream in pool.upstreams:
+            ledger = self.ledgers.get(upstream.name)
+            if ledger is None or pending <= 0:
+                continue
+            asked = ledger.recall(router_id, pending)
+            if asked:
+                pending -= asked
+                self.borrowers[router_id].touch(upstream.name)
+                changed.add(router_id)
+
+    def _recall_excess(self, now: float) -> None:
+        for name, ledger in self.ledgers.items():
+            state = self.book.find(name)
+            limit = self.limit(state.upstream, now) if state else 0
+            for router_id in ledger.recall_excess(limit):
+                self._note_change(router_id, name)
+                self._push(router_id)
+
+    def _note_change(self, router_id: str, name: str) -> None:
+        borrower = self.borrowers.get(router_id)
+        if borrower is not None:
+            borrower.touch(name)
+
+    def _push(self, router_id: str) -> None:
+        borrower = self.borrowers.get(router_id)
+        if borrower is not None:
+            self._send_loans(router_id, borrower, borrower.sent_version)
+
+    def _send_loans(
+        self, router_id: str, borrower: Borrower, base: int
+    ) -> None:
+        loans = [
+            self._loan_message(router_id, name)
+            for name, version in borrower.changed.items()
+            if version > base and self._has_loan(router_id, name)
+        ]
+        borrower.sent_version = borrower.version
+        grant = SlotGrant(
+            session=borrower.session,
+            sequence=borrower.sequence,
+            epoch=self.members.myself.incarnation,
+            lease_ms=int(self.lease_seconds * MS_PER_SECOND),
+            base=base,
+            version=borrower.version,
+            loans=loans,
+            short_pools=self._short_pools(borrower),
+        )
+        self.sender.send(router_id, grant)
+
+    def _short_pools(self, borrower: Borrower) -> list[str]:
+        now = self.clock.monotonic()
+        short = [
+            pool.name
+            for pool in self.read_tables().pools.values()
+            if any(share.is_short for share in self._shares(pool))
+        ]
+        borrower.warned_at.update(dict.fromkeys(short, now))
+        return short
+
+    def _has_loan(self, router_id: str, name: str) -> bool:
+        ledger = self.ledgers.get(name)
+        return ledger is not None and router_id in ledger.loans
+
+    def _loan_message(self, router_id: str, name: str) -> GrantedSlots:
+        loan = self.ledgers[name].loans[router_id]
+        state = self.book.find(name)
+        instance = state.instance if state else ''
+        return GrantedSlots(name, instance, loan.granted, loan.recalled)
+
+
+@functools.singledispatch
+def _handle(
+    message: object, home: SlotHome, sender_id: str, now: float
+) -> None:
+    """Ignore a message that is not meant for a home."""
+
+
+@_handle.register
+def _handle_renew(
+    message: SlotRenew, home: SlotHome, sender_id: str, now: float
+) -> None:
+    if message.is_opening:
+        known = home.open_session(sender_id, message, now)
+    else:
+        known = home.hear(sender_id, message.session, message.sequence, now)
+    if not known:
+        return
+    home.take_demands(sender_id, message.demands)
+    home.acknowledge(sender_id, message)
+    for demand in message.demands:
+        home.serve(demand.pool, now)
+
+
+@_handle.register
+def _handle_request(
+    message: SlotRequest, home: SlotHome, sender_id: str, now: float
+) -> None:
+    if not home.hear(sender_id, message.session, message.sequence, now):
+        return
+    home.take_demands(sender_id, message.demands)
+    for demand in message.demands:
+        home.serve(demand.pool, now)
+
+
+@_handle.register
+def _handle_return(
+    message: SlotReturn, home: SlotHome, sender_id: str, now: float
+) -> None:
+    if not home.hear(sender_id, message.session, message.sequence, now):
+        return
+    home.take_returns(sender_id, message.session, message.returned)
+    home.take_demands(sender_id, message.demands)
+    for demand in message.demands:
+        home.serve(demand.pool, now)
+
+
+@_handle.register
+def _handle_handover(
+    message: SlotHandover, home: SlotHome, sender_id: str, now: float
+) -> None:
+    ledger = home.ledgers.get(message.upstream)
+    if ledger is not None:
+        ledger.take_over(
+            {loan.router_id: loan.slots for loan in message.loans},
+            now + wait_out_seconds(home.lease_seconds),
+            now,
+        )
+
+
+@_handle.register
+def _handle_sign(
+    message: UpstreamSign, home: SlotHome, sender_id: str, now: float
+) -> None:
+    state = home.book.find(message.upstream)
+    if state is None:
+        return
+    if message.state == REFUSED:
+        state.on_refusal(now)
+    elif message.state != Phase.unknown:
+        state.on_answer(message.instance, message.state, now)
+    elif message.instance in {'', state.instance}:
+        state.on_connection_failure()
+    home.tick()
--- /dev/null
+++ b/src/hickorymux/_internal/state/upstream_state.py
@@ -0,0 +1,242 @@
+"""What a router knows of one upstream, and how much work it may be given.
+
+The rules are pure: the reading of the monotonic clock is passed in, in
+seconds. Limits are numbers of concurrent requests.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+from typing import Any
+
+from hickorymux._internal.state.tables import Upstream
+
+REFUSED = 'refused'
+RAMP_STEP_SECONDS = 0.5
+RAMP_MAX_DOUBLINGS = 30
+REPORT_LAG_SECONDS = 2.0
+FIRST_BYTE_MIN_SAMPLES = 20
+FIRST_BYTE_OUTLIER_RATIO = 8.0
+FIRST_BYTE_OUTLIER_SECONDS = 1.0
+FIRST_BYTE_OUTLIERS_IN_A_ROW = 2
+FIRST_BYTE_SMOOTHING = 0.1
+
+
+class Phase(enum.StrEnum):
+    """How far an upstream is from bearing its full load."""
+
+    unknown = 'unknown'
+    cold = 'cold'
+    ramping = 'ramping'
+    warm = 'warm'
+    down = 'down'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadReport:
+    """What an upstream says of itself; it describes a moment in the past.
+
+    ``reported_at`` is seconds on the clock of the upstream, and is compared
+    with other reports of the same upstream only.
+    """
+
+    instance: str
+    state: str
+    slots: int = 0
+    cold_slots: int = 0
+    running: int = 0
+    waiting: int = 0
+    models: tuple[str, ...] = ()
+    reported_at: float = 0
+
+    @classmethod
+    def from_config(cls, body: Mapping[str, Any]) -> 'LoadReport':
+        """Build a report from the decoded answer of ``GET /load``.
+
+        Raises ``KeyError``, ``TypeError`` or ``ValueError`` when the body is
+        not a load report.
+        """
+        return cls(
+            instance=str(body['instance']),
+            state=str(body['state']),
+            slots=int(body.get('slots', 0)),
+            cold_slots=int(body.get('cold_slots', 0)),
+            running=int(body.get('running', 0)),
+            waiting=int(body.get('waiting', 0)),
+            models=tuple(body.get('models', ())),
+            reported_at=float(body.get('reported_at', 0)),
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamState:
+    """The phase of one upstream and the limit that follows from it.
+
+    A connection failure, a new instance or a run of late first bytes makes
+    the upstream unknown, and an unknown upstream gets no new work until a
+    report or an answer that is newer says how it is.
+
+    Example::
+
+        state = UpstreamState(upstream)
+        state.on_report(LoadReport('i1', 'warm', running=3), now)
+        state.limit(now)
+    """
+
+    upstream: Upstream
+    phase: Phase = Phase.unknown
+    instance: str = ''
+    running: int = 0
+    report: LoadReport | None = None
+    reported_since: float = 0
+    ramp_from: int = 1
+    ramp_since: float = 0
+    former_instances: set[str] = dataclasses.field(default_factory=set)
+    first_byte_mean: float = 0
+    first_byte_samples: int = 0
+    first_byte_outliers: int = 0
+
+    @property
+    def slots(self) -> int:
+        """Return the full limit: the table's, or the report's if lower."""
+        reported = self.report.slots if self.report else 0
+        return min(self.upstream.slots, reported or self.upstream.slots)
+
+    @property
+    def cold_slots(self) -> int:
+        """Return the limit in a cold start: the lower of table and report."""
+        reported = self.report.cold_slots if self.report else 0
+        table = min(self.upstream.cold_slots, self.upstream.slots)
+        return min(table, reported or table)
+
+    def limit(self, now: float) -> int:
+        """Return how many requests the upstream may run at this moment."""
+        if self.phase is Phase.cold:
+            return self.cold_slots
+        if self.phase is Phase.warm:
+            return self.slots
+        if self.phase is not Phase.ramping:
+            return 0
+        steps = int((now - self.ramp_since) / RAMP_STEP_SECONDS)
+        doublings = min(max(steps, 0), RAMP_MAX_DOUBLINGS)
+        ramped = self.ramp_from << doublings
+        if ramped >= self.slots:
+            self.phase = Phase.warm
+        return min(ramped, self.slots)
+
+    def on_report(self, report: LoadReport, now: float) -> bool:
+        """Take a load report; return whether it was newer than what is known.
+
+        A report of a former instance, or one that is not newer than the last
+        of the same instance, is ignored.
+        """
+        if report.instance in self.former_instances:
+            return False
+        if self._is_stale(report):
+            return False
+        self._meet_instance(report.instance)
+        self.report = report
+        self.running = report.running
+        self.reported_since = now
+        self._enter(report.state, now)
+        return True
+
+    def on_answer(self, instance: str, state: str, now: float) -> None:
+        """Take the instance and state that an answer carried in its headers."""
+        if not instance or instance in self.former_instances:
+            return
+        self._meet_instance(instance)
+        if state:
+            self._enter(state, now)
+
+    def on_connection_failure(self) -> None:
+        """Distrust the upstream until a newer report or answer arrives."""
+        self.phase = Phase.unknown
+
+    def on_refusal(self, now: float) -> None:
+        """Halve the limit of an upstream that refused work, then ramp again."""
+        if self.phase not in {Phase.warm, Phase.ramping}:
+            return
+        lowered = max(self.limit(now) // 2, 1)
+        self.phase = Phase.ramping
+        self.ramp_from = lowered
+        self.ramp_since = now
+
+    def on_first_byte(self, seconds: float) -> None:
+        """Compare the time to the first byte with the upstream's own history.
+
+        A run of outliers makes a warm upstream unknown: that is how one that
+        turned cold without a new instance shows first.
+        """
+        if self._is_outlier(seconds):
+            self.first_byte_outliers += 1
+            if self.first_byte_outliers >= FIRST_BYTE_OUTLIERS_IN_A_ROW:
+                self.first_byte_outliers = 0
+                self.on_connection_failure()
+            return
+        self.first_byte_outliers = 0
+        self.first_byte_samples += 1
+        share = max(FIRST_BYTE_SMOOTHING, 1 / self.first_byte_samples)
+        self.first_byte_mean += share * (seconds - self.first_byte_mean)
+
+    def _is_stale(self, report: LoadReport) -> bool:
+        last = self.report
+        if last is None or last.instance != report.instance:
+            return False
+        return report.reported_at <= last.reported_at
+
+    def _is_outlier(self, seconds: float) -> bool:
+        if self.first_byte_samples < FIRST_BYTE_MIN_SAMPLES:
+            return False
+        excess = seconds - self.first_byte_mean
+        if excess < FIRST_BYTE_OUTLIER_SECONDS:
+            return False
+        return seconds > self.first_byte_mean * FIRST_BYTE_OUTLIER_RATIO
+
+    def _meet_instance(self, instance: str) -> None:
+        if instance == self.instance:
+            return
+        if self.instance:
+            self.former_instances.add(self.instance)
+        self.instance = instance
+        self.phase = Phase.unknown
+        self.report = None
+        self.running = 0
+        self.first_byte_samples = 0
+        self.first_byte_outliers = 0
+
+    def _enter(self, state: str, now: float) -> None:
+        if state == Phase.cold:
+            self.phase = Phase.cold
+            return
+        if state in {Phase.warm, Phase.ramping}:
+            self._warm_up(now)
+            return
+        self.phase = Phase.down
+
+    def _warm_up(self, now: float) -> None:
+        if self.phase in {Phase.warm, Phase.ramping}:
+            return
+        self.phase = Phase.ramping
+        self.ramp_from = max(self.cold_slots, self.running, 1)
+        self.ramp_since = now
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamBook:
+    """The states of all upstreams that this router has met, by name."""
+
+    states: dict[str, UpstreamState] = dataclasses.field(default_factory=dict)
+
+    def state_of(self, upstream: Upstream) -> UpstreamState:
+        """Return the state of an upstream; unknown when it is met first."""
+        state = self.states.get(upstream.name)
+        if state is None:
+            state = UpstreamState(upstream)
+            self.states[upstream.name] = state
+        state.upstream = upstream
+        return state
+
+    def find(self, name: str) -> UpstreamState | None:
+        """Return the state of an upstream by name, if it has been met."""
+        return self.states.get(name)
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that tests share."""
--- /dev/null
+++ b/tests/lib/slot_fleet.py
@@ -0,0 +1,252 @@
+"""Routers with real slot homes and holders over a small in-memory network."""
+
+import dataclasses
+import datetime as dt
+import random
+
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.coordination.slot_holder import SlotHolder
+from hickorymux._internal.coordination.slot_home import SlotHome
+from hickorymux._internal.coordination.slot_messages import HeadCustomer
+from hickorymux._internal.state.tables import Pool, PoolKind, Tables, Upstream
+from hickorymux._internal.state.upstream_state import (
+    LoadReport,
+    UpstreamBook,
+)
+
+POOL = 'chat'
+STEP_SECONDS = 0.001
+
+
+class FakeClock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> dt.datetime:
+        return dt.datetime.fromtimestamp(self.now, dt.UTC)
+
+    async def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+
+@dataclasses.dataclass
+class Engine:
+    """An upstream that counts what runs on it."""
+
+    upstream: Upstream
+    instance: str = 'i1'
+    state: str = 'warm'
+    running: int = 0
+    peak: int = 0
+
+    def start(self) -> None:
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+
+    def report(self, now: float) -> LoadReport:
+        return LoadReport(
+            instance=self.instance,
+            state=self.state,
+            slots=self.upstream.slots,
+            cold_slots=self.upstream.cold_slots,
+            running=self.running,
+            reported_at=now,
+        )
+
+
+@dataclasses.dataclass
+class Members:
+    """The live routers as one router sees them."""
+
+    network: 'Network'
+    myself: Member
+
+    def live(self) -> list[Member]:
+        return self.network.visible_to(self.myself.router_id)
+
+    def live_in_zone(self, zone: str) -> list[Member]:
+        return [one for one in self.live() if one.zone == zone]
+
+
+@dataclasses.dataclass
+class Sender:
+    """Sends through the network on behalf of one router."""
+
+    network: 'Network'
+    router_id: str
+
+    def send(self, router_id: str, message: object) -> bool:
+        return self.network.send(self.router_id, router_id, message)
+
+
+class Router:
+    """One router: a home, a holder and the requests it runs."""
+
+    def __init__(self, network: 'Network', member: Member) -> None:
+        self.network = network
+        self.member = member
+        self.clock = network.clock
+        self.book = UpstreamBook()
+        self.tables = network.tables
+        self.paused = False
+        self.waiting = 0
+        self.counter = 0.0
+        self.running: list[tuple[float, object]] = []
+        self.work_seconds = 0.1
+        self.started = 0
+        view = Members(network, member)
+        sender = Sender(network, member.router_id)
+        self.home = SlotHome(
+            view, sender, self.clock, self.book, lambda: self.tables
+        )
+        self.holder = SlotHolder(
+            view,
+            sender,
+            self.clock,
+            self.book,
+            lambda: self.tables,
+            self.on_available,
+        )
+
+    def on_message(self, sender_id: str, message: object) -> None:
+        self.home.on_message(sender_id, message)
+        self.holder.on_message(sender_id, message)
+
+    def demand(self, waiting: int) -> None:
+        self.waiting = waiting
+        self.tell()
+        self.on_available(POOL)
+
+    def tell(self) -> None:
+        head = HeadCustomer(self.member.router_id, self.counter, self.waiting)
+        self.holder.set_demand(POOL, [head], self.waiting)
+
+    def on_available(self, pool: str) -> None:
+        now = self.clock.monotonic()
+        while self.waiting > 0:
+            slot = self.holder.take(pool, now)
+            if slot is None:
+                break
+            if not slot.is_valid(now):
+                self.holder.give_back(slot)
+                break
+            self.waiting -= 1
+            self.started += 1
+            self.counter += 1
+            self.network.engines[slot.upstream.name].start()
+            self.running.append((now + self.work_seconds, slot))
+            self.tell()
+
+    def end_requests(self) -> None:
+        now = self.clock.monotonic()
+        ended = [slot for until, slot in self.running if until <= now]
+        self.running = [one for one in self.running if one[0] > now]
+        for slot in ended:
+            self.network.engines[slot.upstream.name].running -= 1
+            self.holder.give_back(slot)
+
+
+class Network:
+    """Delivers messages after a delay; drops, repeats and reorders them."""
+
+    def __init__(self, upstreams: list[Upstream], seed: int = 1) -> None:
+        self.clock = FakeClock()
+        self.random = random.Random(seed)
+        self.engines = {one.name: Engine(one) for one in upstreams}
+        pool = Pool(POOL, PoolKind.model, tuple(upstreams))
+        self.tables = Tables(version=1, pools={POOL: pool})
+        self.routers: dict[str, Router] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.delay_seconds = 0.001
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.queue: list[tuple[float, int, str, str, object]] = []
+        self.sent = 0
+        self.hidden: set[tuple[str, str]] = set()
+        self.cut_from_upstreams: set[tuple[str, str]] = set()
+
+    def add(self, router_id: str, zone: str, incarnation: int = 1) -> Router:
+        member = Member(router_id, incarnation, zone, '127.0.0.1', 1)
+        router = Router(self, member)
+        self.routers[router_id] = router
+        return router
+
+    def visible_to(self, router_id: str) -> list[Member]:
+        return [
+            router.member
+            for name, router in sorted(self.routers.items())
+            if name == router_id
+            or (
+                (router_id, name) not in self.hidden
+                and frozenset((router_id, name)) not in self.cuts
+            )
+        ]
+
+    def send(self, source: str, target: str, message: object) -> bool:
+        self.sent += 1
+        if target not in self.routers:
+            return False
+        if frozenset((source, target)) in self.cuts:
+            return False
+        copies = 1
+        if source != target:
+            copies -= self.random.random() < self.loss
+            copies += self.random.random() < self.duplication
+        for _ in range(copies):
+            delay = 0 if source == target else self.delay_seconds
+            due = self.clock.now + delay
+            self.queue.append((due, self.sent, source, target, message))
+        return True
+
+    def cut(self, left: list[str], right: list[str]) -> None:
+        for one in left:
+            for other in right:
+                self.cuts.add(frozenset((one, other)))
+
+    def deliver(self) -> None:
+        while True:
+            due = [one for one in self.queue if one[0] <= self.clock.now]
+            due = [
+                one
+                for one in due
+                if one[3] not in self.routers or not self.routers[one[3]].paused
+            ]
+            if not due:
+                return
+            self.queue = [one for one in self.queue if one not in due]
+            for _, _, source, target, message in due:
+                router = self.routers.get(target)
+                if router is not None:
+                    router.on_message(source, message)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass: deliver, end requests, tick and report load."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.now += STEP_SECONDS
+            self.deliver()
+            step = round(self.clock.now / STEP_SECONDS)
+            for router in list(self.routers.values()):
+                self._advance(router, step)
+            self.deliver()
+
+    def _advance(self, router: Router, step: int) -> None:
+        if router.paused:
+            return
+        router.end_requests()
+        if step % 250 == 0:
+            router.home.tick()
+            router.holder.tick()
+        if step % 500 == 0:
+            for upstream in router.home.upstreams():
+                engine = self.engines[upstream.name]
+                if (router.member.router_id, upstream.name) in (
+                    self.cut_from_upstreams
+                ):
+                    continue
+                report = engine.report(self.clock.now)
+                router.home.on_load_report(upstream.name, report)
