Walk a request through queue, slot and upstream

Cause: the parts of the path stood alone. Change: scheduler, dispatcher, relay of whole events and the server towards callers.

--- /dev/null
+++ b/src/hickorymux/_internal/coordination/scheduler.py
@@ -0,0 +1,233 @@
+"""Brings waiting requests and free slots of a pool together.
+
+A request waits in the pool's fair queue until this router holds a slot; the
+slot goes to the most underserved customer. What waits is told to the slot
+holder, which borrows slots from the homes.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Sequence
+from typing import Final, final
+
+from hickorymux._internal.coordination.fair_queue import FairQueue, Ticket
+from hickorymux._internal.coordination.slot_holder import Slot, SlotHolder
+from hickorymux._internal.coordination.slot_messages import HeadCustomer
+from hickorymux._internal.exceptions import (
+    NoCapacity,
+    RouteNotFound,
+    TooManyRequests,
+)
+from hickorymux._internal.state.service_counters import ServiceCounters
+from hickorymux._internal.state.tables import Pool, Tables
+from hickorymux._internal.utils.clock import Clock
+
+MAX_HEADS: Final = 4
+RETRY_AFTER_SECONDS: Final = 2.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Demand:
+    """What a request asks of a pool; ``deadline`` is monotonic seconds."""
+
+    pool: str
+    customer: str
+    cost_hint: float
+    deadline: float
+    preferred: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """A request with its slot, from the queue to the end of its answer."""
+
+    ticket: Ticket
+    slot: Slot
+    waited_seconds: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    """Who waits for a ticket, and which upstreams it would rather have."""
+
+    future: 'asyncio.Future[Slot]'
+    preferred: tuple[str, ...]
+
+
+@final
+class Scheduler:
+    """The fair queues of all pools at this router, and their slots."""
+
+    __slots__ = (
+        'clock',
+        'counters',
+        'holder',
+        'max_waiting_per_customer',
+        'queues',
+        'waiters',
+        'waiting_by_customer',
+    )
+
+    def __init__(
+        self,
+        holder: SlotHolder,
+        clock: Clock,
+        max_waiting_per_customer: int,
+    ) -> None:
+        self.holder = holder
+        self.clock = clock
+        self.max_waiting_per_customer = max_waiting_per_customer
+        self.queues: dict[str, FairQueue] = {}
+        self.counters: dict[str, ServiceCounters] = {}
+        self.waiters: dict[Ticket, _Waiter] = {}
+        self.waiting_by_customer: dict[tuple[str, str], int] = {}
+
+    def use_tables(self, tables: Tables) -> None:
+        """Open queues for new pools and take new weights."""
+        for name, pool in tables.pools.items():
+            queue = self.queues.get(name)
+            if queue is None:
+                self._open(name, pool)
+                continue
+            queue.counters.configure(pool)
+            queue.pool = pool
+        for name in self.queues.keys() - tables.pools.keys():
+            if not self.queues[name].backlog:
+                self.queues.pop(name)
+                self.counters.pop(name)
+
+    async def acquire(self, demand: Demand) -> Placement:
+        """Wait for a slot; the caller ends the placement by ``finish``.
+
+        Raises ``TooManyRequests`` when the customer has too many requests
+        waiting here and ``NoCapacity`` at the deadline; neither was run.
+        """
+        queue = self._queue(demand.pool)
+        self._check_room(demand)
+        ticket = queue.enqueue(
+            demand.customer,
+            demand.cost_hint,
+            demand.deadline,
+        )
+        self._count_waiting(demand, 1)
+        future = asyncio.get_running_loop().create_future()
+        self.waiters[ticket] = _Waiter(future, demand.preferred)
+        try:
+            slot = await self._wait(demand, future)
+        except BaseException:
+            self._abandon(demand.pool, ticket, future)
+            raise
+        finally:
+            self._count_waiting(demand, -1)
+        return Placement(
+            ticket,
+            slot,
+            self.clock.monotonic() - ticket.enqueued_at,
+        )
+
+    def charge(self, placement: Placement, cost: float) -> None:
+        """Count service as it is given."""
+        self.queues[placement.slot.pool].charge(placement.ticket, cost)
+
+    def finish(self, placement: Placement, cost: float) -> None:
+        """End a placement with its final cost and free the slot."""
+        self.queues[placement.slot.pool].settle(placement.ticket, cost)
+        self.holder.give_back(placement.slot)
+        self.pump(placement.slot.pool)
+
+    def pump(self, pool: str) -> None:
+        """Start waiting requests while there are slots."""
+        queue = self.queues.get(pool)
+        if queue is None:
+            return
+        while queue.backlog:
+            if not self._start_next(pool, queue):
+                break
+        self._tell_demand(pool, queue)
+
+    def backlog(self, pool: str) -> int:
+        """Return how many requests wait for a pool here."""
+        queue = self.queues.get(pool)
+        return queue.backlog if queue else 0
+
+    def _open(self, name: str, pool: Pool) -> None:
+        counters = ServiceCounters.from_config(pool)
+        self.counters[name] = counters
+        self.queues[name] = FairQueue.from_config(pool, counters, self.clock)
+
+    def _queue(self, pool: str) -> FairQueue:
+        queue = self.queues.get(pool)
+        if queue is None:
+            raise RouteNotFound(f'pool {pool} is not in force')
+        return queue
+
+    def _check_room(self, demand: Demand) -> None:
+        key = (demand.pool, demand.customer)
+        waiting = self.waiting_by_customer.get(key, 0)
+        if waiting >= self.max_waiting_per_customer:
+            raise TooManyRequests(
+                f'{waiting} requests of the customer wait for {demand.pool}',
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+
+    def _count_waiting(self, demand: Demand, change: int) -> None:
+        key = (demand.pool, demand.customer)
+        waiting = self.waiting_by_customer.get(key, 0) + change
+        if waiting:
+            self.waiting_by_customer[key] = waiting
+        else:
+            self.waiting_by_customer.pop(key, None)
+
+    async def _wait(
+        self,
+        demand: Demand,
+        future: 'asyncio.Future[Slot]',
+    ) -> Slot:
+        self.pump(demand.pool)
+        if future.done():
+            return future.result()
+        seconds = demand.deadline - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(max(seconds, 0)):
+                return await future
+        except TimeoutError:
+            raise NoCapacity(
+                f'no slot of {demand.pool} became free in time',
+                retry_after=RETRY_AFTER_SECONDS,
+            ) from None
+
+    def _abandon(
+        self,
+        pool: str,
+        ticket: Ticket,
+        future: 'asyncio.Future[Slot]',
+    ) -> None:
+        """Leave the queue; a slot that was just given goes back."""
+        self.waiters.pop(ticket, None)
+        queue = self.queues[pool]
+        queue.remove(ticket)
+        if future.done() and not future.cancelled():
+            queue.settle(ticket, 0)
+            self.holder.give_back(future.result())
+        self.pump(pool)
+
+    def _start_next(self, pool: str, queue: FairQueue) -> bool:
+        slot = self.holder.take(pool, self.clock.monotonic())
+        if slot is None:
+            return False
+        ticket = queue.pop()
+        waiter = self.waiters.pop(ticket, None) if ticket else None
+        if waiter is None or waiter.future.done():
+            self.holder.give_back(slot)
+            return False
+        waiter.future.set_result(slot)
+        return True
+
+    def _tell_demand(self, pool: str, queue: FairQueue) -> None:
+        heads: Sequence[HeadCustomer] = ()
+        if queue.backlog:
+            heads = [
+                HeadCustomer(head.customer, head.virtual_counter, head.waiting)
+                for head in queue.heads(MAX_HEADS)
+            ]
+        self.holder.set_demand(pool, heads, queue.backlog)
--- /dev/null
+++ b/src/hickorymux/_internal/transport/caller_server.py
@@ -0,0 +1,357 @@
+"""HTTP towards callers: who asks, for what, and the answer.
+
+Every refusal is given at once, as problem details with a code, whether the
+request ran, and when to come back.
+"""
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Final, Protocol, final
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.exceptions import (
+    BadRequest,
+    BodyTooLarge,
+    HickorymuxError,
+    NotReady,
+    Ran,
+    RequestError,
+    TooManyRequests,
+    Unauthorized,
+    UpstreamTimeout,
+)
+from hickorymux._internal.protocol import http
+from hickorymux._internal.state.tables import Tables
+from hickorymux._internal.transport import calls
+from hickorymux._internal.transport.claiming import ClaimLike, Unclaimed
+from hickorymux._internal.transport.dispatcher import Dispatcher
+from hickorymux._internal.transport.metrics import RouterMetrics
+from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.ids import new_request_id
+
+MAX_REQUEST_ID_CHARACTERS: Final = 128
+MAX_KEY_CHARACTERS: Final = 255
+BODY_TIMEOUT_SECONDS: Final = 30
+OVERLOAD_RETRY_SECONDS: Final = 2.0
+
+_logger = logging.getLogger(__name__)
+
+
+class CustomerDirectory(Protocol):
+    """Knows which customer owns a key."""
+
+    def customer_for_key(self, key: str) -> str | None:
+        """Return the customer, or ``None`` for a key nobody owns."""
+
+
+TakeClaim = Callable[[calls.Call], Awaitable[ClaimLike]]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """What one router takes from callers."""
+
+    max_body_octets: int = 8 << 20
+    max_requests: int = 4096
+
+
+@final
+class HttpReply:
+    """The answer to one caller; implements ``relay.Reply``."""
+
+    __slots__ = ('request', 'response')
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self.request = request
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Return whether the caller has been sent anything."""
+        return self.response is not None
+
+    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Send the status and headers of a streamed answer."""
+        self.response = web.StreamResponse(status=status, headers=headers)
+        await self.response.prepare(self.request)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body, as fast as the caller takes it."""
+        await self._started().write(chunk)
+
+    async def finish(self) -> None:
+        """End the body: the answer is whole."""
+        await self._started().write_eof()
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: CIMultiDict[str],
+        body: bytes,
+    ) -> None:
+        """Send a whole answer at once."""
+        self.response = web.Response(
+            status=status,
+            headers=headers,
+            body=body,
+        )
+
+    def abort(self) -> None:
+        """Cut the connection, so that a part is not taken for the whole."""
+        transport = self.request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _started(self) -> web.StreamResponse:
+        if self.response is None:
+            raise RuntimeError('the answer has not been started')
+        return self.response
+
+
+@final
+class CallerServer:
+    """Takes requests from callers and gives each to the dispatcher."""
+
+    __slots__ = (
+        'claim',
+        'clock',
+        'customers',
+        'decisions',
+        'dispatcher',
+        'limits',
+        'metrics',
+        'missing',
+        'read_tables',
+        'running',
+    )
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        customers: CustomerDirectory,
+        read_tables: Callable[[], Tables],
+        claim: TakeClaim,
+        limits: CallerLimits,
+        missing: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.customers = customers
+        self.read_tables = read_tables
+        self.claim = claim
+        self.limits = limits
+        self.missing = missing
+        self.clock: Clock = dispatcher.clock
+        self.decisions: DecisionLog = dispatcher.decisions
+        self.metrics: RouterMetrics = dispatcher.metrics
+        self.running: set[asyncio.Task[None]] = set()
+
+    def application(self) -> web.Application:
+        """Return the application to serve."""
+        app = web.Application(client_max_size=self.limits.max_body_octets)
+        app.router.add_route('*', '/{tail:.*}', self.handle)
+        return app
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request."""
+        request_id = _request_id(request)
+        reply = HttpReply(request)
+        try:
+            await self._serve(request, request_id, reply)
+        except RequestError as error:
+            return self._refuse(error, request_id, reply)
+        except (ConnectionError, asyncio.CancelledError):
+            self.decisions.record(request_id, 'cancelled', 'the caller left')
+            self.metrics.count_outcome('', 'caller_left')
+            raise
+        if reply.response is None:
+            raise RuntimeError('the call ended without an answer')
+        return reply.response
+
+    async def drained(self) -> None:
+        """Wait until no request runs."""
+        while self.running:
+            await asyncio.wait(self.running)
+
+    async def _serve(
+        self,
+        request: web.Request,
+        request_id: str,
+        reply: HttpReply,
+    ) -> None:
+        customer = self._authenticate(request)
+        self._check_ready()
+        body = await self._read_body(request)
+        call = self._match(request, request_id, customer, body)
+        self.decisions.record(
+            request_id,
+            'routed',
+            'model' if call.route.model else 'path prefix',
+            customer=customer,
+            route=call.route.name,
+            pool=call.pool.name,
+        )
+        work = asyncio.create_task(self._run(call, reply))
+        self.running.add(work)
+        work.add_done_callback(self.running.discard)
+        await self._finish(call, work)
+        self.metrics.count_outcome(call.pool.name, 'answered')
+
+    async def _finish(
+        self,
+        call: calls.Call,
+        work: 'asyncio.Task[None]',
+    ) -> None:
+        """Wait for the work; it goes on alone if it may not be repeated."""
+        if call.is_repeatable:
+            await work
+            return
+        work.add_done_callback(_read_exception)
+        await asyncio.shield(work)
+
+    async def _run(self, call: calls.Call, reply: HttpReply) -> None:
+        claim: ClaimLike = Unclaimed()
+        if call.idempotency_key and not call.is_repeatable:
+            claim = await self.claim(call)
+        seconds = call.route.total_timeout.total_seconds()
+        try:
+            async with asyncio.timeout(seconds):
+                await self.dispatcher.run(call, reply, claim)
+        except TimeoutError:
+            raise UpstreamTimeout(
+                f'not whole within {seconds:g} s',
+                ran=Ran.unknown,
+                retry_after=OVERLOAD_RETRY_SECONDS,
+            ) from None
+        except RequestError as error:
+            if error.ran is Ran.not_run:
+                claim.release()
+            raise
+
+    def _authenticate(self, request: web.Request) -> str:
+        key = http.bearer_key(request.headers)
+        customer = self.customers.customer_for_key(key) if key else None
+        if customer is None:
+            raise Unauthorized('the request carries no valid customer key')
+        return customer
+
+    def _check_ready(self) -> None:
+        missing = self.missing()
+        if missing:
+            raise NotReady(
+                '; '.join(missing),
+                retry_after=OVERLOAD_RETRY_SECONDS,
+            )
+        if len(self.running) >= self.limits.max_requests:
+            raise TooManyRequests(
+                f'the router runs {len(self.running)} requests',
+                retry_after=OVERLOAD_RETRY_SECONDS,
+            )
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+                return await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            limit = self.limits.max_body_octets
+            raise BodyTooLarge(f'the limit is {limit} octets') from None
+        except TimeoutError:
+            raise BadRequest('the body did not arrive in time') from None
+
+    def _match(
+        self,
+        request: web.Request,
+        request_id: str,
+        customer: str,
+        body: bytes,
+    ) -> calls.Call:
+        tables = self.read_tables()
+        cost_hint: float = 0
+        if request.path == calls.CHAT_PATH:
+            head = calls.parse_chat_head(body)
+            route = calls.match_model(tables, customer, head.model)
+            cost_hint = calls.cost_hint_of(head)
+        else:
+            route = calls.match_path(tables, customer, request.path)
+        call = calls.Call(
+            request_id=request_id,
+            customer=customer,
+            route=route,
+            pool=calls.pool_of(tables, route),
+            method=request.method,
+            path=request.path_qs,
+            headers=CIMultiDict(request.headers),
+            body=body,
+            arrived_at=self.clock.monotonic(),
+            idempotency_key=_idempotency_key(request),
+            cost_hint=cost_hint,
+        )
+        if route.requires_key and not call.is_repeatable:
+            _check_has_key(call)
+        return call
+
+    def _refuse(
+        self,
+        error: RequestError,
+        request_id: str,
+        reply: HttpReply,
+    ) -> web.StreamResponse:
+        self.decisions.record(
+            request_id,
+            'refused',
+            str(error),
+            code=error.code,
+            ran=error.ran.value,
+        )
+        self.metrics.count_outcome('', error.code)
+        if reply.response is not None:
+            reply.abort()
+            return reply.response
+        return problem_response(error, request_id)
+
+
+def problem_response(error: HickorymuxError, request_id: str) -> web.Response:
+    """Return an error as problem details."""
+    return web.Response(
+        status=error.http_status,
+        body=http.problem_body(error, request_id),
+        content_type=http.PROBLEM_TYPE,
+        headers=http.problem_headers(error, request_id),
+    )
+
+
+def _request_id(request: web.Request) -> str:
+    given = request.headers.get(http.REQUEST_ID, '')
+    is_usable = given.isascii() and given.isprintable()
+    if given and is_usable and len(given) <= MAX_REQUEST_ID_CHARACTERS:
+        return given
+    return new_request_id()
+
+
+def _idempotency_key(request: web.Request) -> str:
+    key = request.headers.get(http.IDEMPOTENCY_KEY, '')
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise BadRequest(
+            f'the key has more than {MAX_KEY_CHARACTERS} characters',
+            where=http.IDEMPOTENCY_KEY,
+        )
+    return key
+
+
+def _check_has_key(call: calls.Call) -> None:
+    if not call.idempotency_key:
+        raise BadRequest(
+            f'route {call.route.name} takes {call.method} with a key only',
+            where=http.IDEMPOTENCY_KEY,
+            hint='send a UUID of version 7 as the key',
+        )
+
+
+def _read_exception(work: 'asyncio.Task[None]') -> None:
+    """Read a task's error, so that one that nobody waits for is not lost."""
+    if not work.cancelled() and work.exception() is not None:
+        _logger.info('work without a caller ended: %r', work.exception())
--- /dev/null
+++ b/src/hickorymux/_internal/transport/calls.py
@@ -0,0 +1,118 @@
+"""A caller's request on its way through the router."""
+
+import dataclasses
+from collections.abc import Mapping
+
+import msgspec
+import xxhash
+from multidict import CIMultiDict
+
+from hickorymux._internal.exceptions import BadRequest, RouteNotFound
+from hickorymux._internal.state.tables import Pool, PoolKind, Route, Tables
+
+CHAT_PATH = '/v1/chat/completions'
+
+
+class ChatHead(msgspec.Struct):
+    """The members of a chat completion request that routing needs."""
+
+    model: str
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request of one customer, matched to its route and pool.
+
+    ``arrived_at`` is monotonic seconds; ``cost_hint`` is tokens for model
+    pools and 0 when nothing is known.
+    """
+
+    request_id: str
+    customer: str
+    route: Route
+    pool: Pool
+    method: str
+    path: str
+    headers: CIMultiDict[str]
+    body: bytes
+    arrived_at: float
+    idempotency_key: str = ''
+    cost_hint: float = 0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether the request may run more than once."""
+        if self.pool.kind is PoolKind.model:
+            return True
+        return self.method in self.route.idempotent_methods
+
+    @property
+    def fingerprint(self) -> int:
+        """Return a number that is the same for a resent request."""
+        digest = xxhash.xxh3_64(self.body)
+        digest.update(f'{self.customer}\n{self.method}\n{self.path}'.encode())
+        return digest.intdigest()
+
+    def queue_deadline(self) -> float:
+        """Return until when the request may wait, in monotonic seconds."""
+        return self.arrived_at + self.route.queue_timeout.total_seconds()
+
+
+def parse_chat_head(body: bytes) -> ChatHead:
+    """Return what routing needs; raises ``BadRequest`` with the place."""
+    try:
+        return msgspec.json.decode(body, type=ChatHead)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadRequest(str(error), where='body') from error
+
+
+def _may_use(route: Route, customer: str) -> bool:
+    return not route.customers or customer in route.customers
+
+
+def match_model(tables: Tables, customer: str, model: str) -> Route:
+    """Return the route of a model; a route that names the customer wins."""
+    found = [
+        route
+        for route in tables.routes.values()
+        if route.model == model and _may_use(route, customer)
+    ]
+    if not found:
+        raise RouteNotFound(
+            f'no route for model "{model}"',
+            where='body.model',
+            hint='name a model that your operator has published',
+        )
+    return max(found, key=_specificity)
+
+
+def match_path(tables: Tables, customer: str, path: str) -> Route:
+    """Return the route with the longest matching path prefix."""
+    found = [
+        route
+        for route in tables.routes.values()
+        if route.path_prefix
+        and path.startswith(route.path_prefix)
+        and _may_use(route, customer)
+    ]
+    if not found:
+        raise RouteNotFound(f'no route for path "{path}"', where='path')
+    return max(found, key=_specificity)
+
+
+def _specificity(route: Route) -> tuple[int, bool]:
+    return len(route.path_prefix), bool(route.customers)
+
+
+def cost_hint_of(head: ChatHead) -> float:
+    """Return the most tokens that the request asks for, 0 if it is silent."""
+    return float(head.max_completion_tokens or head.max_tokens or 0)
+
+
+def pool_of(tables: Tables, route: Route) -> Pool:
+    """Return the pool of a route; the fold keeps the two tables joined."""
+    pools: Mapping[str, Pool] = tables.pools
+    return pools[route.pool]
--- /dev/null
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -0,0 +1,371 @@
+"""The walk of one request: claim, queue, slot, send, answer.
+
+A request may be called "not run" only while no octet of it went towards an
+upstream. What may not be repeated is sent once; everything else is tried
+again within limits until the answer has begun.
+"""
+
+import dataclasses
+import functools
+import logging
+from collections.abc import Callable
+from typing import Final, final
+
+from multidict import CIMultiDict
+
+from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.coordination.scheduler import (
+    Demand,
+    Placement,
+    Scheduler,
+)
+from hickorymux._internal.exceptions import (
+    Ran,
+    RequestError,
+    UpstreamFailed,
+    UpstreamTimeout,
+)
+from hickorymux._internal.protocol import http
+from hickorymux._internal.state.tables import PoolKind
+from hickorymux._internal.transport.calls import Call
+from hickorymux._internal.transport.claiming import ClaimLike
+from hickorymux._internal.transport.metrics import RouterMetrics
+from hickorymux._internal.transport.relay import EventRelay, Reply, relay_plain
+from hickorymux._internal.transport.upstream_client import (
+    Attempt,
+    AttemptError,
+    AttemptTimeout,
+    UpstreamAnswer,
+    UpstreamClient,
+)
+from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.ids import new_request_id
+
+MAX_ATTEMPTS: Final = 3
+RETRY_AFTER_SECONDS: Final = 1.0
+_MS_PER_SECOND: Final = 1000
+_STATUS_TOO_MANY: Final = 429
+_STATUS_UNAVAILABLE: Final = 503
+
+_logger = logging.getLogger(__name__)
+
+
+class LeaseLapsed(AttemptError):
+    """The slot's lease ended before the send; nothing was sent."""
+
+    code = 'lease_lapsed'
+
+
+class UpstreamRefused(AttemptError):
+    """The upstream refused the request as too much load."""
+
+    code = 'upstream_refused'
+
+
+class AnswerCut(UpstreamFailed):
+    """The answer ended after its beginning had gone to the caller."""
+
+    code = 'answer_cut'
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One attempt with its placement and what it has cost so far."""
+
+    call: Call
+    attempt: Attempt
+    placement: Placement
+    number: int
+    cost: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _History:
+    """What a call has tried so far."""
+
+    attempts: int = 0
+    was_sent: bool = False
+
+
+@final
+class Dispatcher:
+    """Runs calls; one instance for the whole router."""
+
+    __slots__ = (
+        'client',
+        'clock',
+        'decisions',
+        'metrics',
+        'scheduler',
+        'take_retry',
+    )
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        client: UpstreamClient,
+        decisions: DecisionLog,
+        metrics: RouterMetrics,
+        clock: Clock,
+        take_retry: Callable[[str], bool],
+    ) -> None:
+        self.scheduler = scheduler
+        self.client = client
+        self.decisions = decisions
+        self.metrics = metrics
+        self.clock = clock
+        self.take_retry = take_retry
+
+    async def run(self, call: Call, reply: Reply, claim: ClaimLike) -> None:
+        """Bring the call to its answer.
+
+        Raises ``RequestError`` when there is none; its ``ran`` is true.
+        """
+        history = _History()
+        while True:
+            exchange = await self._place(call, claim, history)
+            try:
+                await self._exchange(exchange, reply, claim)
+            except AttemptError as error:
+                history.was_sent |= exchange.attempt.sent
+                self._judge(exchange, reply, error, history)
+            else:
+                return
+
+    async def _place(
+        self,
+        call: Call,
+        claim: ClaimLike,
+        history: '_History',
+    ) -> Exchange:
+        history.attempts += 1
+        try:
+            placement = await self.scheduler.acquire(_demand_of(call))
+        except RequestError as error:
+            if history.was_sent:
+                error.ran = Ran.unknown
+            raise
+        upstream = placement.slot.upstream
+        waited = placement.waited_seconds
+        self.metrics.observe('queue_wait', call.pool.name, waited)
+        attempt = Attempt(
+            attempt_id=new_request_id(),
+            request_id=call.request_id,
+            upstream=upstream,
+            method=call.method,
+            path=call.path,
+            headers=_outgoing_headers(call),
+            body=call.body,
+            is_repeatable=call.is_repeatable,
+            check_before_send=functools.partial(
+                self._check_before_send,
+                placement,
+                claim,
+            ),
+        )
+        self.decisions.record(
+            call.request_id,
+            'dispatch',
+            'lowest counter of the pool, slot at hand',
+            customer=call.customer,
+            route=call.route.name,
+            pool=call.pool.name,
+            upstream=upstream.name,
+            zone=upstream.zone,
+            attempt=history.attempts,
+            waited_ms=round(waited * _MS_PER_SECOND, 1),
+        )
+        return Exchange(call, attempt, placement, history.attempts)
+
+    def _check_before_send(
+        self,
+        placement: Placement,
+        claim: ClaimLike,
+    ) -> None:
+        """Check lease and claim; runs directly before the first octet."""
+        now = self.clock.monotonic()
+        if not placement.slot.is_valid(now):
+            raise LeaseLapsed('the slot may no longer be used')
+        claim.check(now)
+
+    async def _exchange(
+        self,
+        exchange: Exchange,
+        reply: Reply,
+        claim: ClaimLike,
+    ) -> None:
+        started_at = self.clock.monotonic()
+        try:
+            await self._send_and_relay(exchange, reply, claim)
+        except BaseException:
+            await self._stop_work(exchange)
+            raise
+        finally:
+            self._settle(exchange, started_at)
+
+    def _settle(self, exchange: Exchange, started_at: float) -> None:
+        """Charge what the attempt cost and free its slot."""
+        call = exchange.call
+        if call.pool.kind is PoolKind.service:
+            spent = self.clock.monotonic() - started_at
+            exchange.cost = spent * _MS_PER_SECOND
+        self.metrics.count_service(
+            call.pool.name,
+            call.customer,
+            exchange.cost,
+        )
+        self.scheduler.finish(exchange.placement, exchange.cost)
+
+    async def _send_and_relay(
+        self,
+        exchange: Exchange,
+        reply: Reply,
+        claim: ClaimLike,
+    ) -> None:
+        sent_at = self.clock.monotonic()
+        answer = await self.client.open(exchange.attempt)
+        try:
+            self._learn(exchange, answer, sent_at)
+            await self._relay(exchange, answer, reply)
+        except BaseException:
+            answer.close()
+            raise
+        answer.release()
+        claim.record_outcome(answer.status)
+        call = exchange.call
+        self.decisions.record(
+            call.request_id,
+            'answered',
+            'whole',
+            status=answer.status,
+            upstream=exchange.attempt.upstream.name,
+            cost=round(exchange.cost, 1),
+        )
+        whole_seconds = self.clock.monotonic() - call.arrived_at
+        self.metrics.observe('whole_answer', call.pool.name, whole_seconds)
+
+    def _learn(
+        self,
+        exchange: Exchange,
+        answer: UpstreamAnswer,
+        sent_at: float,
+    ) -> None:
+        """Take what the head of the answer tells of the upstream."""
+        now = self.clock.monotonic()
+        call = exchange.call
+        upstream = exchange.attempt.upstream
+        holder = self.scheduler.holder
+        received = answer.response.headers
+        holder.on_answer(
+            upstream,
+            received.get(http.ENGINE_INSTANCE, ''),
+            received.get(http.ENGINE_STATE, ''),
+        )
+        self.metrics.observe(
+            'first_byte',
+            call.pool.name,
+            now - call.arrived_at,
+        )
+        if answer.status in {_STATUS_TOO_MANY, _STATUS_UNAVAILABLE}:
+            holder.on_refusal(upstream)
+            if call.is_repeatable:
+                raise UpstreamRefused(f'upstream answered {answer.status}')
+            return
+        holder.on_first_byte(upstream, now - sent_at)
+
+    async def _relay(
+        self,
+        exchange: Exchange,
+        answer: UpstreamAnswer,
+        reply: Reply,
+    ) -> None:
+        headers = http.headers_for_caller(answer.response.headers)
+        headers[http.REQUEST_ID] = exchange.call.request_id
+        if not answer.is_event_stream:
+            await relay_plain(answer, reply, headers)
+            return
+        relay = EventRelay(
+            reply,
+            functools.partial(self._count_events, exchange),
+            needs_done=exchange.call.pool.kind is PoolKind.model,
+        )
+        await reply.start(answer.status, headers)
+        await relay.run(answer.chunks())
+        await reply.finish()
+
+    def _count_events(self, exchange: Exchange, events: int) -> None:
+        exchange.cost += events
+        self.scheduler.charge(exchange.placement, events)
+
+    async def _stop_work(self, exchange: Exchange) -> None:
+        """End work whose answer nobody takes, before its slot is freed."""
+        if not exchange.attempt.sent:
+            return
+        if exchange.call.pool.kind is PoolKind.model:
+            await self.client.cancel(exchange.attempt)
+
+    def _judge(
+        self,
+        exchange: Exchange,
+        reply: Reply,
+        error: AttemptError,
+        history: '_History',
+    ) -> None:
+        """Return when the call may be tried again, else raise its error."""
+        call, attempt = exchange.call, exchange.attempt
+        if isinstance(error, LeaseLapsed | UpstreamRefused):
+            _logger.debug('attempt ended: %s', error)
+        else:
+            self.scheduler.holder.on_connection_failure(attempt.upstream)
+        final = self._final_error(exchange, reply, error, history)
+        self.decisions.record(
+            call.request_id,
+            'retry' if final is None else 'failed',
+            str(error),
+            upstream=attempt.upstream.name,
+            sent=attempt.sent,
+            attempt=exchange.number,
+        )
+        if final is not None:
+            raise final from error
+
+    def _final_error(
+        self,
+        exchange: Exchange,
+        reply: Reply,
+        error: AttemptError,
+        history: '_History',
+    ) -> RequestError | None:
+        call = exchange.call
+        if reply.has_started:
+            return AnswerCut(error.detail, ran=Ran.unknown)
+        may_repeat = call.is_repeatable or not exchange.attempt.sent
+        is_last = exchange.number >= MAX_ATTEMPTS
+        if may_repeat and not is_last and self.take_retry(call.pool.name):
+            return None
+        ran = Ran.unknown if history.was_sent else Ran.not_run
+        error_class = (
+            UpstreamTimeout
+            if isinstance(error, AttemptTimeout)
+            else UpstreamFailed
+        )
+        return error_class(
+            f'{error.code}: {error.detail}',
+            ran=ran,
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+
+
+def _demand_of(call: Call) -> Demand:
+    return Demand(
+        pool=call.pool.name,
+        customer=call.customer,
+        cost_hint=call.cost_hint,
+        deadline=call.queue_deadline(),
+    )
+
+
+def _outgoing_headers(call: Call) -> CIMultiDict[str]:
+    headers = http.headers_for_upstream(call.headers)
+    headers[http.CUSTOMER] = call.customer
+    return headers
--- /dev/null
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -0,0 +1,118 @@
+"""Passes an upstream's answer on to the caller, whole or visibly cut.
+
+Server-sent events go on event by event, so that a stream that was cut can be
+resumed after the last whole event. A plain answer is held back until it is
+whole or too large to hold, so that a cut one can be tried again elsewhere.
+"""
+
+import dataclasses
+from collections.abc import AsyncIterator, Callable
+from typing import Any, Final, Protocol, final
+
+from multidict import CIMultiDict
+
+from hickorymux._internal.protocol import http
+from hickorymux._internal.transport.upstream_client import (
+    UpstreamAnswer,
+    UpstreamCut,
+)
+
+HELD_ANSWER_OCTETS: Final = 1 << 20
+_TAIL_OCTETS: Final = 64
+
+CountEvents = Callable[[int], Any]
+
+
+class Reply(Protocol):
+    """Where an answer to the caller goes."""
+
+    @property
+    def has_started(self) -> bool:
+        """Return whether the caller has been sent anything."""
+
+    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Send the status and headers of a streamed answer."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+
+    async def finish(self) -> None:
+        """End the body: the answer is whole."""
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: CIMultiDict[str],
+        body: bytes,
+    ) -> None:
+        """Send a whole answer at once."""
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class EventRelay:
+    """Relays one stream of server-sent events, over one or more answers."""
+
+    reply: Reply
+    count_events: CountEvents
+    needs_done: bool
+    events: int = 0
+    partial: bytes = b''
+    tail: bytes = b''
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether the stream's end marker was passed on."""
+        return http.STREAM_DONE in self.tail
+
+    async def run(self, chunks: AsyncIterator[bytes]) -> None:
+        """Pass whole events on; raises ``UpstreamCut`` if the end is missing.
+
+        What is left of an event that was cut is dropped, so that a resumed
+        stream goes on with the whole event.
+        """
+        self.partial = b''
+        async for chunk in chunks:
+            await self._pass_on(chunk)
+        if self.needs_done and not self.is_done:
+            raise UpstreamCut('stream ended without its end marker')
+        if self.partial:
+            await self.reply.write(self.partial)
+
+    async def _pass_on(self, chunk: bytes) -> None:
+        if self.partial:
+            chunk = self.partial + chunk
+        end = chunk.rfind(http.EVENT_END) + len(http.EVENT_END)
+        if end < len(http.EVENT_END):
+            self.partial = chunk
+            return
+        self.partial = chunk[end:]
+        whole = chunk[:end] if self.partial else chunk
+        events = whole.count(http.EVENT_END)
+        self.events += events
+        self.tail = whole[-_TAIL_OCTETS:]
+        self.count_events(events)
+        await self.reply.write(whole)
+
+
+async def relay_plain(
+    answer: UpstreamAnswer,
+    reply: Reply,
+    headers: CIMultiDict[str],
+) -> None:
+    """Relay an answer that is not a stream of events."""
+    held: list[bytes] = []
+    size = 0
+    async for chunk in answer.chunks():
+        if reply.has_started:
+            await reply.write(chunk)
+            continue
+        held.append(chunk)
+        size += len(chunk)
+        if size > HELD_ANSWER_OCTETS:
+            await reply.start(answer.status, headers)
+            await reply.write(b''.join(held))
+    if reply.has_started:
+        await reply.finish()
+        return
+    await reply.send_whole(answer.status, headers, b''.join(held))
