--- a/src/hickorymux/_internal/coordination/membership.py
+++ b/src/hickorymux/_internal/coordination/membership.py
@@ -191,7 +191,7 @@
             self._relay(message, sender_id)
             return
         if not message.members:
-            self._answer(sender_id, DigestRequest(zone=message.zone))
+            self._ask_for_rows(message, sender_id)
             return
         members = tuple(_to_member(row) for row in message.members)
         self.remote[message.zone] = _RemoteZone(message.digest, members, now)
@@ -209,13 +209,20 @@
         remote = self.remote.get(message.zone)
         if remote is not None:
             rows = [_to_row(member) for member in remote.members]
-            digest = ZoneDigest(message.zone, remote.digest, rows)
+            digest = ZoneDigest(message.zone, remote.digest, members=rows)
             self._answer(sender_id, digest)
 
+    def _ask_for_rows(self, message: ZoneDigest, sender_id: str) -> None:
+        request = DigestRequest(zone=message.zone)
+        sender = self.find(sender_id)
+        if sender is None and message.speaker.router_id == sender_id:
+            sender = _to_member(message.speaker)
+        if sender is not None:
+            self.send(sender, request)
+
     def _relay(self, message: ZoneDigest, sender_id: str) -> None:
         """Pass another zone's digest on inside the own zone."""
-        sender = self.find(sender_id)
-        if sender is None or sender.zone == self.me.zone:
+        if sender_id in self.sightings:
             return
         for member in self._zone_peers():
             self.send(member, message)
@@ -272,7 +279,12 @@
         digest = (
             xxhash.xxh3_64_intdigest(repr(rows).encode()) >> _DIGEST_BITS_SHIFT
         )
-        return ZoneDigest(self.me.zone, digest, rows if with_rows else [])
+        return ZoneDigest(
+            self.me.zone,
+            digest,
+            _to_row(self.me),
+            rows if with_rows else [],
+        )
 
     def _send_digests(self) -> None:
         if not self.is_delegate():
--- a/src/hickorymux/_internal/coordination/membership_messages.py
+++ b/src/hickorymux/_internal/coordination/membership_messages.py
@@ -18,10 +18,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ZoneDigest:
-    """A zone's live routers; without rows it only names the newest digest."""
+    """A zone's live routers; without rows it only names the newest digest.
+
+    ``speaker`` is the zone's delegate, so that it can be asked for the rows.
+    """
 
     zone: str = ''
     digest: int = 0
+    speaker: Heartbeat = dataclasses.field(default_factory=Heartbeat)
     members: list[Heartbeat] = dataclasses.field(default_factory=list)
 
 
--- a/src/hickorymux/_internal/protocol/idl/membership.thrift
+++ b/src/hickorymux/_internal/protocol/idl/membership.thrift
@@ -14,6 +14,7 @@
   1: optional string zone = "",
   2: optional i64 digest = 0,
   3: optional list<Heartbeat> members = [],
+  4: optional Heartbeat speaker,
 }
 
 struct DigestRequest {
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -11,6 +11,14 @@
     (1, 'membership', 'Heartbeat'),
     (2, 'membership', 'ZoneDigest'),
     (3, 'membership', 'DigestRequest'),
+    (10, 'config', 'ConfigRequest'),
+    (11, 'config', 'ConfigOffer'),
+    (20, 'slot', 'SlotRequest'),
+    (21, 'slot', 'SlotRenew'),
+    (22, 'slot', 'SlotReturn'),
+    (23, 'slot', 'SlotGrant'),
+    (24, 'slot', 'SlotHandover'),
+    (25, 'slot', 'UpstreamSign'),
 )
 
 
--- a/src/hickorymux/_internal/transport/peer_network.py
+++ b/src/hickorymux/_internal/transport/peer_network.py
@@ -303,6 +303,9 @@
             self._refuse(error, 'link')
         except (OSError, asyncio.IncompleteReadError) as error:
             _logger.debug('incoming link ended: %r', error)
+        except asyncio.CancelledError:
+            # The stream's own callback would report it as a crash.
+            _logger.debug('incoming link closed')
         finally:
             with contextlib.suppress(OSError):
                 writer.close()
--- /dev/null
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -0,0 +1,389 @@
+"""One router process: everything between callers and upstreams, assembled.
+
+The process starts without the log service; it then takes the configuration
+from peers, and says what it lacks until there is one.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import logging
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, Self, final
+
+from aiohttp import ClientSession, web
+
+from hickorymux._internal.coordination import (
+    config_messages,
+    membership_messages,
+    slot_messages,
+)
+from hickorymux._internal.coordination.config_follower import ConfigFollower
+from hickorymux._internal.coordination.config_relay import ConfigRelay
+from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.coordination.membership import Membership
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.coordination.scheduler import Scheduler
+from hickorymux._internal.coordination.slot_holder import SlotHolder
+from hickorymux._internal.coordination.slot_home import SlotHome
+from hickorymux._internal.exceptions import (
+    ClaimUnavailable,
+    HickorymuxError,
+    HostListUnavailable,
+)
+from hickorymux._internal.protocol.frames import FrameSealer
+from hickorymux._internal.state.customers import CustomerKeys
+from hickorymux._internal.state.tables import Tables
+from hickorymux._internal.state.upstream_state import UpstreamBook
+from hickorymux._internal.transport.admin_server import AdminServer
+from hickorymux._internal.transport.caller_server import CallerServer
+from hickorymux._internal.transport.calls import Call
+from hickorymux._internal.transport.claiming import ClaimLike
+from hickorymux._internal.transport.dispatcher import Dispatcher
+from hickorymux._internal.transport.host_list_client import HttpHostListClient
+from hickorymux._internal.transport.load_poller import LoadPoller
+from hickorymux._internal.transport.log_client import HttpLogClient
+from hickorymux._internal.transport.metrics import RouterMetrics
+from hickorymux._internal.transport.peer_network import PeerNetwork
+from hickorymux._internal.transport.router_settings import (
+    Address,
+    RouterSettings,
+)
+from hickorymux._internal.transport.upstream_client import UpstreamClient
+from hickorymux._internal.utils.clock import Clock, SystemClock
+from hickorymux._internal.utils.ids import new_incarnation
+
+HOST_LIST_SECONDS: Final = 2
+KEEPALIVE_SECONDS: Final = 75
+MAX_HEADER_OCTETS: Final = 16384
+
+_logger = logging.getLogger(__name__)
+
+MessageHandler = Callable[[str, Any], None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BoundAddresses:
+    """Where the router listens once it has started."""
+
+    callers: Address
+    admin: Address
+    peers: Address
+
+
+@final
+class RouterProcess:
+    """The parts of one router and the tasks that keep them going."""
+
+    def __init__(self, settings: RouterSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.stopping = asyncio.Event()
+        self.second_stop = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.session = ClientSession()
+        self.runners: list[web.AppRunner] = []
+        self._build_network()
+        self._build_path()
+        self.handlers = self._message_handlers()
+
+    @classmethod
+    def from_config(cls, settings: RouterSettings) -> Self:
+        """Assemble a router; must be called on a running event loop."""
+        return cls(settings, SystemClock())
+
+    async def start(self) -> BoundAddresses:
+        """Listen and start all tasks; return where the router listens."""
+        peers = await self._start_network()
+        for work in self._work():
+            self._spawn(work)
+        callers = await self._listen(
+            self.callers.application(),
+            self.settings.listen,
+        )
+        admin = await self._listen(
+            self.admin.application(),
+            self.settings.admin_listen,
+        )
+        return BoundAddresses(callers, admin, peers)
+
+    async def run(self, announce: Callable[[BoundAddresses], None]) -> None:
+        """Serve until a signal asks to stop, then shut down gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        announce(await self.start())
+        await self.stopping.wait()
+        await self.shut_down()
+
+    async def shut_down(self) -> None:
+        """Hand over, let the balancer notice, end what runs, and close."""
+        _logger.info('shutting down', extra={'event': 'drain_started'})
+        self.admin.is_draining = True
+        self.membership.update_myself(is_leaving=True)
+        self.membership.tick()
+        self.home.hand_over_all()
+        drained = self._spawn(self._drain())
+        second_signal = self._spawn(self._second_signal())
+        await asyncio.wait(
+            (drained, second_signal),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        cut = len(self.callers.running)
+        _logger.info(
+            'shut down',
+            extra={'event': 'drain_ended', 'cut_requests': cut},
+        )
+        await self.close()
+
+    async def close(self) -> None:
+        """End all tasks and connections at once."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.network.close()
+        await self.client.close()
+        await self.session.close()
+
+    def read_tables(self) -> Tables:
+        """Return the tables in force."""
+        return self.follower.tables
+
+    def missing(self) -> tuple[str, ...]:
+        """Return what the router lacks to serve."""
+        return self.follower.missing()
+
+    def on_message(self, sender_id: str, message: Any) -> None:
+        """Give a message of a peer to the part that it is for."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            return
+        try:
+            handler(sender_id, message)
+        except HickorymuxError as error:
+            _logger.warning(
+                'message refused',
+                extra={
+                    'event': 'message_refused',
+                    'sender': sender_id,
+                    'reason': str(error),
+                },
+            )
+
+    def _build_network(self) -> None:
+        settings = self.settings
+        me = Member(
+            router_id=settings.router_id,
+            incarnation=new_incarnation(),
+            zone=settings.zone,
+            host=settings.advertise or settings.peer_listen.host,
+            port=settings.peer_listen.port,
+        )
+        self.network = PeerNetwork(
+            me,
+            FrameSealer(settings.fleet_key),
+            self.clock,
+        )
+        self.membership = Membership(
+            me,
+            self.clock,
+            self.network.send_datagram,
+        )
+        self.membership.replace_seeds(settings.peers)
+        self.network.find = self.membership.find
+        self.network.handler = self.on_message
+        self.log = HttpLogClient.from_config(settings.log_url, self.session)
+        self.follower = ConfigFollower(
+            self.log,
+            self.clock,
+            router_id=settings.router_id,
+        )
+        self.relay = ConfigRelay(
+            self.follower,
+            self.membership,
+            self.network,
+            self.clock,
+        )
+
+    def _build_path(self) -> None:
+        settings = self.settings
+        self.metrics = RouterMetrics()
+        self.decisions = DecisionLog(settings.router_id, self.clock)
+        self.client = UpstreamClient.from_config(settings.timeouts)
+        self.book = UpstreamBook()
+        self.home = SlotHome(
+            self.membership,
+            self.network,
+            self.clock,
+            self.book,
+            self.read_tables,
+        )
+        self.holder = SlotHolder(
+            self.membership,
+            self.network,
+            self.clock,
+            self.book,
+            self.read_tables,
+            self._on_slots,
+        )
+        self.scheduler = Scheduler(
+            self.holder,
+            self.clock,
+            settings.max_waiting,
+        )
+        self.follower.subscribe(self._use_tables)
+        self.poller = LoadPoller(
+            self.client,
+            self.clock,
+            self.home.upstreams,
+            self.home.on_load_report,
+        )
+        dispatcher = Dispatcher(
+            self.scheduler,
+            self.client,
+            self.decisions,
+            self.metrics,
+            self.clock,
+            _always_retry,
+        )
+        self.callers = CallerServer(
+            dispatcher,
+            CustomerKeys.load(settings.customers),
+            self.read_tables,
+            _claim_unavailable,
+            settings.limits,
+            self.missing,
+        )
+        self.admin = AdminServer(
+            self.membership,
+            self.follower,
+            self.scheduler,
+            self.decisions,
+            self.metrics,
+            self.network.meter,
+        )
+
+    def _message_handlers(self) -> dict[type, MessageHandler]:
+        handlers: dict[type, MessageHandler] = {}
+        for message_class in _messages_of(membership_messages):
+            handlers[message_class] = self._on_membership
+        for message_class in _messages_of(config_messages):
+            handlers[message_class] = self.relay.on_message
+        for message_class in _messages_of(slot_messages):
+            handlers[message_class] = self.home.on_message
+        handlers[slot_messages.SlotGrant] = self.holder.on_message
+        return handlers
+
+    def _work(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            self.membership.run(),
+            self.follower.run(),
+            self.relay.run(),
+            self.home.run(),
+            self.holder.run(),
+            self.poller.run(),
+            self._follow_host_list(),
+        ]
+
+    def _on_membership(self, sender_id: str, message: Any) -> None:
+        self.membership.on_message(message, sender_id)
+
+    def _use_tables(self, tables: Tables) -> None:
+        self.scheduler.use_tables(tables)
+        self.membership.update_myself(config_version=tables.version)
+
+    def _on_slots(self, pool: str) -> None:
+        self.scheduler.pump(pool)
+
+    def _spawn(
+        self,
+        work: Coroutine[Any, Any, None],
+    ) -> 'asyncio.Task[None]':
+        task = asyncio.create_task(work)
+        task.add_done_callback(_report_crash)
+        self.tasks.append(task)
+        return task
+
+    async def _start_network(self) -> Address:
+        listen = self.settings.peer_listen
+        port = await self.network.start(listen.host, listen.port)
+        self.membership.update_myself(port=port)
+        return Address(listen.host, port)
+
+    async def _listen(self, app: web.Application, at: Address) -> Address:
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            max_field_size=MAX_HEADER_OCTETS,
+            max_line_size=MAX_HEADER_OCTETS,
+        )
+        await runner.setup()
+        self.runners.append(runner)
+        site = web.TCPSite(runner, at.host, at.port)
+        await site.start()
+        host, port = runner.addresses[0][:2]
+        return Address(host, port)
+
+    async def _follow_host_list(self) -> None:
+        """Take the platform's list of hosts as addresses to try."""
+        if not self.settings.host_list_url:
+            return
+        client = HttpHostListClient.from_config(
+            self.settings.host_list_url,
+            self.session,
+        )
+        while True:
+            with contextlib.suppress(HostListUnavailable):
+                hosts = await client.fetch()
+                seeds = [
+                    Member(host.router_id, 0, host.zone, host.host, host.port)
+                    for host in hosts
+                ]
+                self.membership.replace_seeds((*self.settings.peers, *seeds))
+            await self.clock.sleep(HOST_LIST_SECONDS)
+
+    async def _drain(self) -> None:
+        await self.clock.sleep(self.settings.drain_notice.total_seconds())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                self.settings.drain_limit.total_seconds(),
+            ):
+                await self.callers.drained()
+
+    def _on_signal(self) -> None:
+        if self.stopping.is_set():
+            self.second_stop.set()
+        self.stopping.set()
+
+    async def _second_signal(self) -> None:
+        await self.second_stop.wait()
+
+
+def _messages_of(module: Any) -> list[type]:
+    return [
+        member
+        for member in module.__dict__.values()
+        if isinstance(member, type) and dataclasses.is_dataclass(member)
+    ]
+
+
+def _report_crash(task: 'asyncio.Task[None]') -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    _logger.error('a task of the router ended', exc_info=task.exception())
+
+
+def _always_retry(pool: str) -> bool:
+    return bool(pool)
+
+
+async def _claim_unavailable(call: Call) -> ClaimLike:
+    raise ClaimUnavailable(
+        f'no claim can be made for route {call.route.name}',
+        retry_after=1,
+    )
--- /dev/null
+++ b/src/hickorymux/_internal/transport/router_settings.py
@@ -0,0 +1,224 @@
+"""The settings of a router: flags and variables, checked at the start."""
+
+import dataclasses
+import datetime as dt
+import ipaddress
+import re
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, Final, Self, final
+from urllib.parse import urlsplit
+
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.exceptions import ConfigError
+from hickorymux._internal.transport.caller_server import CallerLimits
+from hickorymux._internal.transport.upstream_client import UpstreamTimeouts
+
+MIN_FLEET_KEY_CHARACTERS: Final = 16
+MAX_PORT: Final = 65535
+
+_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+_DURATION = re.compile('([0-9]+(?:[.][0-9]+)?)(ms|s|m)')
+_PEER = re.compile('([^@=]+)@([^@=]+)=(.+)')
+_UNIT_SECONDS: Final = {'ms': 0.001, 's': 1, 'm': 60}
+
+
+@final
+class SettingsInvalid(ConfigError):
+    """One or more settings are not valid; the message names all of them."""
+
+    code = 'settings_invalid'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class RouterSettings:
+    """Everything that a router is told at its start."""
+
+    router_id: str
+    zone: str
+    listen: Address
+    admin_listen: Address
+    peer_listen: Address
+    advertise: str
+    log_url: str
+    host_list_url: str
+    peers: tuple[Member, ...]
+    customers: Path
+    fleet_key: bytes
+    limits: CallerLimits
+    max_waiting: int
+    timeouts: UpstreamTimeouts
+    drain_notice: dt.timedelta
+    drain_limit: dt.timedelta
+    log_level: str
+
+    @classmethod
+    def from_config(cls, flags: Any) -> Self:
+        """Check the flags of ``hickorymux router``.
+
+        Raises ``SettingsInvalid`` that names every problem with its flag.
+        """
+        reader = _FlagReader(flags)
+        settings = cls(
+            router_id=reader.parse('router_id', parse_name),
+            zone=reader.parse('zone', parse_name),
+            listen=reader.parse('listen', parse_address),
+            admin_listen=reader.parse('admin_listen', parse_address),
+            peer_listen=reader.parse('peer_listen', parse_address),
+            advertise=reader.parse('advertise', _optional(parse_ip)),
+            log_url=reader.parse('log', parse_url),
+            host_list_url=reader.parse('host_list', _optional(parse_url)),
+            peers=reader.parse('peer', parse_peers),
+            customers=reader.parse('customers', parse_file),
+            fleet_key=reader.parse('fleet_key', parse_fleet_key),
+            limits=CallerLimits(
+                reader.parse('max_body', parse_positive),
+                reader.parse('max_requests', parse_positive),
+            ),
+            max_waiting=reader.parse('max_waiting', parse_positive),
+            timeouts=UpstreamTimeouts(
+                reader.parse('connect_timeout', parse_duration),
+                reader.parse('first_byte_timeout', parse_duration),
+                reader.parse('idle_timeout', parse_duration),
+            ),
+            drain_notice=reader.parse('drain_notice', parse_duration),
+            drain_limit=reader.parse('drain_limit', parse_duration),
+            log_level=reader.parse('log_level', parse_level),
+        )
+        reader.raise_problems()
+        return settings
+
+
+@final
+class _FlagReader:
+    """Parses flags one by one and collects what is wrong with them."""
+
+    __slots__ = ('flags', 'problems')
+
+    def __init__(self, flags: Any) -> None:
+        self.flags = flags
+        self.problems: list[str] = []
+
+    def parse(self, name: str, parser: Callable[[Any], Any]) -> Any:
+        """Return the parsed flag, or ``None`` after noting the problem."""
+        try:
+            return parser(getattr(self.flags, name))
+        except ValueError as error:
+            flag = name.replace('_', '-')
+            self.problems.append(f'--{flag}: {error}')
+            return None
+
+    def raise_problems(self) -> None:
+        """Raise one error for all problems, if there are any."""
+        if self.problems:
+            raise SettingsInvalid('; '.join(self.problems))
+
+
+def parse_name(text: str) -> str:
+    """Return a name of letters, digits, dots, dashes and underscores."""
+    if not _NAME.fullmatch(text):
+        raise ValueError(
+            f'"{text}" is not a name; use letters, digits, ".", "_" and "-"',
+        )
+    return text
+
+
+def parse_ip(text: str) -> str:
+    """Return an IP number."""
+    return str(ipaddress.ip_address(text))
+
+
+def parse_address(text: str) -> Address:
+    """Return an address written as ``IP:PORT``."""
+    host, colon, port = text.rpartition(':')
+    if not colon or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f'"{text}" is not IP:PORT, as in 10.0.0.9:8080')
+    return Address(parse_ip(host.strip('[]')), int(port))
+
+
+def parse_url(text: str) -> str:
+    """Return an HTTP URL without a path."""
+    parts = urlsplit(text)
+    if parts.scheme not in {'http', 'https'} or not parts.netloc:
+        raise ValueError(f'"{text}" is not a URL, as in http://10.0.0.5:7000')
+    return text.rstrip('/')
+
+
+def parse_duration(text: str) -> dt.timedelta:
+    """Return a duration written as ``500ms``, ``30s`` or ``2m``."""
+    match = _DURATION.fullmatch(text)
+    if match is None:
+        raise ValueError(f'"{text}" is not a duration, as in 500ms, 30s or 2m')
+    number, unit = match.groups()
+    return dt.timedelta(seconds=float(number) * _UNIT_SECONDS[unit])
+
+
+def parse_positive(number: int) -> int:
+    """Return a number above zero."""
+    if number <= 0:
+        raise ValueError(f'{number} is not above 0')
+    return number
+
+
+def parse_file(text: str) -> Path:
+    """Return the path of a file that exists."""
+    path = Path(text)
+    if not path.is_file():
+        raise ValueError(f'there is no file "{text}"')
+    return path
+
+
+def parse_fleet_key(text: str) -> bytes:
+    """Return the key that the routers of a fleet share."""
+    if len(text) < MIN_FLEET_KEY_CHARACTERS:
+        raise ValueError(
+            f'the key needs {MIN_FLEET_KEY_CHARACTERS} characters or more',
+        )
+    return text.encode()
+
+
+def parse_level(text: str) -> str:
+    """Return the name of a log level."""
+    if text not in {'debug', 'info', 'warning', 'error'}:
+        raise ValueError(f'"{text}" is not debug, info, warning or error')
+    return text
+
+
+def parse_peers(texts: list[str]) -> tuple[Member, ...]:
+    """Return routers written as ``ID@ZONE=IP:PORT``."""
+    return tuple(_peers(texts))
+
+
+def _peers(texts: list[str]) -> Iterator[Member]:
+    for text in texts:
+        match = _PEER.fullmatch(text)
+        if match is None:
+            raise ValueError(f'"{text}" is not ID@ZONE=IP:PORT')
+        address = parse_address(match[3])
+        yield Member(
+            router_id=parse_name(match[1]),
+            incarnation=0,
+            zone=parse_name(match[2]),
+            host=address.host,
+            port=address.port,
+        )
+
+
+def _optional(parser: Callable[[str], str]) -> Callable[[str], str]:
+    def parse(text: str) -> str:  # noqa: WPS430 (a parser made from a parser)
+        return parser(text) if text else ''
+
+    return parse
