Add the operators' commands: check, apply, drain, restore, status, explain

Cause: operators drive the fleet by two tables and by taking zones and upstreams out and back, and race each other while doing so.

Ruled out: publishing the files against the version in force without a base (an older file would revert another operator's newer row); one more append after a lost answer without reading back (more records for nothing); argument abbreviations (they would hide a flag that the environment sets).

Every flag is also a variable HICKORYMUX_<FLAG>. Exit statuses by error type. A base older than the horizon is refused only if a version came after it, so that a stream of malformed records can't lock operators out.

--- /dev/null
+++ b/src/hickorymux/__main__.py
@@ -0,0 +1,8 @@
+"""Entry point of the program."""
+
+import sys
+
+from hickorymux._internal.cli.main import main
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/hickorymux/_internal/cli/environment.py
@@ -0,0 +1,65 @@
+"""Flags from environment variables: ``--queue-limit`` is also
+``HICKORYMUX_QUEUE_LIMIT``.
+
+A flag on the command line goes before its variable. A list is written with
+commas, a switch as ``true`` or ``false``.
+"""
+
+import dataclasses
+import typing
+from collections.abc import Iterator, Mapping, Sequence
+
+from hickorymux._internal.exceptions import UsageError
+
+PREFIX = 'HICKORYMUX_'
+
+_SWITCHES = {'true': '', '1': '', 'false': 'no-', '0': 'no-'}
+
+
+def variable_name(field_name: str) -> str:
+    """Return the variable of a flag, named by its field."""
+    return f'{PREFIX}{field_name.upper()}'
+
+
+def environment_flags(
+    command: type, environment: Mapping[str, str]
+) -> tuple[str, ...]:
+    """Return the flags of a command that the environment sets.
+
+    ``command`` is a dataclass whose keyword-only fields are the flags. Put
+    the result before the arguments of the command line, which then win.
+    Raises ``UsageError`` when a switch is neither true nor false.
+    """
+    hints = typing.get_type_hints(command)
+    words: list[str] = []
+    for field in dataclasses.fields(command):
+        text = environment.get(variable_name(field.name))
+        if text is not None and field.kw_only:
+            words.extend(_flag_words(field.name, hints[field.name], text))
+    return tuple(words)
+
+
+def _flag_words(name: str, hint: typing.Any, text: str) -> Iterator[str]:
+    flag = name.replace('_', '-')
+    if hint is bool:
+        yield f'--{_switch_prefix(name, text)}{flag}'
+    elif _is_list(hint):
+        yield f'--{flag}'
+        yield from filter(None, text.split(','))
+    else:
+        yield f'--{flag}={text}'
+
+
+def _switch_prefix(name: str, text: str) -> str:
+    prefix = _SWITCHES.get(text.lower())
+    if prefix is None:
+        raise UsageError(
+            f'"{text}" is neither "true" nor "false"',
+            where=variable_name(name),
+        )
+    return prefix
+
+
+def _is_list(hint: typing.Any) -> bool:
+    options: Sequence[typing.Any] = (hint, *typing.get_args(hint))
+    return any(typing.get_origin(option) in {list, tuple} for option in options)
--- a/src/hickorymux/_internal/coordination/config_snapshots.py
+++ b/src/hickorymux/_internal/coordination/config_snapshots.py
@@ -46,12 +46,15 @@
         self.log = log
         self.end_offset = 0
 
-    async def newest(self) -> ConfigFold | None:
-        """Return the fold of the best of the newest snapshots, if any."""
+    async def newest(self, limit: int | None = None) -> ConfigFold | None:
+        """Return the fold of the best of the newest snapshots, if any.
+
+        ``limit`` is the highest offset up to which it may hold records.
+        """
         best: ConfigFold | None = None
         for record in await self._newest_records():
             fold = _decode(record)
-            if fold is None:
+            if fold is None or _is_beyond(fold, limit):
                 continue
             if best is None or fold.next_offset > best.next_offset:
                 best = fold
@@ -135,6 +138,10 @@
         return digest / HASH_RANGE * self.policy.spread.total_seconds()
 
 
+def _is_beyond(fold: ConfigFold, limit: int | None) -> bool:
+    return limit is not None and fold.next_offset > limit
+
+
 def _decode(record: LogRecord) -> ConfigFold | None:
     try:
         return ConfigFold.from_snapshot(record.payload)
--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -219,3 +219,39 @@
     """A frame from a peer is malformed, too large or not authentic."""
 
     code = 'frame_invalid'
+
+
+class CommandError(HickorymuxError):
+    """A command of the operators can't do what was asked."""
+
+    code = 'command_failed'
+
+
+class UsageError(CommandError):
+    """The flags of a command contradict each other or name unknown things."""
+
+    code = 'usage'
+
+
+class ChangeRejected(CommandError):
+    """The change was published and rejected, on all routers alike."""
+
+    code = 'change_rejected'
+
+
+class OutcomeUnknown(CommandError):
+    """The change may have been published; the log did not answer in time."""
+
+    code = 'outcome_unknown'
+
+
+class RouterUnreachable(CommandError):
+    """A router did not answer an operator's command."""
+
+    code = 'router_unreachable'
+
+
+class DecisionsNotFound(CommandError):
+    """The router holds no decisions of the request."""
+
+    code = 'decisions_not_found'
--- /dev/null
+++ b/src/hickorymux/_internal/state/config_delta.py
@@ -0,0 +1,53 @@
+"""The operations that lead from one state of the tables to another."""
+
+from collections.abc import Iterable, Iterator
+
+from hickorymux._internal.state.config_changes import (
+    DeletePool,
+    DeleteRoute,
+    DeleteUpstream,
+    Operation,
+    PutPool,
+    PutRoute,
+    PutUpstream,
+    row_updates,
+)
+from hickorymux._internal.state.config_rows import ConfigRows
+from hickorymux._internal.state.rows import RowKind
+
+
+def table_delta(base: ConfigRows, wanted: ConfigRows) -> tuple[Operation, ...]:
+    """Return what an operator changed in the files since the base.
+
+    Drains are not in the files and stay as they are.
+    """
+    return (
+        *_changed_rows(base, wanted),
+        *(DeleteRoute(name) for name in _gone(base, wanted, RowKind.route)),
+        *(
+            DeleteUpstream(name)
+            for name in _gone(base, wanted, RowKind.upstream)
+        ),
+        *(DeletePool(name) for name in _gone(base, wanted, RowKind.pool)),
+    )
+
+
+def _changed_rows(base: ConfigRows, wanted: ConfigRows) -> Iterator[Operation]:
+    for pool in wanted.all_pools():
+        if pool != base.pool(pool.name):
+            yield PutPool(pool)
+    for upstream in wanted.all_upstreams():
+        if upstream != base.upstream(upstream.name):
+            yield PutUpstream(upstream)
+    for route in wanted.all_routes():
+        if route != base.route(route.name):
+            yield PutRoute(route)
+
+
+def _gone(base: ConfigRows, wanted: ConfigRows, kind: RowKind) -> Iterable[str]:
+    return sorted(base.by_kind[kind] - wanted.by_kind[kind])
+
+
+def is_in_force(operation: Operation, rows: ConfigRows) -> bool:
+    """Return whether the rows are what an operation would make them."""
+    return all(rows.rows.get(key) == row for key, row in row_updates(operation))
--- a/src/hickorymux/_internal/state/config_fold.py
+++ b/src/hickorymux/_internal/state/config_fold.py
@@ -196,7 +196,7 @@
             return _rejected(
                 change, RejectCode.duplicate, 'the id was decided before'
             )
-        if change.base < self.history.oldest_base(offset):
+        if change.base < min(self.version, self.history.oldest_base(offset)):
             reason = f'base {change.base} is too old'
             return _rejected(change, RejectCode.base_too_old, reason)
         self.history.decide(change.id, offset)
--- a/src/hickorymux/_internal/state/config_history.py
+++ b/src/hickorymux/_internal/state/config_history.py
@@ -36,8 +36,8 @@
     """The last change of each row and the ids of the decided changes.
 
     Both are forgotten once they are more than ``horizon`` records old. A
-    change whose base is older than that is rejected, so what was forgotten
-    can't change a verdict.
+    change whose base is older than that, and older than the version in force,
+    is rejected, so what was forgotten can't change a verdict.
     """
 
     __slots__ = ('decided', 'horizon', 'touches')
--- /dev/null
+++ b/tests/unit/test_config_messages.py
@@ -0,0 +1,21 @@
+"""The messages for peers go through the codec of the router links."""
+
+import pytest
+
+from hickorymux._internal.coordination.config_messages import (
+    ConfigOffer,
+    ConfigRequest,
+)
+from hickorymux._internal.protocol.peer_messages import default_codec
+
+
+@pytest.mark.parametrize(
+    'message',
+    [ConfigRequest(7), ConfigOffer.from_snapshot(9, b'{"version": 9}')],
+)
+def test_messages_come_back_as_they_were(
+    message: ConfigRequest | ConfigOffer,
+) -> None:
+    codec = default_codec()
+    code, body = codec.encode(message)
+    assert codec.decode(code, body) == message
