Claim idempotency keys on the log before a send

Cause: a non-idempotent request that is sent again, to another router or after a restart, must run at most once, and no router holds anything that lasts.

Ruled out: a claim that lapses (a paused winner would send after its heir); deciding by the answer to the append (it can be lost after it took effect); trusting the creation time in a key without bounds (a key from the future would pass the expiry test for ever).

A UUIDv7 key is refused once an earlier claim of it may be trimmed, other keys are protected for retention less skew and decision time.

--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -146,6 +146,27 @@
     http_status = 409
 
 
+class KeyInvalid(RequestError):
+    """The idempotency key is not of the form that the route demands."""
+
+    code = 'key_invalid'
+    http_status = 400
+
+
+class KeyReused(RequestError):
+    """The idempotency key was used before with another body."""
+
+    code = 'key_reused'
+    http_status = 422
+
+
+class ClaimSpent(RequestError):
+    """The claim no longer allows a send: too old, released or used."""
+
+    code = 'claim_spent'
+    http_status = 503
+
+
 class CrashSuspect(RequestError):
     """The request crashed several upstreams and is not run again."""
 
@@ -172,10 +193,24 @@
 
 
 class LogTrimmed(LogError):
-    """The records asked for are no longer retained."""
+    """The records asked for are no longer retained.
+
+    ``first_offset`` is the oldest offset that is.
+    """
 
     code = 'log_trimmed'
 
+    def __init__(
+        self,
+        detail: str,
+        *,
+        first_offset: int = 0,
+        where: str = '',
+        hint: str = '',
+    ) -> None:
+        super().__init__(detail, where=where, hint=hint)
+        self.first_offset = first_offset
+
 
 class ConfigError(HickorymuxError):
     """A table or a setting is not valid."""
--- /dev/null
+++ b/src/hickorymux/_internal/state/claim_fold.py
@@ -0,0 +1,278 @@
+"""Claims on idempotency keys, folded from a claim stream in offset order.
+
+A claim names a key and an attempt. The first claim of a key wins and only its
+attempt may send the request. The verdict on an attempt never changes: one that
+lost or was released cannot win later, so a record that is appended twice, or
+arrives late, is harmless.
+
+Example::
+
+    fold = ClaimFold()
+    fold.apply(0, wall, encode_entries([ClaimEntry(key, attempt, body)]))
+    assert fold.verdict(key, attempt).standing is Standing.won
+"""
+
+import collections
+import dataclasses
+import datetime as dt
+import enum
+import functools
+import hashlib
+import uuid
+from collections.abc import Iterable
+from typing import final
+
+import msgspec
+
+DIGEST_BYTES = 16
+_UUID7_VERSION = 7
+_UUID7_TIME_SHIFT_BITS = 80
+
+
+@final
+class ClaimEntry(msgspec.Struct, tag='c', array_like=True, frozen=True):
+    """An attempt wants the key; ``body`` is the digest of its request body."""
+
+    key: bytes
+    attempt: bytes
+    body: bytes
+
+
+@final
+class ReleaseEntry(msgspec.Struct, tag='r', array_like=True, frozen=True):
+    """The attempt has not sent the request and never will."""
+
+    key: bytes
+    attempt: bytes
+
+
+@final
+class OutcomeEntry(msgspec.Struct, tag='o', array_like=True, frozen=True):
+    """The attempt's request was executed; ``status`` is the HTTP status."""
+
+    key: bytes
+    attempt: bytes
+    status: int
+
+
+Entry = ClaimEntry | ReleaseEntry | OutcomeEntry
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(tuple[Entry, ...])
+
+
+def encode_entries(entries: Iterable[Entry]) -> bytes:
+    """Return the payload of one record that holds the entries in order."""
+    return _ENCODER.encode(tuple(entries))
+
+
+def decode_entries(payload: bytes) -> tuple[Entry, ...]:
+    """Return the entries of a record, none if it is malformed.
+
+    Every reader skips a malformed record alike, so the verdicts stay equal.
+    """
+    try:
+        return _DECODER.decode(payload)
+    except msgspec.MsgspecError:
+        return ()
+
+
+def digest(*parts: bytes) -> bytes:
+    """Return the BLAKE2b digest of the parts, each with its length."""
+    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        state.update(len(part).to_bytes(8, 'big'))
+        state.update(part)
+    return state.digest()
+
+
+def key_time(key: str) -> dt.datetime | None:
+    """Return the creation time within a UUIDv7 (RFC 9562), else ``None``."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.variant != uuid.RFC_4122 or parsed.version != _UUID7_VERSION:
+        return None
+    milliseconds = parsed.int >> _UUID7_TIME_SHIFT_BITS
+    try:
+        return dt.datetime.fromtimestamp(milliseconds / 1000, dt.UTC)
+    except (OverflowError, ValueError):
+        return dt.datetime.max.replace(tzinfo=dt.UTC)
+
+
+class Standing(enum.Enum):
+    """What the stream says about an attempt."""
+
+    unseen = 'unseen'
+    won = 'won'
+    lost = 'lost'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Verdict:
+    """The standing of an attempt and what is known about the key's owner.
+
+    ``status`` is the HTTP status of the owner's answer, 0 while unknown.
+    ``claimed_at`` is the log's time of the owner's first claim.
+    """
+
+    standing: Standing
+    owner_body: bytes = b''
+    status: int = 0
+    claimed_at: dt.datetime | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class KeyState:
+    """One key: its owner, if any, and the attempts that cannot win."""
+
+    last_offset: int
+    claimed_at: dt.datetime
+    owner: bytes = b''
+    body: bytes = b''
+    status: int = 0
+    dead: frozenset[bytes] = frozenset()
+
+
+@functools.singledispatch
+def apply_entry(entry: object, state: KeyState, wall: dt.datetime) -> None:
+    """Change the state of a key by one entry, seen at the log's time."""
+    raise TypeError(type(entry))
+
+
+@apply_entry.register
+def _apply_claim(entry: ClaimEntry, state: KeyState, wall: dt.datetime) -> None:
+    if entry.attempt == state.owner or entry.attempt in state.dead:
+        return
+    if state.owner:
+        state.dead |= {entry.attempt}
+        return
+    state.owner = entry.attempt
+    state.body = entry.body
+    state.claimed_at = wall
+
+
+@apply_entry.register
+def _apply_release(
+    entry: ReleaseEntry,
+    state: KeyState,
+    wall: dt.datetime,
+) -> None:
+    if entry.attempt == state.owner and state.status:
+        return
+    state.dead |= {entry.attempt}
+    if entry.attempt == state.owner:
+        state.owner = b''
+        state.body = b''
+
+
+@apply_entry.register
+def _apply_outcome(
+    entry: OutcomeEntry,
+    state: KeyState,
+    wall: dt.datetime,
+) -> None:
+    if not state.owner and entry.attempt not in state.dead:
+        state.owner = entry.attempt
+        state.claimed_at = wall
+    if entry.attempt == state.owner:
+        state.status = entry.status
+
+
+@final
+class ClaimFold:
+    """The keys of one stream, as far as the log retains their records.
+
+    A key is forgotten when its last record is trimmed. ``trimmed_until`` is
+    the log's time of the newest record that this fold has seen trimmed.
+    """
+
+    __slots__ = ('keys', 'next_offset', 'retained', 'trimmed_until')
+
+    def __init__(self) -> None:
+        self.keys: dict[bytes, KeyState] = {}
+        self.next_offset = 0
+        self.trimmed_until = dt.datetime.min.replace(tzinfo=dt.UTC)
+        self.retained: collections.deque[tuple[int, dt.datetime, bytes]]
+        self.retained = collections.deque()
+
+    def apply(self, offset: int, wall: dt.datetime, payload: bytes) -> None:
+        """Fold one record; records must come in offset order."""
+        for entry in decode_entries(payload):
+            state = self.keys.get(entry.key)
+            if state is None:
+                state = KeyState(offset, wall)
+                self.keys[entry.key] = state
+            apply_entry(entry, state, wall)
+            state.last_offset = offset
+            self.retained.append((offset, wall, entry.key))
+        self.next_offset = offset + 1
+
+    def trim(self, first_offset: int) -> None:
+        """Forget the keys whose records all lie before ``first_offset``."""
+        while self.retained and self.retained[0][0] < first_offset:
+            offset, wall, key = self.retained.popleft()
+            self.trimmed_until = max(self.trimmed_until, wall)
+            state = self.keys.get(key)
+            if state is not None and state.last_offset == offset:
+                self.keys.pop(key)
+        self.next_offset = max(self.next_offset, first_offset)
+
+    def verdict(self, key: bytes, attempt: bytes) -> Verdict:
+        """Return how the attempt stands by the records folded so far."""
+        state = self.keys.get(key)
+        if state is None:
+            return Verdict(Standing.unseen)
+        standing = _standing(state, attempt)
+        return Verdict(standing, state.body, state.status, state.claimed_at)
+
+    def owner(self, key: bytes) -> bytes:
+        """Return the attempt that owns the key, empty when it is free."""
+        state = self.keys.get(key)
+        return state.owner if state is not None else b''
+
+
+def _standing(state: KeyState, attempt: bytes) -> Standing:
+    if attempt == state.owner:
+        return Standing.won
+    if attempt in state.dead:
+        return Standing.lost
+    return Standing.unseen
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProtectedWindow:
+    """How long a key is protected, derived from what the log retains.
+
+    ``retention`` is the least age at which the log trims a record. ``skew`` is
+    how far a caller's clock may run ahead of the log's. ``decision`` is the
+    longest time from the first append of a claim to its verdict.
+    """
+
+    retention: dt.timedelta
+    skew: dt.timedelta
+    decision: dt.timedelta
+
+    @property
+    def length(self) -> dt.timedelta:
+        """Return how long after its claim a key is certainly protected."""
+        return self.retention - self.skew - self.decision
+
+    def is_expired(
+        self,
+        created: dt.datetime,
+        claimed_at: dt.datetime,
+        trimmed_until: dt.datetime,
+    ) -> bool:
+        """Return whether an earlier claim of the key may have been trimmed.
+
+        A key that passes was created at most ``skew`` after any earlier claim
+        of it, so that claim is younger than the retention when it is read.
+        """
+        floor = max(claimed_at - self.retention, trimmed_until)
+        return created < floor + self.skew + self.decision
+
+    def is_ahead(self, created: dt.datetime, claimed_at: dt.datetime) -> bool:
+        """Return whether the key claims to come from the future."""
+        return created > claimed_at + self.skew
