--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -195,7 +195,7 @@
 class LogTrimmed(LogError):
     """The records asked for are no longer retained.
 
-    ``first_offset`` is the oldest offset that is.
+    ``first_offset`` is the oldest offset that is still retained.
     """
 
     code = 'log_trimmed'
@@ -212,12 +212,30 @@
         self.first_offset = first_offset
 
 
+class HostListUnavailable(HickorymuxError):
+    """The host list refused, could not be reached or made no sense."""
+
+    code = 'host_list_unavailable'
+
+
 class ConfigError(HickorymuxError):
     """A table or a setting is not valid."""
 
     code = 'config_invalid'
 
 
+class SnapshotError(ConfigError):
+    """A snapshot of the configuration can't be read."""
+
+    code = 'snapshot_invalid'
+
+
+class ConfigOrderError(ConfigError):
+    """A record of the configuration was given out of offset order."""
+
+    code = 'config_order'
+
+
 class FrameError(HickorymuxError):
     """A frame from a peer is malformed, too large or not authentic."""
 
