Claim keyed requests before the send on every router

Cause: keyed requests that may not be repeated were refused. Change: the claimer is wired into the path, with flags for partitions and for the log's retention; service cost is logged once it is known.

--- a/src/hickorymux/_internal/commands/router.py
+++ b/src/hickorymux/_internal/commands/router.py
@@ -36,6 +36,10 @@
     :param connect_timeout: limit to connect to an upstream
     :param first_byte_timeout: limit until an upstream begins its answer
     :param idle_timeout: limit between two parts of an answer
+    :param claim_partitions: streams that claims are spread over; the same for
+        all routers
+    :param log_retention: least age at which the log service drops a record;
+        idempotency keys are protected for that long
     :param drain_notice: time for the balancer to notice a shutdown
     :param drain_limit: limit for requests that run at a shutdown
     :param log_level: debug, info, warning or error
@@ -58,6 +62,8 @@
     connect_timeout: str = '1s'
     first_byte_timeout: str = '60s'
     idle_timeout: str = '30s'
+    claim_partitions: int = 1
+    log_retention: str = '1h'
     drain_notice: str = '3s'
     drain_limit: str = '5m'
     log_level: str = 'info'
--- a/src/hickorymux/_internal/transport/calls.py
+++ b/src/hickorymux/_internal/transport/calls.py
@@ -1,6 +1,7 @@
 """A caller's request on its way through the router."""
 
 import dataclasses
+import hashlib
 from collections.abc import Mapping
 
 import msgspec
@@ -11,6 +12,7 @@
 from hickorymux._internal.state.tables import Pool, PoolKind, Route, Tables
 
 CHAT_PATH = '/v1/chat/completions'
+BODY_DIGEST_OCTETS = 16
 
 
 class ChatHead(msgspec.Struct):
@@ -49,6 +51,13 @@
             return True
         return self.method in self.route.idempotent_methods
 
+    @property
+    def body_digest(self) -> bytes:
+        """Return the digest by which a key is bound to its request."""
+        target = f'{self.method}\n{self.path}\n'.encode()
+        digest = hashlib.sha256(target + self.body)
+        return digest.digest()[:BODY_DIGEST_OCTETS]
+
     @property
     def fingerprint(self) -> int:
         """Return a number that is the same for a resent request."""
--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -77,6 +77,7 @@
     placement: Placement
     number: int
     cost: float = 0
+    status: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -202,6 +203,17 @@
             raise
         finally:
             self._settle(exchange, started_at)
+        call = exchange.call
+        self.decisions.record(
+            call.request_id,
+            'answered',
+            'whole',
+            status=exchange.status,
+            upstream=exchange.attempt.upstream.name,
+            cost=round(exchange.cost, 1),
+        )
+        whole_seconds = self.clock.monotonic() - call.arrived_at
+        self.metrics.observe('whole_answer', call.pool.name, whole_seconds)
 
     def _settle(self, exchange: Exchange, started_at: float) -> None:
         """Charge what the attempt cost and free its slot."""
@@ -232,17 +244,7 @@
             raise
         answer.release()
         claim.record_outcome(answer.status)
-        call = exchange.call
-        self.decisions.record(
-            call.request_id,
-            'answered',
-            'whole',
-            status=answer.status,
-            upstream=exchange.attempt.upstream.name,
-            cost=round(exchange.cost, 1),
-        )
-        whole_seconds = self.clock.monotonic() - call.arrived_at
-        self.metrics.observe('whole_answer', call.pool.name, whole_seconds)
+        exchange.status = answer.status
 
     def _learn(
         self,
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -19,6 +19,7 @@
     membership_messages,
     slot_messages,
 )
+from hickorymux._internal.coordination.claims import Claimer
 from hickorymux._internal.coordination.config_follower import ConfigFollower
 from hickorymux._internal.coordination.config_relay import ConfigRelay
 from hickorymux._internal.coordination.decisions import DecisionLog
@@ -28,7 +29,6 @@
 from hickorymux._internal.coordination.slot_holder import SlotHolder
 from hickorymux._internal.coordination.slot_home import SlotHome
 from hickorymux._internal.exceptions import (
-    ClaimUnavailable,
     HickorymuxError,
     HostListUnavailable,
 )
@@ -144,6 +144,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for runner in self.runners:
             await runner.cleanup()
+        await self.claimer.close()
         await self.network.close()
         await self.client.close()
         await self.session.close()
@@ -249,11 +250,16 @@
             self.clock,
             _always_retry,
         )
+        self.claimer = Claimer.from_config(
+            self.log,
+            self.clock,
+            settings.claims,
+        )
         self.callers = CallerServer(
             dispatcher,
             CustomerKeys.load(settings.customers),
             self.read_tables,
-            _claim_unavailable,
+            self._claim,
             settings.limits,
             self.missing,
         )
@@ -288,6 +294,15 @@
             self._follow_host_list(),
         ]
 
+    async def _claim(self, call: Call) -> ClaimLike:
+        return await self.claimer.claim(
+            call.customer,
+            call.route.name,
+            call.idempotency_key,
+            call.body_digest,
+            call.queue_deadline(),
+        )
+
     def _on_membership(self, sender_id: str, message: Any) -> None:
         self.membership.on_message(message, sender_id)
 
@@ -380,10 +395,3 @@
 
 def _always_retry(pool: str) -> bool:
     return bool(pool)
-
-
-async def _claim_unavailable(call: Call) -> ClaimLike:
-    raise ClaimUnavailable(
-        f'no claim can be made for route {call.route.name}',
-        retry_after=1,
-    )
--- a/src/hickorymux/_internal/transport/router_settings.py
+++ b/src/hickorymux/_internal/transport/router_settings.py
@@ -9,6 +9,7 @@
 from typing import Any, Final, Self, final
 from urllib.parse import urlsplit
 
+from hickorymux._internal.coordination.claim_lane import ClaimSettings
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import ConfigError
 from hickorymux._internal.transport.caller_server import CallerLimits
@@ -18,9 +19,9 @@
 MAX_PORT: Final = 65535
 
 _NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
-_DURATION = re.compile('([0-9]+(?:[.][0-9]+)?)(ms|s|m)')
+_DURATION = re.compile('([0-9]+(?:[.][0-9]+)?)(ms|s|m|h)')
 _PEER = re.compile('([^@=]+)@([^@=]+)=(.+)')
-_UNIT_SECONDS: Final = {'ms': 0.001, 's': 1, 'm': 60}
+_UNIT_SECONDS: Final = {'ms': 0.001, 's': 1, 'm': 60, 'h': 3600}
 
 
 @final
@@ -61,6 +62,7 @@
     limits: CallerLimits
     max_waiting: int
     timeouts: UpstreamTimeouts
+    claims: ClaimSettings
     drain_notice: dt.timedelta
     drain_limit: dt.timedelta
     log_level: str
@@ -94,6 +96,10 @@
                 reader.parse('first_byte_timeout', parse_duration),
                 reader.parse('idle_timeout', parse_duration),
             ),
+            claims=ClaimSettings(
+                partitions=reader.parse('claim_partitions', parse_positive),
+                retention=reader.parse('log_retention', parse_duration),
+            ),
             drain_notice=reader.parse('drain_notice', parse_duration),
             drain_limit=reader.parse('drain_limit', parse_duration),
             log_level=reader.parse('log_level', parse_level),
@@ -158,10 +164,12 @@
 
 
 def parse_duration(text: str) -> dt.timedelta:
-    """Return a duration written as ``500ms``, ``30s`` or ``2m``."""
+    """Return a duration written as ``500ms``, ``30s``, ``2m`` or ``1h``."""
     match = _DURATION.fullmatch(text)
     if match is None:
-        raise ValueError(f'"{text}" is not a duration, as in 500ms, 30s or 2m')
+        raise ValueError(
+            f'"{text}" is not a duration, as in 500ms, 30s, 2m or 1h'
+        )
     number, unit = match.groups()
     return dt.timedelta(seconds=float(number) * _UNIT_SECONDS[unit])
 
