--- /dev/null
+++ b/src/hickorymux_emulator/programs.py
@@ -0,0 +1,279 @@
+"""Starts programs of the project as processes, for the demo and for tests.
+
+A program is started by ``python -m MODULE``. Its output is collected by line,
+and it is stopped, killed or frozen by its process id alone.
+"""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from pathlib import Path
+from typing import IO, Any, Final, Self, final
+
+_SOURCE_ROOT: Final = Path(__file__).parent.parent
+_START_SECONDS: Final = 20.0
+_STOP_SECONDS: Final = 15.0
+_POLL_SECONDS: Final = 0.05
+_READER_SECONDS: Final = 2.0
+
+
+class ProgramError(Exception):
+    """A program ended or did not say in time what was waited for."""
+
+
+@final
+class Program:
+    """One started process and the lines that it wrote.
+
+    ``stdout`` and ``stderr`` grow while it runs. ``address`` is ``host:port``
+    as of its listening line, or empty.
+
+    Example::
+
+        program = Program.start('engine', 'hickorymux_emulator', ['engine'])
+        program.wait_listening()
+        print(program.url)
+        program.stop()
+    """
+
+    __slots__ = (
+        'address',
+        'grown',
+        'name',
+        'process',
+        'readers',
+        'stderr',
+        'stdout',
+    )
+
+    def __init__(self, name: str, process: subprocess.Popen[str]) -> None:
+        self.name = name
+        self.process = process
+        self.address = ''
+        self.grown = threading.Condition()
+        self.stdout: list[str] = []
+        self.stderr: list[str] = []
+        self.readers = [
+            self._reader(process.stdout, self.stdout),
+            self._reader(process.stderr, self.stderr),
+        ]
+
+    @classmethod
+    def start(
+        cls,
+        name: str,
+        module: str,
+        arguments: Sequence[str] = (),
+        environment: Mapping[str, str] | None = None,
+    ) -> Self:
+        """Start ``python -m module arguments`` and return at once."""
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env=_environment(environment or {}),
+        )
+        return cls(name, process)
+
+    @property
+    def url(self) -> str:
+        """Return the address as the start of a URL."""
+        return f'http://{self.address}'
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.process.poll() is None
+
+    def wait_listening(self, seconds: float = _START_SECONDS) -> str:
+        """Wait for the listening line; return and keep the address."""
+        line = self.wait_event('listening', seconds)
+        self.address = str(line['address'])
+        return self.address
+
+    def wait_event(
+        self,
+        event: str,
+        seconds: float = _START_SECONDS,
+    ) -> dict[str, Any]:
+        """Return the first JSON line with the event, from either output.
+
+        Raises ``ProgramError`` when the process ends or time is up first.
+        """
+        until = time.monotonic() + seconds
+        while self.is_running and time.monotonic() < until:
+            found = next(self.events(event), None)
+            if found is not None:
+                return found
+            self._wait_for_output()
+        if not self.is_running:
+            self._join_readers()
+        found = next(self.events(event), None)
+        if found is None:
+            cause = f'{self.name}: no {event!r}'
+            raise ProgramError(f'{cause}; {self.last_words()}')
+        return found
+
+    def events(self, event: str) -> Iterator[dict[str, Any]]:
+        """Yield the JSON lines with the event that were written so far."""
+        for line in [*self.stdout, *self.stderr]:
+            fields = _json_object(line)
+            if fields.get('event') == event:
+                yield fields
+
+    def last_words(self) -> str:
+        """Return the last lines of both outputs, for an error message."""
+        lines = [*self.stdout[-5:], *self.stderr[-20:]]
+        return f'status {self.process.poll()}, output:\n' + '\n'.join(lines)
+
+    def terminate(self) -> None:
+        """Ask the process to end, and return at once."""
+        if self.is_running:
+            self.process.send_signal(signal.SIGTERM)
+
+    def stop(self, seconds: float = _STOP_SECONDS) -> int:
+        """Ask the process to end and return its exit status.
+
+        Raises ``ProgramError`` after killing a process that does not end.
+        """
+        self.terminate()
+        return self.wait(seconds)
+
+    def wait(self, seconds: float = _STOP_SECONDS) -> int:
+        """Return the exit status once the process has ended by itself.
+
+        Raises ``ProgramError`` after killing a process that does not end.
+        """
+        try:
+            status = self.process.wait(seconds)
+        except subprocess.TimeoutExpired as error:
+            self.kill()
+            cause = f'{self.name}: did not end in {seconds} s'
+            raise ProgramError(f'{cause}; {self.last_words()}') from error
+        self._join_readers()
+        return status
+
+    def kill(self) -> None:
+        """End the process at once, without its own doing."""
+        self.process.kill()
+        self.process.wait()
+        self._join_readers()
+
+    def freeze(self) -> None:
+        """Pause the process until ``thaw``."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def _reader(
+        self,
+        source: IO[str] | None,
+        lines: list[str],
+    ) -> threading.Thread:
+        reader = threading.Thread(
+            target=self._collect,
+            args=(source, lines),
+            daemon=True,
+        )
+        reader.start()
+        return reader
+
+    def _collect(self, source: IO[str], lines: list[str]) -> None:
+        with source:
+            for line in source:
+                lines.append(line.rstrip('\n'))
+                with self.grown:
+                    self.grown.notify_all()
+
+    def _wait_for_output(self) -> None:
+        with self.grown:
+            self.grown.wait(_POLL_SECONDS)
+
+    def _join_readers(self) -> None:
+        for reader in self.readers:
+            reader.join(_READER_SECONDS)
+
+
+@final
+class ProgramGroup:
+    """The programs of one test or demo; none outlives the ``with`` block.
+
+    Example::
+
+        with ProgramGroup() as programs:
+            log = programs.start('log', 'hickorymux_emulator', ['log-service'])
+            log.wait_listening()
+    """
+
+    __slots__ = ('programs',)
+
+    def __init__(self) -> None:
+        self.programs: list[Program] = []
+
+    def __enter__(self) -> Self:
+        """Return the group."""
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        """Kill what still runs."""
+        self.kill_all()
+
+    def start(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str] = (),
+        environment: Mapping[str, str] | None = None,
+    ) -> Program:
+        """Start a program of the group and return at once."""
+        program = Program.start(name, module, arguments, environment)
+        self.programs.append(program)
+        return program
+
+    def start_emulator(self, kind: str, *flags: str) -> Program:
+        """Start a stand-in and return once it is listening."""
+        program = self.start(kind, 'hickorymux_emulator', [kind, *flags])
+        program.wait_listening()
+        return program
+
+    def stop_all(self, seconds: float = _STOP_SECONDS) -> dict[str, int]:
+        """Ask all to end; return the exit status by name.
+
+        Raises ``ProgramError`` when one had to be killed.
+        """
+        for program in self.programs:
+            program.terminate()
+        return {each.name: each.wait(seconds) for each in self.programs}
+
+    def kill_all(self) -> None:
+        """End at once what still runs."""
+        for program in self.programs:
+            if program.is_running:
+                program.kill()
+
+
+def _environment(extra: Mapping[str, str]) -> dict[str, str]:
+    paths = [str(_SOURCE_ROOT)]
+    with contextlib.suppress(KeyError):
+        paths.append(os.environ['PYTHONPATH'])
+    return {**os.environ, 'PYTHONPATH': os.pathsep.join(paths), **extra}
+
+
+def _json_object(line: str) -> dict[str, Any]:
+    if not line.startswith('{'):
+        return {}
+    try:
+        fields = json.loads(line)
+    except json.JSONDecodeError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
--- /dev/null
+++ b/tests/functional/test_programs.py
@@ -0,0 +1,26 @@
+"""Programs that tests start are found, frozen and ended by process id."""
+
+import pytest
+from lib.processes import Program, ProgramError, ProgramGroup
+
+
+def test_program_ends_by_itself_on_sigterm() -> None:
+    with ProgramGroup() as programs:
+        service = programs.start_emulator('service')
+        assert service.is_running
+        assert service.stop() == 0
+
+
+def test_failed_start_shows_the_output() -> None:
+    bad = Program.start('bad', 'hickorymux_emulator', ['engine', '--sluts'])
+    with pytest.raises(ProgramError, match='unrecognized arguments'):
+        bad.wait_listening()
+
+
+def test_frozen_program_is_killed_by_its_group() -> None:
+    with ProgramGroup() as programs:
+        service = programs.start_emulator('service')
+        service.freeze()
+        with pytest.raises(ProgramError, match='did not end'):
+            service.stop(0.1)
+    assert not service.is_running
