--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -203,6 +203,18 @@
     code = 'config_invalid'
 
 
+class SnapshotError(ConfigError):
+    """A snapshot of the configuration can't be read."""
+
+    code = 'snapshot_invalid'
+
+
+class ConfigOrderError(ConfigError):
+    """A record of the configuration was given out of offset order."""
+
+    code = 'config_order'
+
+
 class FrameError(HickorymuxError):
     """A frame from a peer is malformed, too large or not authentic."""
 
