Add the example deployments and the customers file

Cause: the two deployments of today and the demo need tables, customers and the layout of their hosts that are checked by tests.

Change: examples/brittany, dar-es-salaam and two-zones with routes, pools, customers and network (entry hosts, one-way delays); state/customers.py; the reading of TOML rows with all errors named moves to state/toml_rows.py, which both kinds of files share.

--- /dev/null
+++ b/src/hickorymux/_internal/cli/error_lines.py
@@ -0,0 +1,19 @@
+"""What a person at the terminal reads of an error: one line each."""
+
+import functools
+from collections.abc import Iterator
+
+from hickorymux._internal.exceptions import HickorymuxError
+from hickorymux._internal.state.toml_rows import TablesInvalid
+
+
+@functools.singledispatch
+def error_lines(error: HickorymuxError) -> Iterator[str]:
+    """Yield the lines that tell of an error."""
+    yield str(error).replace('\n', ' ')
+
+
+@error_lines.register
+def _tables_lines(error: TablesInvalid) -> Iterator[str]:
+    for problem in error.problems:
+        yield f'[{error.code}] {problem}'
--- a/src/hickorymux/_internal/cli/main.py
+++ b/src/hickorymux/_internal/cli/main.py
@@ -16,6 +16,7 @@
 import defopt
 
 from hickorymux._internal.cli.environment import environment_flags
+from hickorymux._internal.cli.error_lines import error_lines
 from hickorymux._internal.cli.exit_status import ExitStatus, exit_status_of
 from hickorymux._internal.exceptions import HickorymuxError
 from hickorymux._internal.utils.terminal import write_error, write_line
@@ -51,7 +52,8 @@
     try:
         return _run(words)
     except HickorymuxError as error:
-        write_error(f'hickorymux: {error}')
+        for line in error_lines(error):
+            write_error(f'hickorymux: {line}')
         return exit_status_of(error)
     except KeyboardInterrupt:
         return ExitStatus.interrupted
--- a/src/hickorymux/_internal/commands/check.py
+++ b/src/hickorymux/_internal/commands/check.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import final
 
+from hickorymux._internal.state.customers import CustomerKeys
 from hickorymux._internal.state.rows import RowKind
 from hickorymux._internal.state.table_files import TableFiles
 from hickorymux._internal.utils.terminal import write_line
@@ -16,13 +17,17 @@
 
     :param routes: the routes table, a TOML file
     :param pools: the pools table, a TOML file
+    :param customer_keys: the customers file, to be checked too
     """
 
     routes: Path
     pools: Path
+    customer_keys: Path | None = None
 
     def run(self) -> None:
         """Read and check the files; raise ``TablesInvalid``."""
+        if self.customer_keys is not None:
+            CustomerKeys.from_config(self.customer_keys)
         rows = TableFiles.load(self.routes, self.pools).rows
         counts = (
             f'{len(rows.names(kind))} {kind}s'
--- /dev/null
+++ b/src/hickorymux/_internal/state/customers.py
@@ -0,0 +1,89 @@
+"""The customers of an entry host and their keys.
+
+The customers file is TOML and holds no key but its SHA-256, in hexadecimal.
+Keys are long random strings, so that a plain hash does not give them away.
+
+Example::
+
+    [[customer]]
+    name = "surveyor-1"
+    key_sha256 = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15..."
+"""
+
+import hashlib
+import re
+from pathlib import Path
+from typing import final
+
+import msgspec
+
+from hickorymux._internal.state.row_checks import RowProblem, check_name
+from hickorymux._internal.state.toml_rows import RowPlace, TomlRows
+
+_DIGEST = re.compile('[0-9a-f]{64}', re.ASCII)
+_DIGEST_HINT = 'write the SHA-256 of the key as 64 digits from 0 to f'
+
+
+@final
+class CustomerRow(msgspec.Struct, frozen=True):
+    """A row of the customers file."""
+
+    name: str
+    key_sha256: str
+
+
+@final
+class CustomerKeys:
+    """Finds the customer that a key belongs to.
+
+    The look-up goes by the digest of the key, so that its time tells nothing
+    of how much of a guessed key is right. A customer may have several keys,
+    as while one is replaced.
+    """
+
+    __slots__ = ('names',)
+
+    def __init__(self, names: dict[str, str]) -> None:
+        self.names = names
+
+    @classmethod
+    def from_config(cls, path: Path) -> 'CustomerKeys':
+        """Read a customers file; raise ``TablesInvalid`` with all errors."""
+        reader = TomlRows()
+        names: dict[str, str] = {}
+        for place, raw in reader.read_file(path, 'customer'):
+            row = reader.convert(CustomerRow, place, raw)
+            if row is not None:
+                _add_customer(row, place, names, reader)
+        reader.raise_problems()
+        return cls(names)
+
+    def customer_for_key(self, key: str) -> str | None:
+        """Return the name of the customer, or ``None`` for an unknown key."""
+        return self.names.get(key_digest(key))
+
+
+def key_digest(key: str) -> str:
+    """Return what the customers file holds of a key."""
+    return hashlib.sha256(key.encode(errors='surrogatepass')).hexdigest()
+
+
+def _add_customer(
+    row: CustomerRow, place: RowPlace, names: dict[str, str], reader: TomlRows
+) -> None:
+    problems = list(check_name('name', row.name))
+    if not _DIGEST.fullmatch(row.key_sha256):
+        problems.append(RowProblem('key_sha256', 'bad digest', _DIGEST_HINT))
+    owner = names.get(row.key_sha256)
+    if owner is not None:
+        problems.append(
+            RowProblem(
+                'key_sha256',
+                f'customer "{owner}" has the same key',
+                'give each customer its own key',
+            )
+        )
+    for problem in problems:
+        reader.note(place, problem)
+    if not problems:
+        names[row.key_sha256] = row.name
--- /dev/null
+++ b/src/hickorymux/_internal/state/toml_rows.py
@@ -0,0 +1,148 @@
+"""Rows of TOML files that operators write, with every error named."""
+
+import dataclasses
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, TypeAlias, TypeVar, final
+
+import msgspec
+
+from hickorymux._internal.exceptions import ConfigError
+from hickorymux._internal.state.row_checks import RowProblem
+from hickorymux._internal.utils.suggestions import nearest_hint
+
+RawRow: TypeAlias = dict[str, Any]
+
+_RowT = TypeVar('_RowT', bound=msgspec.Struct)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RowPlace:
+    """Where a row stands: its file and how an operator finds it there."""
+
+    file: str
+    row: str = ''
+
+    def __str__(self) -> str:
+        """Return the place as an operator reads it."""
+        return f'{self.file}: {self.row}' if self.row else self.file
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TableProblem:
+    """One error of a table file: where it is and what to write instead."""
+
+    place: RowPlace
+    problem: RowProblem
+
+    def __str__(self) -> str:
+        """Return one line for the operator."""
+        problem = self.problem
+        key = f', key "{problem.key}"' if problem.key else ''
+        hint = f' ({problem.hint})' if problem.hint else ''
+        return f'{self.place}{key}: {problem.detail}{hint}'
+
+
+class TablesInvalid(ConfigError):
+    """The table files have errors; ``problems`` holds all of them."""
+
+    code = 'tables_invalid'
+
+    def __init__(self, problems: tuple[TableProblem, ...]) -> None:
+        lines = (f'\n  {problem}' for problem in problems)
+        super().__init__(f'{len(problems)} errors{"".join(lines)}')
+        self.problems = problems
+
+
+@final
+class TomlRows:
+    """Reads arrays of tables from TOML files and collects the problems."""
+
+    __slots__ = ('problems',)
+
+    def __init__(self) -> None:
+        self.problems: list[TableProblem] = []
+
+    def read_file(
+        self, path: Path, name: str
+    ) -> Iterator[tuple[RowPlace, RawRow]]:
+        """Yield the rows of a file that holds one array of tables."""
+        place = RowPlace(str(path))
+        raw = self._read_toml(path, place)
+        found = raw.pop(name, [])
+        for key in sorted(raw):
+            hint = f'rows start with "[[{name}]]"'
+            self.note(place, RowProblem(key, 'unknown key', hint))
+        for number, row in enumerate(self.tables(found, place, name), start=1):
+            yield RowPlace(str(path), describe_row(name, number, row)), row
+
+    def tables(self, found: Any, place: RowPlace, name: str) -> list[RawRow]:
+        """Return an array of tables; note it when it is something else."""
+        is_array = isinstance(found, list)
+        if is_array and all(isinstance(row, dict) for row in found):
+            return list(found)
+        problem = RowProblem(
+            name.rpartition('.')[2],
+            'not an array of tables',
+            f'start each row with "[[{name}]]"',
+        )
+        self.note(place, problem)
+        return []
+
+    def convert(
+        self, row_type: type[_RowT], place: RowPlace, raw: RawRow
+    ) -> _RowT | None:
+        """Return the row if all of its keys have the right type."""
+        problems = list(_check_keys(row_type, raw))
+        for problem in problems:
+            self.note(place, problem)
+        return None if problems else msgspec.convert(raw, row_type)
+
+    def note(self, place: RowPlace, problem: RowProblem) -> None:
+        """Add a problem."""
+        self.problems.append(TableProblem(place, problem))
+
+    def raise_problems(self) -> None:
+        """Raise ``TablesInvalid`` if there are problems."""
+        if self.problems:
+            raise TablesInvalid(tuple(self.problems))
+
+    def _read_toml(self, path: Path, place: RowPlace) -> RawRow:
+        try:
+            return tomllib.loads(path.read_text(encoding='utf-8'))
+        except OSError as error:
+            self.note(place, RowProblem('', str(error.strerror)))
+        except (ValueError, RecursionError) as error:
+            self.note(place, RowProblem('', f'not TOML: {error}'))
+        return {}
+
+
+def describe_row(table: str, number: int, raw: RawRow) -> str:
+    """Return how an operator finds a row in its file."""
+    name = raw.get('name', '')
+    named = f' "{name}"' if name else ''
+    return f'{table} {number}{named}'
+
+
+def _check_keys(
+    row_type: type[msgspec.Struct], raw: RawRow
+) -> Iterator[RowProblem]:
+    """Yield a problem for each key that is unknown, missing or ill-typed."""
+    fields = {field.name: field for field in msgspec.structs.fields(row_type)}
+    for key in sorted(raw.keys() - fields.keys()):
+        hint = nearest_hint(key, sorted(fields))
+        yield RowProblem(key, 'unknown key', hint)
+    for name, field in fields.items():
+        found = raw.get(name, msgspec.UNSET)
+        if found is not msgspec.UNSET:
+            yield from _check_type(name, field.type, found)
+        elif field.required:
+            yield RowProblem(name, 'missing key', f'add a line "{name} = ..."')
+
+
+def _check_type(name: str, wanted: Any, found: Any) -> Iterator[RowProblem]:
+    try:
+        msgspec.convert(found, wanted)
+    except (msgspec.ValidationError, OverflowError) as error:
+        yield RowProblem(name, str(error))
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -37,7 +37,9 @@
     flags = write_tables(tmp_path, slots=0)
     found = run_command('check', *flags)
     assert found.returncode == 3
-    assert 'key "slots": 0 slots' in found.stderr
+    line = found.stderr.splitlines()[-1]
+    assert line.startswith('hickorymux: [tables_invalid]')
+    assert 'key "slots": 0 slots' in line
     assert run_command('check', *write_tables(tmp_path)).returncode == 0
 
 
--- /dev/null
+++ b/tests/unit/test_examples.py
@@ -0,0 +1,66 @@
+"""The example deployments are valid and have the sizes of today."""
+
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from hickorymux._internal.state.customers import CustomerKeys, key_digest
+from hickorymux._internal.state.rows import RowKind
+from hickorymux._internal.state.table_files import TableFiles
+from hickorymux._internal.utils.durations import parse_duration
+
+EXAMPLES = Path(__file__).parent.parent.parent / 'examples'
+ALL = sorted(path.name for path in EXAMPLES.iterdir() if path.is_dir())
+
+
+def load(name: str) -> TableFiles:
+    path = EXAMPLES / name
+    return TableFiles.load(path / 'routes.toml', path / 'pools.toml')
+
+
+def test_each_example_is_here() -> None:
+    assert ALL == ['brittany', 'dar-es-salaam', 'two-zones']
+
+
+@pytest.mark.parametrize('name', ALL)
+def test_zones_weights_and_customers_fit(name: str) -> None:
+    rows = load(name).rows
+    network = tomllib.loads((EXAMPLES / name / 'network.toml').read_text())
+    zones = {host['zone'] for host in network['entry_host']}
+    assert zones == set(rows.zones)
+    assert parse_duration(network['zone_delay'])
+    keys = CustomerKeys.from_config(EXAMPLES / name / 'customers.toml')
+    customers = set(keys.names.values())
+    for pool in rows.all_pools():
+        assert customers >= pool.weights.keys()
+        assert len(pool.weights) <= 4
+    for customer in customers:
+        assert keys.names[key_digest(f'key-{customer}')] == customer
+
+
+@pytest.mark.parametrize(
+    ('name', 'pools', 'zones', 'hosts'),
+    [
+        ('brittany', {'drafting': 5, 'register': 4}, 4, 6),
+        ('dar-es-salaam', {'costing': 9, 'ledger': 3}, 3, 7),
+    ],
+)
+def test_sizes_of_today(
+    name: str, pools: dict[str, int], zones: int, hosts: int
+) -> None:
+    rows = load(name).rows
+    found = {pool: len(rows.pool_upstreams[pool]) for pool in pools}
+    assert found == pools
+    assert rows.names(RowKind.pool) == sorted(pools)
+    assert len(rows.zones) == zones
+    network = tomllib.loads((EXAMPLES / name / 'network.toml').read_text())
+    assert len(network['entry_host']) == hosts
+    keys = CustomerKeys.from_config(EXAMPLES / name / 'customers.toml')
+    assert len(keys.names) == 16
+
+
+@pytest.mark.parametrize('name', ALL)
+def test_writes_that_may_not_be_repeated_need_a_key(name: str) -> None:
+    for route in load(name).rows.all_routes():
+        assert route.requires_key == bool(route.path_prefix)
--- a/tests/unit/test_table_files.py
+++ b/tests/unit/test_table_files.py
@@ -5,7 +5,8 @@
 import pytest
 from lib.config_samples import POOLS_TOML, ROUTES_TOML
 
-from hickorymux._internal.state.table_files import TableFiles, TablesInvalid
+from hickorymux._internal.state.table_files import TableFiles
+from hickorymux._internal.state.toml_rows import TablesInvalid
 
 
 def problems(tmp_path: Path, routes: str, pools: str) -> list[str]:
