--- a/src/hickorymux/_internal/commands/check.py
+++ b/src/hickorymux/_internal/commands/check.py
@@ -27,7 +27,7 @@
     def run(self) -> None:
         """Read and check the files; raise ``TablesInvalid``."""
         if self.customer_keys is not None:
-            CustomerKeys.from_config(self.customer_keys)
+            CustomerKeys.load(self.customer_keys)
         rows = TableFiles.load(self.routes, self.pools).rows
         counts = (
             f'{len(rows.names(kind))} {kind}s'
--- a/src/hickorymux/_internal/state/customers.py
+++ b/src/hickorymux/_internal/state/customers.py
@@ -21,6 +21,7 @@
 from hickorymux._internal.state.toml_rows import RowPlace, TomlRows
 
 _DIGEST = re.compile('[0-9a-f]{64}', re.ASCII)
+_EMPTY_HINT = 'add a "[[customer]]" row for each customer'
 _DIGEST_HINT = 'write the SHA-256 of the key as 64 digits from 0 to f'
 
 
@@ -47,7 +48,7 @@
         self.names = names
 
     @classmethod
-    def from_config(cls, path: Path) -> 'CustomerKeys':
+    def load(cls, path: Path) -> 'CustomerKeys':
         """Read a customers file; raise ``TablesInvalid`` with all errors."""
         reader = TomlRows()
         names: dict[str, str] = {}
@@ -55,6 +56,9 @@
             row = reader.convert(CustomerRow, place, raw)
             if row is not None:
                 _add_customer(row, place, names, reader)
+        if not names and not reader.problems:
+            problem = RowProblem('customer', 'no customers', _EMPTY_HINT)
+            reader.note(RowPlace(str(path)), problem)
         reader.raise_problems()
         return cls(names)
 
--- a/tests/unit/test_customers.py
+++ b/tests/unit/test_customers.py
@@ -15,7 +15,7 @@
 def load(tmp_path: Path, text: str) -> CustomerKeys:
     path = tmp_path / 'customers.toml'
     path.write_text(text)
-    return CustomerKeys.from_config(path)
+    return CustomerKeys.load(path)
 
 
 def test_a_key_leads_to_its_customer_only(tmp_path: Path) -> None:
@@ -37,6 +37,7 @@
         (row('one', key_digest('k')) + row('two', key_digest('k')), 'same key'),
         ('[[customer]]\nname = "one"', 'missing key'),
         ('[[customers]]', 'unknown key'),
+        ('', 'no customers'),
     ],
 )
 def test_errors_are_named(tmp_path: Path, text: str, words: str) -> None:
--- a/tests/unit/test_examples.py
+++ b/tests/unit/test_examples.py
@@ -30,7 +30,7 @@
     zones = {host['zone'] for host in network['entry_host']}
     assert zones == set(rows.zones)
     assert parse_duration(network['zone_delay'])
-    keys = CustomerKeys.from_config(EXAMPLES / name / 'customers.toml')
+    keys = CustomerKeys.load(EXAMPLES / name / 'customers.toml')
     customers = set(keys.names.values())
     for pool in rows.all_pools():
         assert customers >= pool.weights.keys()
@@ -56,7 +56,7 @@
     assert len(rows.zones) == zones
     network = tomllib.loads((EXAMPLES / name / 'network.toml').read_text())
     assert len(network['entry_host']) == hosts
-    keys = CustomerKeys.from_config(EXAMPLES / name / 'customers.toml')
+    keys = CustomerKeys.load(EXAMPLES / name / 'customers.toml')
     assert len(keys.names) == 16
 
 
