--- a/src/hickorymux/_internal/state/customers.py
+++ b/src/hickorymux/_internal/state/customers.py
@@ -1,89 +1,93 @@
-"""The customers and their keys.
+"""The customers of an entry host and their keys.
 
-The file is TOML with one ``[[customer]]`` table each: ``name`` and
-``key_sha256``, the SHA-256 digest of the key in hexadecimal. Keys themselves
-are not kept.
+The customers file is TOML and holds no key but its SHA-256, in hexadecimal.
+Keys are long random strings, so that a plain hash does not give them away.
+
+Example::
+
+    [[customer]]
+    name = "surveyor-1"
+    key_sha256 = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15..."
 """
 
 import hashlib
-import tomllib
-from collections.abc import Iterator
+import re
 from pathlib import Path
-from typing import Any, Self, final
+from typing import final
 
 import msgspec
 
-from hickorymux._internal.exceptions import ConfigError
+from hickorymux._internal.state.row_checks import RowProblem, check_name
+from hickorymux._internal.state.toml_rows import RowPlace, TomlRows
 
+_DIGEST = re.compile('[0-9a-f]{64}', re.ASCII)
+_EMPTY_HINT = 'add a "[[customer]]" row for each customer'
+_DIGEST_HINT = 'write the SHA-256 of the key as 64 digits from 0 to f'
 
-@final
-class CustomersInvalid(ConfigError):
-    """The customers file is not valid; the message names every problem."""
-
-    code = 'customers_invalid'
 
+@final
+class CustomerRow(msgspec.Struct, frozen=True):
+    """A row of the customers file."""
 
-class _CustomerRow(msgspec.Struct, forbid_unknown_fields=True):
     name: str
     key_sha256: str
 
 
 @final
 class CustomerKeys:
-    """Finds the customer that owns a key.
-
-    The look-up goes by the digest of the key, so its time tells nothing about
-    how much of a wrong key was right.
-
-    Example::
+    """Finds the customer that a key belongs to.
 
-        keys = CustomerKeys.load(Path('customers.toml'))
-        keys.customer_for_key('key-kitchen')
+    The look-up goes by the digest of the key, so that its time tells nothing
+    of how much of a guessed key is right. A customer may have several keys,
+    as while one is replaced.
     """
 
-    __slots__ = ('names_by_digest',)
+    __slots__ = ('names',)
 
-    def __init__(self, names_by_digest: dict[bytes, str]) -> None:
-        self.names_by_digest = names_by_digest
+    def __init__(self, names: dict[str, str]) -> None:
+        self.names = names
 
     @classmethod
-    def load(cls, path: Path) -> Self:
-        """Read a customers file; raises ``CustomersInvalid``."""
-        try:
-            rows = tomllib.loads(path.read_text()).get('customer', [])
-        except (OSError, UnicodeDecodeError, ValueError) as error:
-            raise CustomersInvalid(str(error), where=str(path)) from error
-        names: dict[bytes, str] = {}
-        problems = list(_read_rows(rows, names))
-        if problems:
-            raise CustomersInvalid('; '.join(problems), where=str(path))
+    def load(cls, path: Path) -> 'CustomerKeys':
+        """Read a customers file; raise ``TablesInvalid`` with all errors."""
+        reader = TomlRows()
+        names: dict[str, str] = {}
+        for place, raw in reader.read_file(path, 'customer'):
+            row = reader.convert(CustomerRow, place, raw)
+            if row is not None:
+                _add_customer(row, place, names, reader)
+        if not names and not reader.problems:
+            problem = RowProblem('customer', 'no customers', _EMPTY_HINT)
+            reader.note(RowPlace(str(path)), problem)
+        reader.raise_problems()
         return cls(names)
 
     def customer_for_key(self, key: str) -> str | None:
-        """Return the customer, or ``None`` for a key that nobody owns."""
-        digest = hashlib.sha256(key.encode()).digest()
-        return self.names_by_digest.get(digest)
-
-
-def _read_rows(rows: Any, names: dict[bytes, str]) -> Iterator[str]:
-    """Fill the names by digest and yield what is wrong."""
-    if not isinstance(rows, list) or not rows:
-        yield 'no [[customer]] table; add one for each customer'
-        return
-    for number, row in enumerate(rows):
-        try:
-            _add_row(row, names)
-        except ValueError as error:
-            yield f'customer[{number}]: {error}'
-
-
-def _add_row(row: Any, names: dict[bytes, str]) -> None:
-    customer = msgspec.convert(row, _CustomerRow)
-    digest = bytes.fromhex(customer.key_sha256)
-    if len(digest) != hashlib.sha256().digest_size:
-        raise ValueError('key_sha256 has not 64 hexadecimal digits')
-    if customer.name in names.values():
-        raise ValueError(f'the name "{customer.name}" stands twice')
-    if digest in names:
-        raise ValueError(f'the key of "{customer.name}" stands twice')
-    names[digest] = customer.name
+        """Return the name of the customer, or ``None`` for an unknown key."""
+        return self.names.get(key_digest(key))
+
+
+def key_digest(key: str) -> str:
+    """Return what the customers file holds of a key."""
+    return hashlib.sha256(key.encode(errors='surrogatepass')).hexdigest()
+
+
+def _add_customer(
+    row: CustomerRow, place: RowPlace, names: dict[str, str], reader: TomlRows
+) -> None:
+    problems = list(check_name('name', row.name))
+    if not _DIGEST.fullmatch(row.key_sha256):
+        problems.append(RowProblem('key_sha256', 'bad digest', _DIGEST_HINT))
+    owner = names.get(row.key_sha256)
+    if owner is not None:
+        problems.append(
+            RowProblem(
+                'key_sha256',
+                f'customer "{owner}" has the same key',
+                'give each customer its own key',
+            )
+        )
+    for problem in problems:
+        reader.note(place, problem)
+    if not problems:
+        names[row.key_sha256] = row.name
