--- /dev/null
+++ b/src/hickorymux/_internal/coordination/cold_starts.py
@@ -0,0 +1,395 @@
+"""Permits for upstreams in a cold start, claimed on the log.
+
+A cold upstream bears a small load and falls over above it, so no lease is
+lent for it, and nothing that rests on a lease running out decides who may
+send to it. Its permits are claimed on the log, by the routers whose work
+waits, when the home of the upstream offers one. While the log cannot be
+reached, a cold upstream without a claimed permit gets no work.
+"""
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Callable, Iterable
+from typing import final
+
+import msgspec
+
+from hickorymux._internal.coordination.ports import (
+    LogClient,
+    LogRecord,
+    MemberView,
+)
+from hickorymux._internal.exceptions import (
+    LogAppendUnknown,
+    LogError,
+    LogTrimmed,
+)
+from hickorymux._internal.state.cold_permits import (
+    PermitFold,
+    PermitKey,
+    PermitRecord,
+    PermitState,
+    permit_keys,
+    pick_permit,
+)
+from hickorymux._internal.state.slot_ledger import DRIFT_RATIO
+from hickorymux._internal.state.tables import Upstream
+from hickorymux._internal.state.upstream_state import (
+    REPORT_LAG_SECONDS,
+    LoadReport,
+)
+from hickorymux._internal.utils.clock import Clock
+
+FRESH_SECONDS = 10.0
+REFRESH_SECONDS = 3.0
+KEEP_SECONDS = 300.0
+QUARANTINE_SECONDS = FRESH_SECONDS * (1 + DRIFT_RATIO) + REPORT_LAG_SECONDS
+STREAM_PREFIX = 'cold-starts.'
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ColdPermit:
+    """A permit that this router holds for one request at a time.
+
+    A permit taken over from a router that is gone is quarantined until
+    ``quarantined_until``, and after that until a load report shows that the
+    upstream runs nothing. ``used_at`` is when its last request ended.
+    """
+
+    key: PermitKey
+    upstream: Upstream
+    offset: int
+    claimed_at: float
+    quarantined_until: float = 0
+    is_quarantined: bool = False
+    is_busy: bool = False
+    is_releasing: bool = False
+    used_at: float = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Offer:
+    """A permit that a home thinks to be free."""
+
+    upstream: Upstream
+    instance: str
+    limit: int
+
+
+@dataclasses.dataclass(slots=True)
+class PermitStream:
+    """What has been read of the stream of one zone."""
+
+    name: str
+    fold: PermitFold = dataclasses.field(default_factory=PermitFold)
+    next_offset: int = 0
+    fresh_at: float = float('-inf')
+    offers: list[Offer] = dataclasses.field(default_factory=list)
+
+
+@final
+class ColdStarts:
+    """Claims, keeps and releases the permits of this router.
+
+    ``is_gone`` tells whether a life of a router has ended for good: a later
+    incarnation is live, or the platform's host list has dropped its host.
+
+    Example::
+
+        starts = ColdStarts(members, log_client, clock, is_gone, on_change)
+        starts.offer(Offer(upstream, 'i2', 1))
+        await starts.step()
+    """
+
+    __slots__ = (
+        'clock',
+        'is_gone',
+        'log_client',
+        'members',
+        'on_change',
+        'permits',
+        'streams',
+        'upstreams',
+        'wakeup',
+    )
+
+    def __init__(
+        self,
+        members: MemberView,
+        log_client: LogClient,
+        clock: Clock,
+        is_gone: Callable[[str, int], bool],
+        on_change: Callable[[Upstream], None],
+    ) -> None:
+        self.members = members
+        self.log_client = log_client
+        self.clock = clock
+        self.is_gone = is_gone
+        self.on_change = on_change
+        self.permits: dict[PermitKey, ColdPermit] = {}
+        self.streams: dict[str, PermitStream] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.wakeup = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve offers and releases, and stay fresh, until cancelled."""
+        while True:
+            try:
+                await asyncio.wait_for(self.wakeup.wait(), REFRESH_SECONDS)
+            except TimeoutError:
+                log.debug('cold start permits are refreshed')
+            self.wakeup.clear()
+            await self.step()
+
+    async def step(self) -> None:
+        """Do what is due on every stream that concerns this router."""
+        for stream in list(self.streams.values()):
+            if self._is_due(stream):
+                await self._step_stream(stream)
+
+    def offer(self, offer: Offer) -> None:
+        """Note that a home offers a permit; ``step`` claims it."""
+        stream = self._stream(offer.upstream)
+        stream.offers.append(offer)
+        self.wakeup.set()
+
+    def release(self, permit: ColdPermit) -> None:
+        """Stop using a permit; ``step`` releases it on the log."""
+        if permit.is_releasing:
+            return
+        permit.is_releasing = True
+        self.wakeup.set()
+
+    def idle(self, names: Iterable[str], now: float) -> list[ColdPermit]:
+        """Return the permits of some upstreams that can be used now."""
+        wanted = set(names)
+        return [
+            permit
+            for key, permit in self.permits.items()
+            if key.upstream in wanted
+            and not permit.is_busy
+            and self.is_usable(permit, now)
+        ]
+
+    def is_usable(self, permit: ColdPermit, now: float) -> bool:
+        """Return whether work may be sent on a permit at this moment.
+
+        The permit is void once another holds it by the log, and unusable
+        while the log has not confirmed it for ``FRESH_SECONDS``.
+        """
+        if self.permits.get(permit.key) is not permit:
+            return False
+        if permit.is_releasing or permit.is_quarantined:
+            return False
+        fresh_at = self._stream(permit.upstream).fresh_at
+        return now < fresh_at + FRESH_SECONDS * (1 - DRIFT_RATIO)
+
+    def upstreams_to_poll(self) -> list[Upstream]:
+        """Return the upstreams whose load report ends a quarantine."""
+        return [
+            permit.upstream
+            for permit in self.permits.values()
+            if permit.is_quarantined
+        ]
+
+    def on_load_report(self, name: str, report: LoadReport) -> None:
+        """End a quarantine when the earlier holder's work has ended."""
+        now = self.clock.monotonic()
+        if report.running + report.waiting > 0:
+            return
+        for key, permit in self.permits.items():
+            if (key.upstream, key.instance) != (name, report.instance):
+                continue
+            if permit.is_quarantined and now >= permit.quarantined_until:
+                permit.is_quarantined = False
+                self.on_change(permit.upstream)
+
+    def on_instance(self, name: str, instance: str) -> None:
+        """Release the permits of former instances of an upstream."""
+        for key, permit in self.permits.items():
+            if key.upstream == name and key.instance != instance:
+                self.release(permit)
+
+    def give_back(self, permit: ColdPermit, *, is_ended: bool) -> None:
+        """End the use of a permit.
+
+        Work that was cut may still run on the upstream. Then the permit is
+        quarantined until a load report shows that nothing does.
+        """
+        permit.is_busy = False
+        permit.used_at = self.clock.monotonic()
+        if not is_ended:
+            permit.is_quarantined = True
+            permit.quarantined_until = permit.used_at + REPORT_LAG_SECONDS
+
+    def _stream(self, upstream: Upstream) -> PermitStream:
+        self.upstreams[upstream.name] = upstream
+        stream = self.streams.get(upstream.zone)
+        if stream is None:
+            stream = PermitStream(STREAM_PREFIX + upstream.zone)
+            self.streams[upstream.zone] = stream
+        return stream
+
+    def _is_due(self, stream: PermitStream) -> bool:
+        if stream.offers:
+            return True
+        return any(
+            self._stream(permit.upstream) is stream
+            for permit in self.permits.values()
+        )
+
+    async def _step_stream(self, stream: PermitStream) -> None:
+        offers = stream.offers
+        stream.offers = []
+        try:
+            await self._exchange(stream, offers)
+        except LogError as error:
+            log.warning(
+                'cold start permits cannot be claimed',
+                extra={'event': 'cold_log_down', 'reason': error.code},
+            )
+
+    async def _exchange(
+        self, stream: PermitStream, offers: list[Offer]
+    ) -> None:
+        await self._read(stream)
+        records = [*self._releases(stream), *self._renewals(stream)]
+        records.extend(self._claims(stream, offers))
+        if not records:
+            return
+        try:
+            await self.log_client.append(
+                stream.name, msgspec.json.encode(records)
+            )
+        except LogAppendUnknown:
+            log.info('whether the append took effect is read back')
+        await self._read(stream)
+
+    async def _read(self, stream: PermitStream) -> None:
+        """Read to the end; what was read counts from before it was asked."""
+        while True:
+            asked_at = self.clock.monotonic()
+            try:
+                page = await self.log_client.read(
+                    stream.name, stream.next_offset
+                )
+            except LogTrimmed as error:
+                stream.fold = PermitFold(start=error.first_offset)
+                stream.next_offset = error.first_offset
+                continue
+            stream.fold.forget_before(page.first_offset)
+            for record in page.records:
+                stream.fold.apply(record.offset, _decode(record))
+            stream.next_offset = page.next_offset
+            if page.next_offset >= page.end_offset:
+                break
+        stream.fresh_at = asked_at
+        self._adopt(stream, self.clock.monotonic())
+
+    def _adopt(self, stream: PermitStream, now: float) -> None:
+        """Make the permits of this router the ones that the log names."""
+        for key, state in stream.fold.states.items():
+            if self._is_mine(state) and key.upstream in self.upstreams:
+                self._take_up(key, state, now)
+        for key, permit in list(self.permits.items()):
+            if self._stream(permit.upstream) is not stream:
+                continue
+            if not self._is_mine(stream.fold.state(key)):
+                self.permits.pop(key)
+
+    def _take_up(self, key: PermitKey, state: PermitState, now: float) -> None:
+        permit = self.permits.get(key)
+        if permit is not None:
+            if permit.offset != state.offset:
+                permit.offset = state.offset
+                permit.claimed_at = now
+            return
+        upstream = self.upstreams[key.upstream]
+        self.permits[key] = ColdPermit(
+            key,
+            upstream,
+            state.offset,
+            now,
+            quarantined_until=now + QUARANTINE_SECONDS,
+            is_quarantined=state.is_inherited,
+            used_at=now,
+        )
+        log.info(
+            'cold start permit claimed',
+            extra={
+                'event': 'cold_permit',
+                'upstream': key.upstream,
+                'instance': key.instance,
+                'permit': key.index,
+                'offset': state.offset,
+                'reason': 'first_on_log',
+            },
+        )
+        self.on_change(upstream)
+
+    def _is_mine(self, state: PermitState) -> bool:
+        myself = self.members.myself
+        return state.is_held_by(myself.router_id, myself.incarnation)
+
+    def _claims(
+        self, stream: PermitStream, offers: Iterable[Offer]
+    ) -> list[PermitRecord]:
+        records: list[PermitRecord] = []
+        for offer in offers:
+            name = offer.upstream.name
+            claimed = {record.key for record in records}
+            keys = [
+                key
+                for key in permit_keys(name, offer.instance, offer.limit)
+                if key not in claimed
+            ]
+            key = pick_permit(stream.fold, keys, self.is_gone)
+            if key is not None:
+                records.append(self._record(stream, key))
+        return records
+
+    def _record(self, stream: PermitStream, key: PermitKey) -> PermitRecord:
+        myself = self.members.myself
+        return PermitRecord(
+            key,
+            myself.router_id,
+            myself.incarnation,
+            read_to=stream.next_offset,
+        )
+
+    def _releases(self, stream: PermitStream) -> list[PermitRecord]:
+        return [
+            PermitRecord(permit.key, '', 0, read_to=stream.next_offset)
+            for permit in self._permits_of(stream)
+            if permit.is_releasing and not permit.is_busy
+        ]
+
+    def _renewals(self, stream: PermitStream) -> list[PermitRecord]:
+        now = self.clock.monotonic()
+        return [
+            self._record(stream, permit.key)
+            for permit in self._permits_of(stream)
+            if now - permit.claimed_at > KEEP_SECONDS
+            and not permit.is_releasing
+        ]
+
+    def _permits_of(self, stream: PermitStream) -> list[ColdPermit]:
+        return [
+            permit
+            for permit in self.permits.values()
+            if self._stream(permit.upstream) is stream
+        ]
+
+
+def _decode(record: LogRecord) -> list[PermitRecord]:
+    try:
+        return msgspec.json.decode(record.payload, type=list[PermitRecord])
+    except msgspec.DecodeError:
+        log.warning(
+            'a record of the cold start stream is malformed',
+            extra={'event': 'cold_record', 'offset': record.offset},
+        )
+        return []
--- a/src/hickorymux/_internal/coordination/slot_holder.py
+++ b/src/hickorymux/_internal/coordination/slot_holder.py
@@ -6,6 +6,11 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, final
 
+from hickorymux._internal.coordination.cold_starts import (
+    ColdPermit,
+    ColdStarts,
+    Offer,
+)
 from hickorymux._internal.coordination.ports import MemberView, PeerSender
 from hickorymux._internal.coordination.slot_home import (
     LEASE_SECONDS,
@@ -13,6 +18,7 @@
     TICK_SECONDS,
 )
 from hickorymux._internal.coordination.slot_messages import (
+    ColdOffer,
     HeadCustomer,
     PoolDemand,
     SlotCount,
@@ -30,6 +36,7 @@
 from hickorymux._internal.state.tables import Pool, Tables, Upstream
 from hickorymux._internal.state.upstream_state import (
     REFUSED,
+    LoadReport,
     Phase,
     UpstreamBook,
 )
@@ -40,7 +47,7 @@
 CONTENTION_SECONDS = 1.5
 MAX_HEADS = 4
 MAX_TARGET_SLOTS = 4096
-STOPPING_PHASES = frozenset((Phase.down,))
+PERMIT_KEEP_SECONDS = 2.0
 
 log = logging.getLogger(__name__)
 
@@ -49,7 +56,7 @@
 class Slot:
     """The right to run one request on an upstream.
 
-    It is checked with ``is_valid`` immediately before the request is sent,
+    It rests on a lease or, for a cold upstream, on a permit. It is checked with ``is_valid`` immediately before the request is sent,
     and given back when the request has ended.
     """
 
@@ -58,6 +65,8 @@
     lease_id: str
     instance: str
     holder: 'SlotHolder'
+    permit: ColdPermit | None = None
+    generation: int = 0
     is_returned: bool = False
 
     def is_valid(self, now: float) -> bool:
@@ -83,13 +92,20 @@
         return now - self.idle_since < IDLE_KEEP_SECONDS
 
 
+def _is_any(_upstream: Upstream, _instance: str) -> bool:
+    """Take every instance as verified."""
+    return True
+
+
 @final
 class SlotHolder:
     """Borrows slots for the requests that wait at this router.
 
     Homes of the own zone are asked first; those of other zones only for what
     the own zone leaves waiting. Slots that nothing waits for are kept for a
-    moment, unless other routers wait for slots of the pool.
+    moment, unless other routers wait for slots of the pool. ``is_verified``
+    tells whether an instance is known to serve the connections to an
+    upstream; slots of others are held back.
 
     Example::
 
@@ -103,8 +119,10 @@
         'backlogs',
         'book',
         'clock',
-        'home_map',
+        'cold_starts',
         'holdings',
+        'home_map',
+        'is_verified',
         'lease_seconds',
         'members',
         'on_available',
@@ -123,7 +141,11 @@
         read_tables: Callable[[], Tables],
         on_available: Callable[[str], None],
         lease_seconds: float = LEASE_SECONDS,
+        cold_starts: ColdStarts | None = None,
+        is_verified: Callable[[Upstream, str], bool] = _is_any,
     ) -> None:
+        self.is_verified = is_verified
+        self.cold_starts = cold_starts
         self.members = members
         self.sender = sender
         self.clock = clock
@@ -176,7 +198,7 @@
             and self._may_send(holding, now)
         ]
         if not usable:
-            return None
+            return self._take_permit(pool, now)
         order = functools.partial(
             _placement_order,
             own_zone=self.members.myself.zone,
@@ -184,35 +206,43 @@
         )
         return self._occupy(min(usable, key=order), pool)
 
-    def give_back(self, slot: Slot) -> None:
-        """Free a slot whose request has ended; safe to call twice."""
+    def give_back(self, slot: Slot, *, is_ended: bool = True) -> None:
+        """Free a slot; safe to call twice.
+
+        ``is_ended`` is false when the request was cut and the upstream has
+        not confirmed that it stopped.
+        """
         if slot.is_returned:
             return
         slot.is_returned = True
-        holding = self.holdings[slot.upstream.name]
-        holding.busy -= 1
+        if slot.permit is None:
+            self._free_lease(slot)
+        elif self.cold_starts is not None:
+            self.cold_starts.give_back(slot.permit, is_ended=is_ended)
         now = self.clock.monotonic()
         backlog = self.backlogs.setdefault(slot.pool, Backlog())
-        if not backlog.keeps_idle(now):
-            holding.give_up(holding.idle)
-        self._return_recalled((holding,), now)
-        if backlog.waiting and holding.idle and self._may_send(holding, now):
+        if backlog.waiting and self.idle_slots(slot.pool, now):
             self.on_available(slot.pool)
 
     def is_usable(self, slot: Slot, now: float) -> bool:
         """Return whether a slot that was taken may be sent on now."""
-        holding = self.holdings.get(slot.upstream.name)
-        if holding is None or slot.is_returned:
+        if slot.is_returned:
             return False
-        if holding.instance != slot.instance:
+        if slot.permit is not None:
+            return self._may_use_permit(slot.permit, now)
+        holding = self.holdings.get(slot.upstream.name)
+        if holding is None or holding.generation != slot.generation:
             return False
-        return self._may_send(holding, now)
+        return holding.instance == slot.instance and self._may_send(
+            holding, now
+        )
 
     def tick(self) -> None:
         """Follow the homes, end what lapsed, renew, return what is idle."""
         now = self.clock.monotonic()
         self._follow_homes(now)
         self._return_idle(now)
+        self._release_permits(now)
         for session in list(self.sessions.values()):
             self._keep(session, now)
         for pool, backlog in self.backlogs.items():
@@ -221,6 +251,8 @@
 
     def on_message(self, sender_id: str, message: Any) -> None:
         """Take a message of a home."""
+        if isinstance(message, ColdOffer):
+            self._take_offer(message)
         if not isinstance(message, SlotGrant):
             return
         session = self.sessions.get(sender_id)
@@ -237,52 +269,141 @@
         """Distrust an upstream here and at its home."""
         state = self.book.state_of(upstream)
         state.on_connection_failure()
-        self._tell_home(upstream, state.instance, Phase.unknown)
+        self._distrust(upstream, state.instance, Phase.unknown)
 
     def on_answer(self, upstream: Upstream, instance: str, state: str) -> None:
         """Take the instance and state that an answer carried."""
         known = self.book.state_of(upstream)
-        before = (known.instance, known.phase)
+        before = known.instance
+        was_cold = known.phase is Phase.cold
         known.on_answer(instance, state, self.clock.monotonic())
-        if before != (known.instance, known.phase):
-            self._tell_home(upstream, instance, state)
+        is_cold = known.phase is Phase.cold
+        if known.instance != before and self.cold_starts is not None:
+            self.cold_starts.on_instance(upstream.name, known.instance)
+        if known.instance != before or (is_cold and not was_cold):
+            self._distrust(upstream, instance, state)
+
+    def on_load_report(self, upstream: Upstream, report: LoadReport) -> None:
+        """Take a load report that was made on the present connection."""
+        if self.cold_starts is not None:
+            self.cold_starts.on_instance(upstream.name, report.instance)
+            self.cold_starts.on_load_report(upstream.name, report)
+        self.offer_idle()
+
+    def offer_idle(self) -> None:
+        """Tell the queues of all pools that wait and have idle slots."""
+        now = self.clock.monotonic()
+        for pool, backlog in list(self.backlogs.items()):
+            if backlog.waiting and self.idle_slots(pool, now):
+                self.on_available(pool)
 
     def on_refusal(self, upstream: Upstream) -> None:
         """Lower the limit of an upstream that refused work."""
         self.book.state_of(upstream).on_refusal(self.clock.monotonic())
-        self._tell_home(upstream, '', REFUSED)
+        self._distrust(upstream, '', REFUSED)
 
     def on_first_byte(self, upstream: Upstream, seconds: float) -> None:
         """Compare a time to first byte with the upstream's history."""
         state = self.book.state_of(upstream)
-        before = state.phase
-        state.on_first_byte(seconds)
-        if state.phase is not before:
-            self._tell_home(upstream, state.instance, state.phase)
+        if state.on_first_byte(seconds):
+            self._distrust(upstream, state.instance, Phase.unknown)
 
     def idle_slots(self, pool: str, now: float) -> int:
         """Return how many slots of a pool could be taken now."""
-        return sum(
+        leased = sum(
             holding.idle
             for holding in self._holdings_of(pool)
             if self._may_send(holding, now)
         )
+        return leased + len(self._idle_permits(pool, now))
+
+    def _free_lease(self, slot: Slot) -> None:
+        holding = self.holdings[slot.upstream.name]
+        holding.busy -= 1
+        now = self.clock.monotonic()
+        backlog = self.backlogs.setdefault(slot.pool, Backlog())
+        if not backlog.keeps_idle(now):
+            holding.give_up(holding.idle)
+        self._return_recalled((holding,), now)
+
+    def _take_offer(self, message: ColdOffer) -> None:
+        upstream = _find_upstream(self.read_tables(), message.upstream)
+        if upstream is None or self.cold_starts is None:
+            return
+        offer = Offer(upstream, message.instance, message.limit)
+        self.cold_starts.offer(offer)
+
+    def _take_permit(self, pool: str, now: float) -> Slot | None:
+        for permit in self._idle_permits(pool, now):
+            permit.is_busy = True
+            lease_id = f'cold/{permit.key.index}/{permit.offset}'
+            self._log_take(permit.upstream, pool, lease_id)
+            return Slot(
+                permit.upstream,
+                pool,
+                lease_id,
+                permit.key.instance,
+                self,
+                permit,
+            )
+        return None
+
+    def _idle_permits(self, pool_name: str, now: float) -> list[ColdPermit]:
+        pool = self._pool(pool_name)
+        if pool is None or self.cold_starts is None:
+            return []
+        tables = self.read_tables()
+        names = [
+            one.name for one in pool.upstreams if not tables.is_drained(one)
+        ]
+        return [
+            permit
+            for permit in self.cold_starts.idle(names, now)
+            if self.is_verified(permit.upstream, permit.key.instance)
+        ]
+
+    def _may_use_permit(self, permit: ColdPermit, now: float) -> bool:
+        if self.cold_starts is None:
+            return False
+        if self.read_tables().is_drained(permit.upstream):
+            return False
+        return self.cold_starts.is_usable(permit, now)
+
+    def _release_permits(self, now: float) -> None:
+        if self.cold_starts is None:
+            return
+        for permit in self.cold_starts.permits.values():
+            holding = self.holdings.get(permit.key.upstream)
+            is_warm = holding is not None and holding.held > 0
+            is_unused = now - permit.used_at >= PERMIT_KEEP_SECONDS
+            if not permit.is_busy and (is_warm or is_unused):
+                self.cold_starts.release(permit)
 
     def _occupy(self, holding: Holding, pool: str) -> Slot:
         holding.busy += 1
         session = self.sessions[holding.home_id]
         lease_id = f'{session.home_id}/{session.number}'
+        self._log_take(holding.upstream, pool, lease_id)
+        return Slot(
+            holding.upstream,
+            pool,
+            lease_id,
+            holding.instance,
+            self,
+            generation=holding.generation,
+        )
+
+    def _log_take(self, upstream: Upstream, pool: str, lease_id: str) -> None:
         log.info(
             'slot taken',
             extra={
                 'event': 'slot_take',
-                'upstream': holding.upstream.name,
-                'zone': holding.upstream.zone,
+                'upstream': upstream.name,
+                'zone': upstream.zone,
                 'pool': pool,
                 'lease': lease_id,
             },
         )
-        return Slot(holding.upstream, pool, lease_id, holding.instance, self)
 
     def _may_send(self, holding: Holding, now: float) -> bool:
         session = self.sessions.get(holding.home_id)
@@ -290,8 +411,7 @@
             return False
         if self.read_tables().is_drained(holding.upstream):
             return False
-        state = self.book.find(holding.upstream.name)
-        return state is None or state.phase not in STOPPING_PHASES
+        return self.is_verified(holding.upstream, holding.instance)
 
     def _pool(self, name: str) -> Pool | None:
         return self.read_tables().pools.get(name)
@@ -449,9 +569,8 @@
             backlog.contended_until = now + CONTENTION_SECONDS
         self._return_recalled(touched, now)
         self._return_idle(now)
+        self.offer_idle()
         for pool, backlog in list(self.backlogs.items()):
-            if backlog.waiting and self.idle_slots(pool, now):
-                self.on_available(pool)
             if backlog.waiting:
                 self._ask(pool, now, is_widened=True)
 
@@ -535,11 +654,17 @@
             session.usable_until = min(session.usable_until, until)
             self._reopen(session, now)
 
-    def _tell_home(self, upstream: Upstream, instance: str, state: str) -> None:
+    def _distrust(self, upstream: Upstream, instance: str, state: str) -> None:
+        """Tell the home first, then give back every slot that is unused."""
         home_id = self.home_map.home_of(upstream)
         if home_id:
             sign = UpstreamSign(upstream.name, instance, str(state))
             self.sender.send(home_id, sign)
+        holding = self.holdings.get(upstream.name)
+        if holding is not None and state != REFUSED:
+            holding.generation += 1
+            holding.give_up(holding.idle)
+            self._flush_returns(self.clock.monotonic())
 
 
 def _placement_order(
--- a/src/hickorymux/_internal/coordination/slot_home.py
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -9,6 +9,7 @@
 
 from hickorymux._internal.coordination.ports import MemberView, PeerSender
 from hickorymux._internal.coordination.slot_messages import (
+    ColdOffer,
     GrantedSlots,
     HandedLoan,
     PoolDemand,
@@ -40,6 +41,7 @@
     LoadReport,
     Phase,
     UpstreamBook,
+    UpstreamState,
 )
 from hickorymux._internal.utils.clock import Clock
 
@@ -47,6 +49,7 @@
 TICK_SECONDS = 0.25
 MS_PER_SECOND = 1000
 SHORTAGE_REPEAT_SECONDS = 0.5
+COLD_OFFER_SECONDS = 2.0
 
 log = logging.getLogger(__name__)
 
@@ -89,6 +92,7 @@
         'book',
         'borrowers',
         'clock',
+        'cold_offers',
         'home_map',
         'lease_seconds',
         'ledgers',
@@ -115,6 +119,7 @@
         self.home_map = HomeMap(members)
         self.ledgers: dict[str, SlotLedger] = {}
         self.borrowers: dict[str, Borrower] = {}
+        self.cold_offers: dict[str, dict[str, float]] = {}
 
     def upstreams(self) -> list[Upstream]:
         """Return the upstreams that this router is home of, by the tables.
@@ -236,15 +241,19 @@
             ledger = self.ledgers.get(upstream.name)
             if ledger is not None:
                 served |= self._serve_upstream(pool, upstream, ledger, now)
+                self._offer_cold(pool, upstream, now)
         self._recall_for_waiting(pool, served, now)
         for router_id in served:
             self._push(router_id)
 
     def limit(self, upstream: Upstream, now: float) -> int:
-        """Return how many slots of an upstream may be lent in all."""
+        """Return how many slots of an upstream may be lent in all.
+
+        Nothing is lent of a cold upstream; see ``ColdStarts``.
+        """
         if self.read_tables().is_drained(upstream):
             return 0
-        return self.book.state_of(upstream).limit(now)
+        return self.book.state_of(upstream).lease_limit(now)
 
     def _begin(self, sender_id: str, message: SlotRenew, now: float) -> None:
         expires_at = now + self.lease_seconds
@@ -318,6 +327,43 @@
             served.add(share.router_id)
         return served
 
+    def _offer_cold(self, pool: Pool, upstream: Upstream, now: float) -> None:
+        """Let the neediest routers claim the permits of a cold upstream."""
+        state = self.book.state_of(upstream)
+        if self.read_tables().is_drained(upstream):
+            return
+        offered = self.cold_offers.setdefault(upstream.name, {})
+        for router_id, offered_at in list(offered.items()):
+            if now - offered_at >= COLD_OFFER_SECONDS:
+                offered.pop(router_id)
+        for _ in range(state.cold_room - len(offered)):
+            shares = [
+                share
+                for share in self._shares(pool)
+                if share.router_id not in offered
+            ]
+            share = pick_neediest(shares)
+            if share is None:
+                return
+            offered[share.router_id] = now
+            self._send_offer(share, state)
+
+    def _send_offer(self, share: Share, state: UpstreamState) -> None:
+        name = state.upstream.name
+        offer = ColdOffer(name, state.instance, state.cold_slots)
+        self.sender.send(share.router_id, offer)
+        log.info(
+            'cold start offered',
+            extra={
+                'event': 'cold_offer',
+                'upstream': name,
+                'instance': state.instance,
+                'router': share.router_id,
+                'customer': share.head.customer,
+                'reason': 'furthest_behind',
+            },
+        )
+
     def _lend(
         self,
         share: Share,
--- a/src/hickorymux/_internal/coordination/slot_messages.py
+++ b/src/hickorymux/_internal/coordination/slot_messages.py
@@ -135,3 +135,15 @@
     upstream: str = ''
     instance: str = ''
     state: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class ColdOffer:
+    """A home offers a permit of a cold upstream, to be claimed on the log.
+
+    ``limit`` is the number of permits of the instance.
+    """
+
+    upstream: str = ''
+    instance: str = ''
+    limit: int = 0
--- a/src/hickorymux/_internal/coordination/slot_session.py
+++ b/src/hickorymux/_internal/coordination/slot_session.py
@@ -16,6 +16,8 @@
     """The slots of one upstream that this router holds.
 
     ``busy`` slots carry a request; those that are held and not busy are idle.
+    ``generation`` grows when the upstream is distrusted, which voids the slots
+    that were taken before and not sent on yet.
     """
 
     upstream: Upstream
@@ -25,6 +27,7 @@
     returned: int = 0
     recalled: int = 0
     busy: int = 0
+    generation: int = 0
     is_return_due: bool = False
 
     @property
--- a/src/hickorymux/_internal/protocol/idl/slots.thrift
+++ b/src/hickorymux/_internal/protocol/idl/slots.thrift
@@ -75,3 +75,9 @@
   2: optional string instance = "",
   3: optional string state = ""
 }
+
+struct ColdOffer {
+  1: optional string upstream = "",
+  2: optional string instance = "",
+  3: optional i64 limit = 0
+}
--- a/src/hickorymux/_internal/state/slot_ledger.py
+++ b/src/hickorymux/_internal/state/slot_ledger.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 
 DRIFT_RATIO = 0.01
+PEAK_WINDOW_SECONDS = 2.0
 LAPSED_KEEP_SECONDS = 300.0
 
 
@@ -41,6 +42,33 @@
     since: float
 
 
+@dataclasses.dataclass(slots=True)
+class LentPeak:
+    """The most slots that were lent at once in the last one or two windows.
+
+    A load report describes the past, so work that it counts is compared with
+    what was lent then.
+    """
+
+    window_since: float = 0
+    current: int = 0
+    earlier: int = 0
+
+    def note(self, lent: int, now: float) -> None:
+        """Take the number of slots that are lent now."""
+        windows = int((now - self.window_since) / PEAK_WINDOW_SECONDS)
+        if windows > 0:
+            self.earlier = self.current if windows == 1 else lent
+            self.current = lent
+            self.window_since = now
+        self.current = max(self.current, lent)
+
+    @property
+    def slots(self) -> int:
+        """Return the peak."""
+        return max(self.current, self.earlier)
+
+
 @dataclasses.dataclass(slots=True)
 class SlotLedger:
     """The loans of one upstream, as its home knows them.
@@ -59,12 +87,17 @@
     loans: dict[str, Loan] = dataclasses.field(default_factory=dict)
     lapses: dict[str, Lapse] = dataclasses.field(default_factory=dict)
     foreign: int = 0
+    peak: LentPeak = dataclasses.field(default_factory=LentPeak)
+
+    @property
+    def lent(self) -> int:
+        """Return the slots of the loans that have not run out."""
+        return sum(loan.held for loan in self.loans.values())
 
     @property
     def held(self) -> int:
         """Return the slots that are lent, or lapsed and perhaps in use."""
-        lent = sum(loan.held for loan in self.loans.values())
-        return lent + sum(lapse.slots for lapse in self.lapses.values())
+        return self.lent + sum(lapse.slots for lapse in self.lapses.values())
 
     def free(self, limit: int, now: float) -> int:
         """Return how many slots may be lent now; never below zero."""
@@ -97,6 +130,7 @@
             return 0
         lent = min(wanted, self.free(limit, now))
         loan.granted += lent
+        self.peak.note(self.lent, now)
         return lent
 
     def can_lend_to(self, router_id: str, session: int) -> bool:
@@ -185,8 +219,8 @@
         can have been made. Work beyond the loans belongs to
         another home, or to a loan that lapsed, and counts against the limit.
         """
-        lent = sum(loan.held for loan in self.loans.values())
-        beyond = max(running - lent, 0)
+        self.peak.note(self.lent, now)
+        beyond = max(running - self.peak.slots, 0)
         for router_id, lapse in list(self.lapses.items()):
             self._settle_lapse(router_id, lapse, beyond, taken_at, now)
         lapsed = sum(one.slots for one in self.lapses.values())
--- a/src/hickorymux/_internal/state/upstream_state.py
+++ b/src/hickorymux/_internal/state/upstream_state.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import datetime as dt
 import enum
 from collections.abc import Mapping
 from typing import Any
@@ -37,7 +38,7 @@
     """What an upstream says of itself; it describes a moment in the past.
 
     ``reported_at`` is seconds on the clock of the upstream, and is compared
-    with other reports of the same upstream only.
+    with other readings of the same clock only.
     """
 
     instance: str
@@ -64,10 +65,16 @@
             running=int(body.get('running', 0)),
             waiting=int(body.get('waiting', 0)),
             models=tuple(body.get('models', ())),
-            reported_at=float(body.get('reported_at', 0)),
+            reported_at=_seconds(body.get('reported_at', 0)),
         )
 
 
+def _seconds(moment: object) -> float:
+    if isinstance(moment, str):
+        return dt.datetime.fromisoformat(moment).timestamp()
+    return float(str(moment))
+
+
 @dataclasses.dataclass(slots=True)
 class UpstreamState:
     """The phase of one upstream and the limit that follows from it.
@@ -124,6 +131,21 @@
             self.phase = Phase.warm
         return min(ramped, self.slots)
 
+    def lease_limit(self, now: float) -> int:
+        """Return how many slots may be lent; a cold upstream lends none."""
+        return 0 if self.phase is Phase.cold else self.limit(now)
+
+    @property
+    def cold_room(self) -> int:
+        """Return how many requests fit into a cold start beside the present.
+
+        It is zero unless the upstream is cold by a report of its own.
+        """
+        if self.phase is not Phase.cold or self.report is None:
+            return 0
+        present = self.report.running + self.report.waiting
+        return max(self.cold_slots - present, 0)
+
     def on_report(self, report: LoadReport, now: float) -> bool:
         """Take a load report; return whether it was newer than what is known.
 
@@ -162,22 +184,24 @@
         self.ramp_from = lowered
         self.ramp_since = now
 
-    def on_first_byte(self, seconds: float) -> None:
+    def on_first_byte(self, seconds: float) -> bool:
         """Compare the time to the first byte with the upstream's own history.
 
         A run of outliers makes a warm upstream unknown: that is how one that
-        turned cold without a new instance shows first.
+        turned cold without a new instance shows first. Return whether it did.
         """
         if self._is_outlier(seconds):
             self.first_byte_outliers += 1
-            if self.first_byte_outliers >= FIRST_BYTE_OUTLIERS_IN_A_ROW:
-                self.first_byte_outliers = 0
-                self.on_connection_failure()
-            return
+            if self.first_byte_outliers < FIRST_BYTE_OUTLIERS_IN_A_ROW:
+                return False
+            self.first_byte_outliers = 0
+            self.on_connection_failure()
+            return True
         self.first_byte_outliers = 0
         self.first_byte_samples += 1
         share = max(FIRST_BYTE_SMOOTHING, 1 / self.first_byte_samples)
         self.first_byte_mean += share * (seconds - self.first_byte_mean)
+        return False
 
     def _is_stale(self, report: LoadReport) -> bool:
         last = self.report
--- /dev/null
+++ b/src/hickorymux/_internal/transport/connection_gate.py
@@ -0,0 +1,261 @@
+"""Lets work onto a connection only when the instance behind it is known.
+
+For each upstream one *anchor* connection stays open. Load reports on it tell
+which instance serves it, and a crash cuts it. A new connection is checked by
+one more exchange on the anchor after it was opened: if that is answered, the
+instance of the anchor was still alive then, so it serves the new connection
+too. The check costs one round trip for each new connection, and nothing for
+a connection that is used again.
+"""
+
+import asyncio
+import contextlib
+import logging
+import weakref
+from collections.abc import Callable, Iterable
+from email.utils import parsedate_to_datetime
+from typing import Any, Final, final
+
+import aiohttp
+import msgspec
+
+from hickorymux._internal.exceptions import HickorymuxError
+from hickorymux._internal.state.instance_proof import InstanceProof
+from hickorymux._internal.state.tables import Upstream
+from hickorymux._internal.state.upstream_state import LoadReport
+from hickorymux._internal.utils.clock import Clock
+
+POLL_SECONDS: Final = 0.5
+KEEPALIVE_SECONDS: Final = 15.0
+REQUEST_TIMEOUT_SECONDS: Final = 2.0
+LOAD_PATH: Final = '/load'
+
+log = logging.getLogger(__name__)
+
+
+class ConnectionUnverified(HickorymuxError):
+    """The instance behind a new connection is not the slot's; nothing sent."""
+
+    code = 'connection_unverified'
+
+
+@final
+class UpstreamAnchor:
+    """The connection to one upstream on which its instance is known."""
+
+    __slots__ = (
+        'clock',
+        'finished',
+        'lock',
+        'proof',
+        'serial',
+        'session',
+        'started',
+        'upstream',
+        'wakeup',
+    )
+
+    def __init__(self, upstream: Upstream, clock: Clock) -> None:
+        self.upstream = upstream
+        self.clock = clock
+        self.lock = asyncio.Lock()
+        self.wakeup = asyncio.Event()
+        self.proof = InstanceProof(connected_at=clock.monotonic())
+        self.serial = 0
+        self.started = 0
+        self.finished = 0
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(self._on_connection)
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=1,
+                keepalive_timeout=2 * KEEPALIVE_SECONDS,
+            ),
+            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS),
+            trace_configs=[trace],
+        )
+
+    async def ask(self) -> LoadReport | None:
+        """Return a report if it proves the instance of this connection.
+
+        Concurrent callers share an exchange that began after they asked.
+        Raises ``aiohttp.ClientError``, ``OSError``, ``TimeoutError`` or
+        ``ValueError`` when there is no valid answer.
+        """
+        wanted = self.started + 1
+        async with self.lock:
+            if self.finished >= wanted:
+                return None
+            self.started += 1
+            report = await self._exchange()
+            self.finished = self.started
+            return report
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self.session.close()
+
+    async def _exchange(self) -> LoadReport | None:
+        url = f'http://{self.upstream.address}{LOAD_PATH}'
+        async with self.session.get(url) as response:
+            response.raise_for_status()
+            body = msgspec.json.decode(await response.read())
+            served_at = _seconds_of(response.headers.get('Date'))
+        report = LoadReport.from_config(body)
+        now = self.clock.monotonic()
+        return report if self.proof.take(report, served_at, now) else None
+
+    async def _on_connection(self, *_details: Any) -> None:
+        self.serial += 1
+        self.proof = InstanceProof(connected_at=self.clock.monotonic())
+
+
+@final
+class ConnectionGate:
+    """The anchors of all upstreams that this router may send to.
+
+    ``on_report`` gets every report that proves its instance, ``on_lost`` the
+    upstream whose anchor was cut. ``is_polled`` tells whether the reports of
+    an upstream are wanted often; its home polls it.
+
+    Example::
+
+        gate = ConnectionGate(clock, on_report, on_lost, is_polled)
+        gate.follow(upstreams_of_own_zone)
+        await gate.verify(upstream, slot.instance, connection.protocol)
+    """
+
+    __slots__ = (
+        'anchors',
+        'clock',
+        'is_polled',
+        'on_lost',
+        'on_report',
+        'tasks',
+        'verified',
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        on_report: Callable[[Upstream, LoadReport], None],
+        on_lost: Callable[[Upstream], None],
+        is_polled: Callable[[Upstream], bool],
+    ) -> None:
+        self.clock = clock
+        self.on_report = on_report
+        self.on_lost = on_lost
+        self.is_polled = is_polled
+        self.anchors: dict[str, UpstreamAnchor] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.verified: weakref.WeakKeyDictionary[Any, str]
+        self.verified = weakref.WeakKeyDictionary()
+
+    def follow(self, upstreams: Iterable[Upstream]) -> None:
+        """Keep an anchor open to each of the upstreams."""
+        for upstream in upstreams:
+            if upstream.name not in self.anchors:
+                anchor = UpstreamAnchor(upstream, self.clock)
+                self.anchors[upstream.name] = anchor
+                self.tasks[upstream.name] = asyncio.create_task(
+                    self._keep(anchor),
+                )
+
+    def is_verified(self, upstream: Upstream, instance: str) -> bool:
+        """Return whether the instance is known to be alive behind an anchor.
+
+        An upstream that is asked for the first time gets an anchor.
+        """
+        self.follow((upstream,))
+        proof = self.anchors[upstream.name].proof
+        return bool(instance) and proof.instance == instance
+
+    async def verify(
+        self,
+        upstream: Upstream,
+        instance: str,
+        connection: Any,
+    ) -> None:
+        """Return when the connection is known to end at the instance.
+
+        ``connection`` is any object that lives as long as the connection.
+        Raises ``ConnectionUnverified`` when it is not; then the connection
+        must be closed and no octet of the request sent on it.
+        """
+        if self.verified.get(connection) == instance:
+            return
+        if not self.is_verified(upstream, instance):
+            raise _unverified(upstream)
+        anchor = self.anchors[upstream.name]
+        serial = anchor.serial
+        try:
+            await anchor.ask()
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            self._lose(anchor)
+            raise _unverified(upstream) from error
+        if anchor.serial != serial or anchor.proof.instance != instance:
+            self._lose(anchor)
+            raise _unverified(upstream)
+        self.verified[connection] = instance
+
+    async def close(self) -> None:
+        """Close all anchors."""
+        for task in self.tasks.values():
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        for anchor in self.anchors.values():
+            await anchor.close()
+
+    async def _keep(self, anchor: UpstreamAnchor) -> None:
+        while True:
+            await self._poll(anchor)
+            seconds = KEEPALIVE_SECONDS
+            if not anchor.proof.instance or self.is_polled(anchor.upstream):
+                seconds = POLL_SECONDS
+            anchor.wakeup.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(anchor.wakeup.wait(), seconds)
+
+    async def _poll(self, anchor: UpstreamAnchor) -> None:
+        serial = anchor.serial
+        try:
+            report = await anchor.ask()
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            log.info(
+                'no load report',
+                extra={
+                    'event': 'anchor_failed',
+                    'upstream': anchor.upstream.name,
+                    'reason': repr(error),
+                },
+            )
+            self._lose(anchor)
+            return
+        if anchor.serial > max(serial, 1):
+            self.on_lost(anchor.upstream)
+        if report is not None:
+            self.on_report(anchor.upstream, report)
+
+    def _lose(self, anchor: UpstreamAnchor) -> None:
+        """Start the proof again and say that the upstream is in doubt."""
+        anchor.wakeup.set()
+        if anchor.proof.instance:
+            anchor.proof = InstanceProof(self.clock.monotonic())
+            self.on_lost(anchor.upstream)
+
+
+def _seconds_of(date_header: str | None) -> float | None:
+    if date_header is None:
+        return None
+    try:
+        return parsedate_to_datetime(date_header).timestamp()
+    except ValueError:
+        return None
+
+
+def _unverified(upstream: Upstream) -> ConnectionUnverified:
+    return ConnectionUnverified(
+        'the instance behind the connection is not known',
+        where=upstream.name,
+    )
--- a/tests/lib/slot_fleet.py
+++ b/tests/lib/slot_fleet.py
@@ -4,8 +4,11 @@
 import datetime as dt
 import random
 
+from lib.fake_log import FakeLog
+
+from hickorymux._internal.coordination.cold_starts import ColdStarts
 from hickorymux._internal.coordination.ports import Member
-from hickorymux._internal.coordination.slot_holder import SlotHolder
+from hickorymux._internal.coordination.slot_holder import Slot, SlotHolder
 from hickorymux._internal.coordination.slot_home import SlotHome
 from hickorymux._internal.coordination.slot_messages import HeadCustomer
 from hickorymux._internal.state.tables import Pool, PoolKind, Tables, Upstream
@@ -36,17 +39,30 @@
 
 @dataclasses.dataclass
 class Engine:
-    """An upstream that counts what runs on it."""
+    """An upstream that counts what runs on it, and what ran while cold."""
 
     upstream: Upstream
     instance: str = 'i1'
     state: str = 'warm'
     running: int = 0
     peak: int = 0
+    peak_cold: int = 0
+    started: int = 0
+    starts: list[float] = dataclasses.field(default_factory=list)
 
-    def start(self) -> None:
+    def start(self, now: float) -> None:
         self.running += 1
+        self.started += 1
+        self.starts.append(now)
         self.peak = max(self.peak, self.running)
+        if self.state == 'cold':
+            self.peak_cold = max(self.peak_cold, self.running)
+
+    def crash(self, instance: str) -> None:
+        """Drop all work and start again, cold."""
+        self.instance = instance
+        self.state = 'cold'
+        self.running = 0
 
     def report(self, now: float) -> LoadReport:
         return LoadReport(
@@ -96,7 +112,7 @@
         self.paused = False
         self.waiting = 0
         self.counter = 0.0
-        self.running: list[tuple[float, object]] = []
+        self.running: list[tuple[float, Slot, str]] = []
         self.work_seconds = 0.1
         self.started = 0
         view = Members(network, member)
@@ -104,6 +120,13 @@
         self.home = SlotHome(
             view, sender, self.clock, self.book, lambda: self.tables
         )
+        self.cold = ColdStarts(
+            view,
+            network.log,
+            self.clock,
+            network.is_gone,
+            lambda upstream: self.holder.offer_idle(),
+        )
         self.holder = SlotHolder(
             view,
             sender,
@@ -111,8 +134,15 @@
             self.book,
             lambda: self.tables,
             self.on_available,
+            cold_starts=self.cold,
+            is_verified=self.is_verified,
         )
 
+    def is_verified(self, upstream: Upstream, instance: str) -> bool:
+        if not self.network.gate_is_on:
+            return True
+        return self.network.engines[upstream.name].instance == instance
+
     def on_message(self, sender_id: str, message: object) -> None:
         self.home.on_message(sender_id, message)
         self.holder.on_message(sender_id, message)
@@ -132,24 +162,41 @@
             slot = self.holder.take(pool, now)
             if slot is None:
                 break
-            if not slot.is_valid(now):
-                self.holder.give_back(slot)
-                break
-            self.waiting -= 1
-            self.started += 1
-            self.counter += 1
-            self.network.engines[slot.upstream.name].start()
-            self.running.append((now + self.work_seconds, slot))
-            self.tell()
+            self.send(slot)
+
+    def send(self, slot: Slot) -> bool:
+        """Check the slot and start a request on it."""
+        now = self.clock.monotonic()
+        if not slot.is_valid(now):
+            self.holder.give_back(slot)
+            return False
+        engine = self.network.engines[slot.upstream.name]
+        self.waiting -= 1
+        self.started += 1
+        self.counter += 1
+        engine.start(now)
+        until = now + self.work_seconds
+        self.running.append((until, slot, engine.instance))
+        self.tell()
+        return True
 
     def end_requests(self) -> None:
         now = self.clock.monotonic()
-        ended = [slot for until, slot in self.running if until <= now]
-        self.running = [one for one in self.running if one[0] > now]
-        for slot in ended:
-            self.network.engines[slot.upstream.name].running -= 1
+        ended = [one for one in self.running if self._has_ended(one, now)]
+        self.running = [one for one in self.running if one not in ended]
+        for _, slot, instance in ended:
+            engine = self.network.engines[slot.upstream.name]
+            if engine.instance == instance:
+                engine.running -= 1
+            else:
+                self.holder.on_connection_failure(slot.upstream)
             self.holder.give_back(slot)
 
+    def _has_ended(self, one: tuple[float, Slot, str], now: float) -> bool:
+        until, slot, instance = one
+        engine = self.network.engines[slot.upstream.name]
+        return until <= now or engine.instance != instance
+
 
 class Network:
     """Delivers messages after a delay; drops, repeats and reorders them."""
@@ -157,6 +204,9 @@
     def __init__(self, upstreams: list[Upstream], seed: int = 1) -> None:
         self.clock = FakeClock()
         self.random = random.Random(seed)
+        self.log = FakeLog()
+        self.gone: set[tuple[str, int]] = set()
+        self.gate_is_on = True
         self.engines = {one.name: Engine(one) for one in upstreams}
         pool = Pool(POOL, PoolKind.model, tuple(upstreams))
         self.tables = Tables(version=1, pools={POOL: pool})
@@ -176,6 +226,18 @@
         self.routers[router_id] = router
         return router
 
+    def crash(self, router_id: str) -> None:
+        """End a router; its connections close, so its requests end."""
+        router = self.routers.pop(router_id)
+        self.gone.add((router_id, router.member.incarnation))
+        for _, slot, instance in router.running:
+            engine = self.engines[slot.upstream.name]
+            if engine.instance == instance:
+                engine.running -= 1
+
+    def is_gone(self, router_id: str, incarnation: int) -> bool:
+        return (router_id, incarnation) in self.gone
+
     def visible_to(self, router_id: str) -> list[Member]:
         return [
             router.member
@@ -224,7 +286,7 @@
                 if router is not None:
                     router.on_message(source, message)
 
-    def run(self, seconds: float) -> None:
+    async def run(self, seconds: float) -> None:
         """Let time pass: deliver, end requests, tick and report load."""
         for _ in range(round(seconds / STEP_SECONDS)):
             self.clock.now += STEP_SECONDS
@@ -232,8 +294,15 @@
             step = round(self.clock.now / STEP_SECONDS)
             for router in list(self.routers.values()):
                 self._advance(router, step)
+                if not router.paused:
+                    await self._claim(router, step)
             self.deliver()
 
+    async def _claim(self, router: Router, step: int) -> None:
+        if router.cold.wakeup.is_set() or step % 3000 == 0:
+            router.cold.wakeup.clear()
+            await router.cold.step()
+
     def _advance(self, router: Router, step: int) -> None:
         if router.paused:
             return
@@ -250,3 +319,4 @@
                     continue
                 report = engine.report(self.clock.now)
                 router.home.on_load_report(upstream.name, report)
+                router.holder.on_load_report(upstream, report)
