Gate every connection by the instance behind it and wire cold starts

Cause: a warm upstream can turn cold or be replaced without warning, and a router may not send to it more than it can bear. Ruled out: polling alone, since a report lags. Change: work goes over a connection only when the anchor to the upstream has proved its instance; cold upstreams take permits that are claimed on the log; a router is gone for good when a later life of it is live or the platform has dropped its host.

--- a/src/hickorymux/_internal/coordination/scheduler.py
+++ b/src/hickorymux/_internal/coordination/scheduler.py
@@ -129,10 +129,19 @@
         """Count service as it is given."""
         self.queues[placement.slot.pool].charge(placement.ticket, cost)
 
-    def finish(self, placement: Placement, cost: float) -> None:
-        """End a placement with its final cost and free the slot."""
+    def finish(
+        self,
+        placement: Placement,
+        cost: float,
+        *,
+        is_ended: bool,
+    ) -> None:
+        """End a placement with its final cost and free the slot.
+
+        ``is_ended`` is false when the upstream may still work on it.
+        """
         self.queues[placement.slot.pool].settle(placement.ticket, cost)
-        self.holder.give_back(placement.slot)
+        self.holder.give_back(placement.slot, is_ended=is_ended)
         self.pump(placement.slot.pool)
 
     def pump(self, pool: str) -> None:
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -19,6 +19,7 @@
     (23, 'slot', 'SlotGrant'),
     (24, 'slot', 'SlotHandover'),
     (25, 'slot', 'UpstreamSign'),
+    (26, 'slot', 'ColdOffer'),
 )
 
 
--- /dev/null
+++ b/src/hickorymux/_internal/transport/assumed_load.py
@@ -0,0 +1,48 @@
+"""Load reports for the upstreams that give none: warm, with all their slots."""
+
+from collections.abc import Callable, Iterable
+from typing import Final, final
+
+from hickorymux._internal.state.tables import Upstream
+from hickorymux._internal.state.upstream_state import LoadReport
+from hickorymux._internal.utils.clock import Clock
+
+REPORT_SECONDS: Final = 0.5
+SILENT_INSTANCE: Final = 'no-load-report'
+
+
+@final
+class AssumedLoad:
+    """Tells the home of such upstreams that they are warm."""
+
+    __slots__ = ('clock', 'list_upstreams', 'report_to')
+
+    def __init__(
+        self,
+        clock: Clock,
+        list_upstreams: Callable[[], Iterable[Upstream]],
+        report_to: Callable[[str, LoadReport], None],
+    ) -> None:
+        self.clock = clock
+        self.list_upstreams = list_upstreams
+        self.report_to = report_to
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            self.tick()
+            await self.clock.sleep(REPORT_SECONDS)
+
+    def tick(self) -> None:
+        """Report once for each upstream of this home."""
+        for upstream in self.list_upstreams():
+            if not upstream.reports_load:
+                self.report_to(upstream.name, self._report(upstream))
+
+    def _report(self, upstream: Upstream) -> LoadReport:
+        return LoadReport(
+            instance=SILENT_INSTANCE,
+            state='warm',
+            slots=upstream.slots,
+            reported_at=self.clock.monotonic(),
+        )
--- a/src/hickorymux/_internal/transport/connection_gate.py
+++ b/src/hickorymux/_internal/transport/connection_gate.py
@@ -19,10 +19,10 @@
 import aiohttp
 import msgspec
 
-from hickorymux._internal.exceptions import HickorymuxError
 from hickorymux._internal.state.instance_proof import InstanceProof
 from hickorymux._internal.state.tables import Upstream
 from hickorymux._internal.state.upstream_state import LoadReport
+from hickorymux._internal.transport.upstream_client import AttemptError
 from hickorymux._internal.utils.clock import Clock
 
 POLL_SECONDS: Final = 0.5
@@ -33,7 +33,7 @@
 log = logging.getLogger(__name__)
 
 
-class ConnectionUnverified(HickorymuxError):
+class ConnectionUnverified(AttemptError):
     """The instance behind a new connection is not the slot's; nothing sent."""
 
     code = 'connection_unverified'
--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -8,8 +8,8 @@
 import dataclasses
 import functools
 import logging
-from collections.abc import Callable
-from typing import Final, final
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, final
 
 from multidict import CIMultiDict
 
@@ -26,7 +26,7 @@
     UpstreamTimeout,
 )
 from hickorymux._internal.protocol import http
-from hickorymux._internal.state.tables import PoolKind
+from hickorymux._internal.state.tables import PoolKind, Upstream
 from hickorymux._internal.transport.calls import Call
 from hickorymux._internal.transport.claiming import ClaimLike
 from hickorymux._internal.transport.metrics import RouterMetrics
@@ -47,6 +47,8 @@
 _STATUS_TOO_MANY: Final = 429
 _STATUS_UNAVAILABLE: Final = 503
 
+VerifyConnection = Callable[[Upstream, str, Any], Awaitable[None]]
+
 _logger = logging.getLogger(__name__)
 
 
@@ -68,6 +70,9 @@
     code = 'answer_cut'
 
 
+NOT_THE_UPSTREAM: Final = (LeaseLapsed, UpstreamRefused)
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """One attempt with its placement and what it has cost so far."""
@@ -99,6 +104,7 @@
         'metrics',
         'scheduler',
         'take_retry',
+        'verify',
     )
 
     def __init__(
@@ -109,6 +115,7 @@
         metrics: RouterMetrics,
         clock: Clock,
         take_retry: Callable[[str], bool],
+        verify: VerifyConnection,
     ) -> None:
         self.scheduler = scheduler
         self.client = client
@@ -116,6 +123,7 @@
         self.metrics = metrics
         self.clock = clock
         self.take_retry = take_retry
+        self.verify = verify
 
     async def run(self, call: Call, reply: Reply, claim: ClaimLike) -> None:
         """Bring the call to its answer.
@@ -158,6 +166,11 @@
             headers=_outgoing_headers(call),
             body=call.body,
             is_repeatable=call.is_repeatable,
+            verify_connection=functools.partial(
+                self.verify,
+                upstream,
+                placement.slot.instance,
+            ),
             check_before_send=functools.partial(
                 self._check_before_send,
                 placement,
@@ -196,13 +209,15 @@
         claim: ClaimLike,
     ) -> None:
         started_at = self.clock.monotonic()
+        is_ended = False
         try:
             await self._send_and_relay(exchange, reply, claim)
+            is_ended = True
         except BaseException:
-            await self._stop_work(exchange)
+            is_ended = await self._stop_work(exchange)
             raise
         finally:
-            self._settle(exchange, started_at)
+            self._settle(exchange, started_at, is_ended=is_ended)
         call = exchange.call
         self.decisions.record(
             call.request_id,
@@ -215,7 +230,13 @@
         whole_seconds = self.clock.monotonic() - call.arrived_at
         self.metrics.observe('whole_answer', call.pool.name, whole_seconds)
 
-    def _settle(self, exchange: Exchange, started_at: float) -> None:
+    def _settle(
+        self,
+        exchange: Exchange,
+        started_at: float,
+        *,
+        is_ended: bool,
+    ) -> None:
         """Charge what the attempt cost and free its slot."""
         call = exchange.call
         if call.pool.kind is PoolKind.service:
@@ -226,7 +247,11 @@
             call.customer,
             exchange.cost,
         )
-        self.scheduler.finish(exchange.placement, exchange.cost)
+        self.scheduler.finish(
+            exchange.placement,
+            exchange.cost,
+            is_ended=is_ended,
+        )
 
     async def _send_and_relay(
         self,
@@ -299,12 +324,16 @@
         exchange.cost += events
         self.scheduler.charge(exchange.placement, events)
 
-    async def _stop_work(self, exchange: Exchange) -> None:
-        """End work whose answer nobody takes, before its slot is freed."""
+    async def _stop_work(self, exchange: Exchange) -> bool:
+        """End work whose answer nobody takes, before its slot is freed.
+
+        Return whether the upstream certainly does not work on it any more.
+        """
         if not exchange.attempt.sent:
-            return
+            return True
         if exchange.call.pool.kind is PoolKind.model:
-            await self.client.cancel(exchange.attempt)
+            return await self.client.cancel(exchange.attempt)
+        return False
 
     def _judge(
         self,
@@ -315,7 +344,7 @@
     ) -> None:
         """Return when the call may be tried again, else raise its error."""
         call, attempt = exchange.call, exchange.attempt
-        if isinstance(error, LeaseLapsed | UpstreamRefused):
+        if isinstance(error, NOT_THE_UPSTREAM):
             _logger.debug('attempt ended: %s', error)
         else:
             self.scheduler.holder.on_connection_failure(attempt.upstream)
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -20,29 +20,36 @@
     slot_messages,
 )
 from hickorymux._internal.coordination.claims import Claimer
+from hickorymux._internal.coordination.cold_starts import ColdStarts
 from hickorymux._internal.coordination.config_follower import ConfigFollower
 from hickorymux._internal.coordination.config_relay import ConfigRelay
 from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.coordination.gone_routers import GoneRouters
 from hickorymux._internal.coordination.membership import Membership
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.coordination.scheduler import Scheduler
 from hickorymux._internal.coordination.slot_holder import SlotHolder
 from hickorymux._internal.coordination.slot_home import SlotHome
+from hickorymux._internal.coordination.slot_placement import all_upstreams
 from hickorymux._internal.exceptions import (
     HickorymuxError,
     HostListUnavailable,
 )
 from hickorymux._internal.protocol.frames import FrameSealer
 from hickorymux._internal.state.customers import CustomerKeys
-from hickorymux._internal.state.tables import Tables
-from hickorymux._internal.state.upstream_state import UpstreamBook
+from hickorymux._internal.state.tables import Tables, Upstream
+from hickorymux._internal.state.upstream_state import LoadReport, UpstreamBook
 from hickorymux._internal.transport.admin_server import AdminServer
+from hickorymux._internal.transport.assumed_load import (
+    SILENT_INSTANCE,
+    AssumedLoad,
+)
 from hickorymux._internal.transport.caller_server import CallerServer
 from hickorymux._internal.transport.calls import Call
 from hickorymux._internal.transport.claiming import ClaimLike
+from hickorymux._internal.transport.connection_gate import ConnectionGate
 from hickorymux._internal.transport.dispatcher import Dispatcher
 from hickorymux._internal.transport.host_list_client import HttpHostListClient
-from hickorymux._internal.transport.load_poller import LoadPoller
 from hickorymux._internal.transport.log_client import HttpLogClient
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.peer_network import PeerNetwork
@@ -55,6 +62,8 @@
 from hickorymux._internal.utils.ids import new_incarnation
 
 HOST_LIST_SECONDS: Final = 2
+FOLLOW_SECONDS: Final = 0.5
+MAX_FAR_ANCHORS: Final = 64
 KEEPALIVE_SECONDS: Final = 75
 MAX_HEADER_OCTETS: Final = 16384
 
@@ -146,6 +155,7 @@
             await runner.cleanup()
         await self.claimer.close()
         await self.network.close()
+        await self.gate.close()
         await self.client.close()
         await self.session.close()
 
@@ -222,6 +232,20 @@
             self.book,
             self.read_tables,
         )
+        self.gone = GoneRouters(self.membership)
+        self.gate = ConnectionGate(
+            self.clock,
+            self._on_report,
+            self._on_lost,
+            self._is_polled,
+        )
+        self.cold_starts = ColdStarts(
+            self.membership,
+            self.log,
+            self.clock,
+            self.gone.is_gone,
+            self._on_permit,
+        )
         self.holder = SlotHolder(
             self.membership,
             self.network,
@@ -229,6 +253,8 @@
             self.book,
             self.read_tables,
             self._on_slots,
+            cold_starts=self.cold_starts,
+            is_verified=self._is_verified,
         )
         self.scheduler = Scheduler(
             self.holder,
@@ -236,8 +262,7 @@
             settings.max_waiting,
         )
         self.follower.subscribe(self._use_tables)
-        self.poller = LoadPoller(
-            self.client,
+        self.assumed_load = AssumedLoad(
             self.clock,
             self.home.upstreams,
             self.home.on_load_report,
@@ -249,6 +274,7 @@
             self.metrics,
             self.clock,
             _always_retry,
+            self._verify,
         )
         self.claimer = Claimer.from_config(
             self.log,
@@ -281,6 +307,7 @@
         for message_class in _messages_of(slot_messages):
             handlers[message_class] = self.home.on_message
         handlers[slot_messages.SlotGrant] = self.holder.on_message
+        handlers[slot_messages.ColdOffer] = self.holder.on_message
         return handlers
 
     def _work(self) -> list[Coroutine[Any, Any, None]]:
@@ -290,7 +317,9 @@
             self.relay.run(),
             self.home.run(),
             self.holder.run(),
-            self.poller.run(),
+            self.assumed_load.run(),
+            self.cold_starts.run(),
+            self._follow_upstreams(),
             self._follow_host_list(),
         ]
 
@@ -313,6 +342,57 @@
     def _on_slots(self, pool: str) -> None:
         self.scheduler.pump(pool)
 
+    def _on_report(self, upstream: Upstream, report: LoadReport) -> None:
+        self.book.state_of(upstream)
+        self.home.on_load_report(upstream.name, report)
+        self.holder.on_load_report(upstream, report)
+
+    def _on_lost(self, upstream: Upstream) -> None:
+        self.holder.on_connection_failure(upstream)
+
+    def _on_permit(self, upstream: Upstream) -> None:
+        self.holder.offer_idle()
+
+    def _is_polled(self, upstream: Upstream) -> bool:
+        if self.home.home_map.home_of(upstream) == self.membership.me.router_id:
+            return True
+        return upstream in self.cold_starts.upstreams_to_poll()
+
+    def _is_verified(self, upstream: Upstream, instance: str) -> bool:
+        if not upstream.reports_load:
+            return instance == SILENT_INSTANCE
+        return self.gate.is_verified(upstream, instance)
+
+    async def _verify(
+        self,
+        upstream: Upstream,
+        instance: str,
+        connection: Any,
+    ) -> None:
+        if upstream.reports_load:
+            await self.gate.verify(upstream, instance, connection)
+
+    async def _follow_upstreams(self) -> None:
+        """Keep connections to the upstreams that work may go to.
+
+        These are all of the own zone and of this router's homes, and a
+        limited number in other zones, so that the first request which goes
+        there need not wait for the instance to be known.
+        """
+        while True:
+            self.gate.follow(self._wanted_anchors())
+            await self.clock.sleep(FOLLOW_SECONDS)
+
+    def _wanted_anchors(self) -> list[Upstream]:
+        near: list[Upstream] = []
+        far: list[Upstream] = []
+        for upstream in all_upstreams(self.read_tables()):
+            if upstream.reports_load:
+                is_near = upstream.zone == self.settings.zone
+                (near if is_near else far).append(upstream)
+        adopted = [one for one in self.home.upstreams() if one.reports_load]
+        return [*near, *adopted, *far[:MAX_FAR_ANCHORS]]
+
     def _spawn(
         self,
         work: Coroutine[Any, Any, None],
@@ -355,6 +435,7 @@
         while True:
             with contextlib.suppress(HostListUnavailable):
                 hosts = await client.fetch()
+                self.gone.take_host_list(hosts)
                 seeds = [
                     Member(host.router_id, 0, host.zone, host.host, host.port)
                     for host in hosts
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -10,7 +10,7 @@
 import dataclasses
 import datetime as dt
 import functools
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, final
 
 import aiohttp
@@ -76,6 +76,7 @@
     headers: CIMultiDict[str]
     body: bytes
     is_repeatable: bool
+    verify_connection: Callable[[Any], Awaitable[None]]
     check_before_send: Callable[[], None]
     sent: bool = False
 
@@ -96,6 +97,7 @@
             if attempt.sent:
                 # The library repeats PUT and DELETE on a stale connection.
                 raise UpstreamCut('connection ended and nothing is repeated')
+            await attempt.verify_connection(conn.protocol)
             attempt.check_before_send()
             attempt.sent = True
         return await super().send(conn)
@@ -219,27 +221,16 @@
         _check_answers(attempt, response)
         return UpstreamAnswer(attempt, response, self.timeouts.idle)
 
-    async def cancel(self, attempt: Attempt) -> None:
-        """Ask a model engine to stop the work of an attempt."""
+    async def cancel(self, attempt: Attempt) -> bool:
+        """Ask a model engine to stop an attempt; return whether it did."""
         address = attempt.upstream.address
         url = f'http://{address}/v1/requests/{attempt.request_id}/cancel'
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_SECONDS)
         try:
-            async with self.session.post(url, timeout=timeout):
-                return
+            async with self.session.post(url, timeout=timeout) as response:
+                return response.ok
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return
-
-    async def get_json(self, upstream: Upstream, path: str) -> bytes:
-        """Return the body of a small status page of an upstream."""
-        url = f'http://{upstream.address}{path}'
-        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_SECONDS)
-        try:
-            async with self.session.get(url, timeout=timeout) as response:
-                response.raise_for_status()
-                return await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise ConnectFailed(f'{path}: {error!r}') from error
+            return False
 
     def _first_byte_seconds(self) -> float:
         return self.timeouts.first_byte.total_seconds()
