--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -1,1 +1,1 @@
-"""The demo: a fleet with stand-ins, real requests and a readable result."""
+"""A small fleet on one machine: started, used, drained, stopped, judged."""
--- /dev/null
+++ b/demo/promises.py
@@ -0,0 +1,186 @@
+"""Judges what the demo saw against what the fleet promises."""
+
+import collections
+import dataclasses
+import datetime as dt
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, final
+
+from demo.outcomes import Outcome, Result, WorkKind
+from demo.phases import Phases
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Verdict:
+    """One promise and what broke it; nothing did when ``faults`` is empty."""
+
+    promise: str
+    faults: tuple[str, ...]
+
+    @property
+    def is_kept(self) -> bool:
+        """Return whether nothing broke the promise."""
+        return not self.faults
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class UpstreamRecords:
+    """What the upstreams recorded themselves, by name of the upstream.
+
+    ``runs`` are those of engines, ``executions`` those of services.
+    ``cold_slots`` and ``zones`` come from the tables.
+    """
+
+    runs: dict[str, list[dict[str, Any]]] = dataclasses.field(
+        default_factory=dict,
+    )
+    executions: dict[str, list[dict[str, Any]]] = dataclasses.field(
+        default_factory=dict,
+    )
+    cold_slots: dict[str, int] = dataclasses.field(default_factory=dict)
+    zones: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def started(self) -> Iterable[tuple[str, dt.datetime]]:
+        """Yield the zone and the start of each piece of work."""
+        for entries in (self.runs, self.executions):
+            for name, taken in entries.items():
+                for entry in taken:
+                    at = dt.datetime.fromisoformat(entry['started_at'])
+                    yield self.zones[name], at
+
+
+def judge(
+    outcomes: Sequence[Outcome],
+    records: UpstreamRecords,
+    phases: Phases,
+    statuses: Mapping[str, int],
+) -> tuple[Verdict, ...]:
+    """Return a verdict on each promise.
+
+    ``statuses`` are the exit statuses of the programs by name.
+    """
+    faults = {
+        'every answer is whole and to its own request': _lost(outcomes),
+        'a write runs at most once': _repeated(records),
+        '"ran: no" is true': _untrue(outcomes, records),
+        'an answered write has run': _missing(outcomes, records),
+        'a cold engine gets no more than it bears': _hot(records),
+        'a zone that is out gets no new work': _late_work(records, phases),
+        'a zone that is back gets work again': _no_return(records, phases),
+        'every customer is served, with each kind of work': _unserved(
+            outcomes,
+        ),
+        'every process stops by itself': _bad_exits(statuses),
+    }
+    return tuple(Verdict(*pair) for pair in faults.items())
+
+
+def _lost(outcomes: Iterable[Outcome]) -> tuple[str, ...]:
+    return tuple(
+        f'{outcome.kind.value} {outcome.request_id}: {outcome.cause}'
+        for outcome in outcomes
+        if outcome.result is Result.lost
+    )
+
+
+def _repeated(records: UpstreamRecords) -> tuple[str, ...]:
+    counts = collections.Counter(_executed_keys(records))
+    return tuple(
+        f'key {key} ran {count} times'
+        for key, count in counts.items()
+        if key and count > 1
+    )
+
+
+def _executed_keys(records: UpstreamRecords) -> Iterable[str]:
+    for entries in records.executions.values():
+        for entry in entries:
+            yield entry['idempotency_key']
+
+
+def _untrue(
+    outcomes: Iterable[Outcome],
+    records: UpstreamRecords,
+) -> tuple[str, ...]:
+    keys = set(_executed_keys(records))
+    texts = _finished_texts(records)
+    not_run = (outcome for outcome in outcomes if outcome.ran == 'no')
+    return tuple(
+        f'{outcome.kind.value} {outcome.request_id} ran'
+        for outcome in not_run
+        if outcome.key in keys - {''} or outcome.request_id in texts
+    )
+
+
+def _finished_texts(records: UpstreamRecords) -> set[str]:
+    """Return the request ids that stand in the texts of all runs."""
+    return {
+        run['customer_text'].rpartition(' ')[2]
+        for runs in records.runs.values()
+        for run in runs
+    }
+
+
+def _missing(
+    outcomes: Iterable[Outcome],
+    records: UpstreamRecords,
+) -> tuple[str, ...]:
+    keys = set(_executed_keys(records))
+    return tuple(
+        f'write {outcome.request_id} was answered and has not run'
+        for outcome in outcomes
+        if outcome.kind is WorkKind.write
+        and outcome.result is Result.whole
+        and outcome.key not in keys
+    )
+
+
+def _hot(records: UpstreamRecords) -> tuple[str, ...]:
+    peaks = {
+        name: max((run['peak_running_cold'] for run in runs), default=0)
+        for name, runs in records.runs.items()
+    }
+    return tuple(
+        f'{name} had {peak} requests when cold and bears '
+        f'{records.cold_slots[name]}'
+        for name, peak in peaks.items()
+        if peak > records.cold_slots[name]
+    )
+
+
+def _late_work(records: UpstreamRecords, phases: Phases) -> tuple[str, ...]:
+    late = [
+        at
+        for zone, at in records.started()
+        if zone == phases.zone and phases.is_out(at)
+    ]
+    return tuple(f'{phases.zone} got work at {at:%H:%M:%S.%f}' for at in late)
+
+
+def _no_return(records: UpstreamRecords, phases: Phases) -> tuple[str, ...]:
+    is_back = any(
+        zone == phases.zone and at >= phases.restored_at
+        for zone, at in records.started()
+    )
+    return () if is_back else (f'{phases.zone} got no work after its return',)
+
+
+def _unserved(outcomes: Iterable[Outcome]) -> tuple[str, ...]:
+    asked = {(each.customer, each.kind.value) for each in outcomes}
+    served = {
+        (each.customer, each.kind.value)
+        for each in outcomes
+        if each.result is Result.whole
+    }
+    return tuple(
+        f'{customer} got no {kind}' for customer, kind in sorted(asked - served)
+    )
+
+
+def _bad_exits(statuses: Mapping[str, int]) -> tuple[str, ...]:
+    return tuple(
+        f'{name} ended with status {status}'
+        for name, status in statuses.items()
+        if status != 0
+    )
--- /dev/null
+++ b/demo/summary.py
@@ -0,0 +1,96 @@
+"""Prints what the demo saw, for a person at a terminal."""
+
+import collections
+import datetime as dt
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, Final
+
+from demo.outcomes import Outcome, Result, count_codes, count_results
+from demo.phases import Phases
+from demo.promises import Verdict
+
+_SHOWN_FAULTS: Final = 5
+_HIDDEN_FIELDS: Final = frozenset(
+    ('level', 'logger', 'message', 'request_id', 'time', 'event', 'reason'),
+)
+
+
+def print_outcomes(outcomes: Sequence[Outcome]) -> None:
+    """Print how the requests ended, in all and for each customer."""
+    totals = count_results(outcomes)
+    counts = ', '.join(f'{totals[end.value]} {end.value}' for end in Result)
+    print(f'\nRequests: {len(outcomes)} sent, {counts}')
+    for code, count in count_codes(outcomes).most_common():
+        print(f'  refused {count} times with {code}')
+    print('\nService for each customer')
+    row = '  {:<26}{:>7}{:>9}{:>6}{:>8}{:>9}{:>9}'
+    heads = ('customer', 'whole', 'refused', 'lost', 'tokens', 'p50 ms')
+    print(row.format(*heads, 'p99 ms'))
+    for customer in sorted({outcome.customer for outcome in outcomes}):
+        own = [each for each in outcomes if each.customer == customer]
+        print(row.format(customer, *_customer_cells(own)))
+
+
+def print_placement(
+    dispatches: Iterable[Mapping[str, Any]],
+    phases: Phases,
+) -> None:
+    """Print which zone's upstreams served the work of which routers."""
+    counts: collections.Counter[tuple[str, str, str]] = collections.Counter()
+    for line in dispatches:
+        moment = dt.datetime.fromisoformat(line['time'])
+        counts[phases.name_of(moment), line['entry'], line['zone']] += 1
+    print("\nWhere each zone's work went")
+    row = '  {:<18}{:<14}{:<14}{:>8}'
+    print(row.format('phase', 'entry zone', 'served in', 'sent'))
+    for phase in phases.names:
+        for (shown, entry, zone), count in sorted(counts.items()):
+            if shown == phase:
+                print(row.format(phase, entry, zone, count))
+
+
+def print_decisions(request_id: str, lines: Iterable[Any]) -> None:
+    """Print the decision log lines of one request."""
+    print(f'\nDecisions on request {request_id}')
+    for line in lines:
+        fields = ' '.join(
+            f'{name}={field}'
+            for name, field in line.items()
+            if name not in _HIDDEN_FIELDS
+        )
+        event, reason = line['event'], line['reason']
+        print(f'  {line["time"][11:23]} {event:<10} {reason}; {fields}')
+
+
+def print_verdicts(verdicts: Iterable[Verdict]) -> None:
+    """Print each promise and what broke it."""
+    print('\nPromises')
+    for verdict in verdicts:
+        mark = 'kept  ' if verdict.is_kept else 'BROKEN'
+        print(f'  {mark} {verdict.promise}')
+        for fault in verdict.faults[:_SHOWN_FAULTS]:
+            print(f'           {fault}')
+        hidden = len(verdict.faults) - _SHOWN_FAULTS
+        if hidden > 0:
+            print(f'           and {hidden} more')
+
+
+def _customer_cells(own: Sequence[Outcome]) -> tuple[int, ...]:
+    ends = count_results(own)
+    times = sorted(
+        outcome.seconds * 1000
+        for outcome in own
+        if outcome.result is Result.whole
+    )
+    return (
+        *(ends[end.value] for end in Result),
+        sum(outcome.tokens for outcome in own),
+        round(_quantile(times, 0.5)),
+        round(_quantile(times, 0.99)),
+    )
+
+
+def _quantile(ordered: Sequence[float], share: float) -> float:
+    if not ordered:
+        return 0
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
--- /dev/null
+++ b/demo/traffic.py
@@ -0,0 +1,120 @@
+"""Keeps several customers sending requests through all routers at once."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import secrets
+import time
+import uuid
+from collections.abc import Sequence
+from typing import Final, final
+
+from demo.outcomes import Outcome, Result, WorkKind
+from demo.requests import Caller
+
+_SEED: Final = 20
+_PAUSE_SECONDS: Final = 0.05
+_RETRY_SECONDS: Final = 0.25
+_TOKEN_COUNTS: Final = (5, 10, 20, 40, 80)
+_LAST_TOKENS: Final = 200
+_NS_PER_MS: Final = 1_000_000
+_VERSION_7: Final = 0x70
+_VARIANT: Final = 0x80
+_LOW_4_BITS: Final = 15
+_LOW_6_BITS: Final = 63
+_KINDS: Final = (
+    WorkKind.stream,
+    WorkKind.read,
+    WorkKind.stream,
+    WorkKind.write,
+    WorkKind.answer,
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Entry:
+    """A router as the platform's balancer knows it."""
+
+    router: str
+    url: str
+
+
+@final
+class Traffic:
+    """The callers of all customers and the outcomes of their requests.
+
+    Each customer sends ``width`` requests at a time, one after the other; the
+    balancer gives each to any router.
+    """
+
+    __slots__ = ('callers', 'entries', 'is_stopping', 'outcomes', 'random')
+
+    def __init__(
+        self,
+        callers: Sequence[tuple[Caller, int]],
+        entries: Sequence[Entry],
+    ) -> None:
+        self.callers = callers
+        self.entries = entries
+        self.is_stopping = False
+        self.outcomes: list[Outcome] = []
+        self.random = random.Random(_SEED)
+
+    async def run(self) -> None:
+        """Send until stopped; return when every request has ended."""
+        async with asyncio.TaskGroup() as group:
+            for caller, width in self.callers:
+                for number in range(width):
+                    group.create_task(self._send_in_turn(caller, number))
+
+    def stop(self) -> None:
+        """Start no new requests; what was sent goes on to its end."""
+        self.is_stopping = True
+
+    async def send_last(self, sent: asyncio.Event) -> None:
+        """Send one long stream for each customer and router at once.
+
+        ``sent`` is set when all requests are on their way.
+        """
+        pairs = itertools.product(self.callers, self.entries)
+        async with asyncio.TaskGroup() as group:
+            for (caller, _), entry in pairs:
+                outcome = _outcome(caller, WorkKind.stream, entry)
+                self.outcomes.append(outcome)
+                group.create_task(caller.send(outcome, entry.url, _LAST_TOKENS))
+            await asyncio.sleep(_PAUSE_SECONDS)
+            sent.set()
+
+    async def _send_in_turn(self, caller: Caller, number: int) -> None:
+        kinds = itertools.cycle(_KINDS)
+        for kind in itertools.islice(kinds, number, None):
+            if self.is_stopping:
+                return
+            entry = self.random.choice(self.entries)
+            outcome = _outcome(caller, kind, entry)
+            self.outcomes.append(outcome)
+            tokens = self.random.choice(_TOKEN_COUNTS)
+            await caller.send(outcome, entry.url, tokens)
+            is_whole = outcome.result is Result.whole
+            await asyncio.sleep(_PAUSE_SECONDS if is_whole else _RETRY_SECONDS)
+
+
+def uuid7() -> str:
+    """Return a UUID of version 7 (RFC 9562): milliseconds, then random."""
+    milliseconds = time.time_ns() // _NS_PER_MS
+    octets = bytearray(milliseconds.to_bytes(6) + secrets.token_bytes(10))
+    octets[6] = _VERSION_7 | octets[6] & _LOW_4_BITS
+    octets[8] = _VARIANT | octets[8] & _LOW_6_BITS
+    return str(uuid.UUID(bytes=bytes(octets)))
+
+
+def _outcome(caller: Caller, kind: WorkKind, entry: Entry) -> Outcome:
+    request_id = uuid.uuid4().hex
+    return Outcome(
+        request_id=request_id,
+        customer=caller.customer,
+        kind=kind,
+        router=entry.router,
+        key=uuid7() if kind is WorkKind.write else '',
+    )
--- a/src/hickorymux_emulator/plain_service.py
+++ b/src/hickorymux_emulator/plain_service.py
@@ -48,13 +48,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Execution:
-    """One write that took effect."""
+    """One write that took effect, at ``started_at`` in UTC."""
 
     method: str
     path: str
     idempotency_key: str
     request_id: str
     body_digest: str
+    started_at: dt.datetime
 
 
 @final
@@ -200,6 +201,7 @@
         idempotency_key=request.headers.get('Idempotency-Key', ''),
         request_id=request.headers.get('X-Request-Id', ''),
         body_digest=_digest(body),
+        started_at=dt.datetime.now(dt.UTC),
     )
 
 
--- a/src/hickorymux_emulator/programs.py
+++ b/src/hickorymux_emulator/programs.py
@@ -8,6 +8,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -124,9 +125,13 @@
 
     def events(self, event: str) -> Iterator[dict[str, Any]]:
         """Yield the JSON lines with the event that were written so far."""
+        return self.lines_with('event', event)
+
+    def lines_with(self, field: str, wanted: str) -> Iterator[dict[str, Any]]:
+        """Yield the JSON lines of which a field has the wanted value."""
         for line in [*self.stdout, *self.stderr]:
             fields = _json_object(line)
-            if fields.get('event') == event:
+            if fields.get(field) == wanted:
                 yield fields
 
     def last_words(self) -> str:
@@ -262,6 +267,13 @@
                 program.kill()
 
 
+def free_port() -> int:
+    """Return a TCP port of the loopback address that is free just now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
 def _environment(extra: Mapping[str, str]) -> dict[str, str]:
     paths = [str(_SOURCE_ROOT)]
     with contextlib.suppress(KeyError):
--- /dev/null
+++ b/tests/functional/test_demo_requests.py
@@ -0,0 +1,82 @@
+"""The demo's callers tell whole answers from refused and lost ones."""
+
+import json
+
+import aiohttp
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from demo.outcomes import Outcome, Result, WorkKind
+from demo.requests import Caller
+from hickorymux_emulator.completions import AnswerShape, CompletionRequest
+from hickorymux_emulator.engine import EngineSettings
+from hickorymux_emulator.engine_service import EngineService
+
+
+async def outcome_of(app: web.Application, kind: WorkKind) -> Outcome:
+    outcome = Outcome('r1', 'hotel', kind, 'router')
+    async with (
+        TestServer(app) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        caller = Caller(session, 'hotel', 'key', 'default', '/records/')
+        await caller.send(outcome, str(server.make_url('')).rstrip('/'), 5)
+    return outcome
+
+
+def answering(handler) -> web.Application:
+    app = web.Application()
+    app.router.add_route('*', '/{path:.*}', handler)
+    return app
+
+
+@pytest.mark.parametrize('kind', [WorkKind.stream, WorkKind.answer])
+async def test_whole_answer(kind: WorkKind) -> None:
+    engine = EngineService(EngineSettings(token_ms=1))
+    outcome = await outcome_of(engine.app(), kind)
+    assert (outcome.result, outcome.tokens) == (Result.whole, 5)
+
+
+@pytest.mark.parametrize('cleanly', [False, True])
+async def test_cut_stream_is_lost(cleanly: bool) -> None:
+    settings = EngineSettings(
+        token_ms=1, truncate_after=3, truncate_cleanly=cleanly
+    )
+    engine = EngineService(settings)
+    outcome = await outcome_of(engine.app(), WorkKind.stream)
+    assert outcome.result is Result.lost
+
+
+async def test_refusal_keeps_its_code() -> None:
+    async def refuse(_request: web.Request) -> web.Response:
+        problem = {'code': 'no_capacity', 'ran': 'no'}
+        return web.json_response(problem, status=503)
+
+    outcome = await outcome_of(answering(refuse), WorkKind.read)
+    assert (outcome.result, outcome.code, outcome.ran) == (
+        Result.refused,
+        'no_capacity',
+        'no',
+    )
+
+
+async def test_bare_error_is_lost() -> None:
+    async def fail(_request: web.Request) -> web.Response:
+        return web.Response(status=502, text='bad gateway')
+
+    outcome = await outcome_of(answering(fail), WorkKind.read)
+    assert outcome.result is Result.lost
+
+
+async def test_answer_to_another_request_is_lost() -> None:
+    async def crossed(request: web.Request) -> web.Response:
+        body = json.loads(await request.read())
+        body['messages'][0]['content'] = 'another question'
+        asked = CompletionRequest('default', [])
+        shape = AnswerShape.from_request('r1', asked)
+        answer = shape.whole('another.0 question.1 ', 2, 'stop')
+        return web.json_response(answer, headers={'X-Request-Id': 'r1'})
+
+    outcome = await outcome_of(answering(crossed), WorkKind.answer)
+    assert outcome.result is Result.lost
--- /dev/null
+++ b/tests/unit/test_demo_judgement.py
@@ -0,0 +1,101 @@
+"""The demo finds the faults that it is there to find."""
+
+import datetime as dt
+
+import pytest
+
+from demo.outcomes import Outcome, Result, WorkKind
+from demo.phases import DRAIN_GRACE, Phases
+from demo.promises import UpstreamRecords, judge
+
+START = dt.datetime(2026, 1, 1, tzinfo=dt.UTC)
+MINUTE = dt.timedelta(minutes=1)
+PHASES = Phases('south', START + MINUTE, START + 2 * MINUTE)
+
+
+def run(at: dt.datetime = START, request_id: str = '', cold: int = 1):
+    return {
+        'customer_text': f'hotel asks {request_id}',
+        'started_at': at.isoformat(),
+        'peak_running_cold': cold,
+    }
+
+
+def execution(key: str):
+    return {'idempotency_key': key, 'started_at': START.isoformat()}
+
+
+def kept_world() -> tuple[list[Outcome], UpstreamRecords]:
+    records = UpstreamRecords(
+        runs={'e': [run(), run(START + 3 * MINUTE)]},
+        executions={'s': [execution('k1')]},
+        cold_slots={'e': 1},
+        zones={'e': 'south', 's': 'north'},
+    )
+    write = Outcome('r1', 'hotel', WorkKind.write, 'n1', key='k1')
+    write.result = Result.whole
+    refused = Outcome('r2', 'hotel', WorkKind.stream, 'n1', ran='no')
+    refused.result = Result.refused
+    return [write, refused], records
+
+
+def broken(outcomes, records, statuses=None) -> list[str]:
+    verdicts = judge(outcomes, records, PHASES, statuses or {'router': 0})
+    return [each.promise for each in verdicts if not each.is_kept]
+
+
+def test_kept_promises_are_found_kept() -> None:
+    assert broken(*kept_world()) == []
+
+
+def test_lost_answer_is_found() -> None:
+    outcomes, records = kept_world()
+    outcomes.append(Outcome('r3', 'hotel', WorkKind.read, 'n1'))
+    assert broken(outcomes, records) == [
+        'every answer is whole and to its own request'
+    ]
+
+
+def test_repeated_and_missing_writes_are_found() -> None:
+    outcomes, records = kept_world()
+    records.executions['s'].append(execution('k1'))
+    assert broken(outcomes, records) == ['a write runs at most once']
+    records.executions['s'].clear()
+    assert broken(outcomes, records) == ['an answered write has run']
+
+
+@pytest.mark.parametrize('ran_as', ['run', 'execution'])
+def test_untrue_refusal_is_found(ran_as: str) -> None:
+    outcomes, records = kept_world()
+    if ran_as == 'run':
+        records.runs['e'].append(run(request_id='r2'))
+    else:
+        outcomes[1].key = 'k2'
+        records.executions['s'].append(execution('k2'))
+    assert broken(outcomes, records) == ['"ran: no" is true']
+
+
+def test_overloaded_cold_engine_is_found() -> None:
+    outcomes, records = kept_world()
+    records.runs['e'].append(run(cold=2))
+    assert broken(outcomes, records) == [
+        'a cold engine gets no more than it bears'
+    ]
+
+
+def test_work_in_a_drained_zone_is_found() -> None:
+    outcomes, records = kept_world()
+    records.runs['e'].append(run(PHASES.drained_at + DRAIN_GRACE))
+    assert broken(outcomes, records) == ['a zone that is out gets no new work']
+
+
+def test_zone_without_work_after_its_return_is_found() -> None:
+    outcomes, records = kept_world()
+    records.runs['e'].pop()
+    assert broken(outcomes, records) == ['a zone that is back gets work again']
+
+
+def test_bad_exit_is_found() -> None:
+    assert broken(*kept_world(), statuses={'router': 1}) == [
+        'every process stops by itself'
+    ]
