--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -146,6 +146,27 @@
     http_status = 409
 
 
+class KeyInvalid(RequestError):
+    """The idempotency key is not of the form that the route demands."""
+
+    code = 'key_invalid'
+    http_status = 400
+
+
+class KeyReused(RequestError):
+    """The idempotency key was used before with another body."""
+
+    code = 'key_reused'
+    http_status = 422
+
+
+class ClaimSpent(RequestError):
+    """The claim no longer allows a send: too old, released or used."""
+
+    code = 'claim_spent'
+    http_status = 503
+
+
 class CrashSuspect(RequestError):
     """The request crashed several upstreams and is not run again."""
 
