Keep slots safe when homes change and upstreams turn cold

Cause: a home can die, restart with no memory, leave, or exist twice, and an upstream can turn cold without warning. Tried and reverted: a limit on the slots moved each half second for fairness; two routers 50 apart were then 114 apart after 2 s (bound of the test: 20). Counters are sent every 0.25 s under contention instead.

--- a/src/hickorymux/_internal/coordination/slot_holder.py
+++ b/src/hickorymux/_internal/coordination/slot_holder.py
@@ -45,9 +45,12 @@
 RENEW_SECONDS = 1.0
 IDLE_KEEP_SECONDS = 1.0
 CONTENTION_SECONDS = 1.5
+COUNTERS_SECONDS = 0.25
+COUNTERS_SECONDS_PER_HOME = 0.07
 MAX_HEADS = 4
 MAX_TARGET_SLOTS = 4096
 PERMIT_KEEP_SECONDS = 2.0
+WARM_PHASES = frozenset((Phase.ramping, Phase.warm))
 
 log = logging.getLogger(__name__)
 
@@ -373,12 +376,18 @@
         if self.cold_starts is None:
             return
         for permit in self.cold_starts.permits.values():
-            holding = self.holdings.get(permit.key.upstream)
-            is_warm = holding is not None and holding.held > 0
             is_unused = now - permit.used_at >= PERMIT_KEEP_SECONDS
-            if not permit.is_busy and (is_warm or is_unused):
+            is_idle = is_unused and not permit.is_busy
+            if is_idle or self._is_warm(permit):
                 self.cold_starts.release(permit)
 
+    def _is_warm(self, permit: ColdPermit) -> bool:
+        holding = self.holdings.get(permit.key.upstream)
+        if holding is not None and holding.held > 0:
+            return True
+        state = self.book.find(permit.key.upstream)
+        return state is not None and state.phase in WARM_PHASES
+
     def _occupy(self, holding: Holding, pool: str) -> Slot:
         holding.busy += 1
         session = self.sessions[holding.home_id]
@@ -439,11 +448,26 @@
             demand = self._demand(pool_name, session)
             held = self._held_in(pool_name, home_id)
             owed = session.targets.get(pool_name, 0) - held
-            if owed > 0 and demand.target - held < 2 * owed:
+            is_told = owed > 0 and demand.target - held < 2 * owed
+            if is_told and not self._is_outdated(pool_name, session, now):
                 continue
             if session.is_open:
                 self._request(session, [demand], now)
 
+    def _is_outdated(
+        self, pool_name: str, session: HomeSession, now: float
+    ) -> bool:
+        """Return whether a home needs newer counters to share slots fairly.
+
+        The interval grows with the number of homes, so that the bytes do not.
+        """
+        if now >= self.backlogs[pool_name].contended_until:
+            return False
+        interval = max(
+            COUNTERS_SECONDS, COUNTERS_SECONDS_PER_HOME * len(self.sessions)
+        )
+        return now - session.told_at.get(pool_name, 0) >= interval
+
     def _homes_to_ask(self, pool: Pool, *, is_widened: bool) -> list[str]:
         tables = self.read_tables()
         own_zone = self.members.myself.zone
@@ -509,7 +533,7 @@
             if self._concerns(pool, session.home_id)
             and (backlog.waiting > 0 or session.targets.get(pool, 0) > 0)
         ]
-        self._note_targets(session, demands)
+        self._note_targets(session, demands, now)
         message = SlotRenew(
             session=session.number,
             sequence=session.next_sequence(now),
@@ -530,16 +554,17 @@
     def _request(
         self, session: HomeSession, demands: list[PoolDemand], now: float
     ) -> None:
-        self._note_targets(session, demands)
+        self._note_targets(session, demands, now)
         sequence = session.next_sequence(now)
         message = SlotRequest(session.number, sequence, demands)
         self.sender.send(session.home_id, message)
 
     def _note_targets(
-        self, session: HomeSession, demands: Iterable[PoolDemand]
+        self, session: HomeSession, demands: Iterable[PoolDemand], now: float
     ) -> None:
         for demand in demands:
             session.targets[demand.pool] = demand.target
+            session.told_at[demand.pool] = now
 
     def _keep(self, session: HomeSession, now: float) -> None:
         if session.is_open and now >= session.usable_until:
@@ -620,7 +645,7 @@
             for pool in self._pools_of(holdings)
             if pool in self.backlogs
         ]
-        self._note_targets(session, demands)
+        self._note_targets(session, demands, now)
         message = SlotReturn(
             session.number, session.next_sequence(now), returned, demands
         )
@@ -653,6 +678,14 @@
                 session = HomeSession(home_id, 0, until)
             session.usable_until = min(session.usable_until, until)
             self._reopen(session, now)
+        self._forget_sessions()
+
+    def _forget_sessions(self) -> None:
+        """Drop the sessions with routers that are home of nothing here."""
+        wanted = set(self.home_map.homes.values())
+        wanted.update(one.home_id for one in self.holdings.values())
+        for home_id in self.sessions.keys() - wanted:
+            self.sessions.pop(home_id)
 
     def _distrust(self, upstream: Upstream, instance: str, state: str) -> None:
         """Tell the home first, then give back every slot that is unused."""
--- a/src/hickorymux/_internal/coordination/slot_home.py
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -50,6 +50,7 @@
 MS_PER_SECOND = 1000
 SHORTAGE_REPEAT_SECONDS = 0.5
 COLD_OFFER_SECONDS = 2.0
+SILENCE_SECONDS = 1.5
 
 log = logging.getLogger(__name__)
 
@@ -66,6 +67,7 @@
     warned_at: dict[str, float] = dataclasses.field(default_factory=dict)
     demands: dict[str, PoolDemand] = dataclasses.field(default_factory=dict)
     changed: dict[str, int] = dataclasses.field(default_factory=dict)
+    opening: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def touch(self, upstream: str) -> None:
         """Note that the loan of an upstream changed."""
@@ -73,6 +75,14 @@
         self.changed[upstream] = self.version
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Received:
+    """A handover that arrived before this router knew that it is the home."""
+
+    message: SlotHandover
+    at: float
+
+
 @final
 class SlotHome:
     """Lends the slots of the upstreams that this router is home of.
@@ -93,6 +103,7 @@
         'borrowers',
         'clock',
         'cold_offers',
+        'handovers',
         'home_map',
         'lease_seconds',
         'ledgers',
@@ -119,6 +130,7 @@
         self.home_map = HomeMap(members)
         self.ledgers: dict[str, SlotLedger] = {}
         self.borrowers: dict[str, Borrower] = {}
+        self.handovers: dict[str, Received] = {}
         self.cold_offers: dict[str, dict[str, float]] = {}
 
     def upstreams(self) -> list[Upstream]:
@@ -163,7 +175,8 @@
         ledger = self.ledgers.get(name)
         if ledger is None:
             return
-        ledger.settle(report.running, now - REPORT_LAG_SECONDS, now)
+        limit = self.limit(state.upstream, now)
+        ledger.settle(report.running, limit, now - REPORT_LAG_SECONDS, now)
         self._serve_all(now)
 
     def on_message(self, sender_id: str, message: Any) -> None:
@@ -178,6 +191,27 @@
         """
         self._follow_homes(self.clock.monotonic())
 
+    def receive_handover(self, message: SlotHandover, now: float) -> None:
+        """Take over from an earlier home, now or once this is the home."""
+        if message.upstream not in self.ledgers:
+            self.handovers[message.upstream] = Received(message, now)
+            self._follow_homes(now)
+            return
+        self.take_over(message, now, now)
+
+    def take_over(
+        self, message: SlotHandover, received_at: float, now: float
+    ) -> None:
+        """Count the loans of the earlier home, and lend without a wait."""
+        expires_at = received_at + wait_out_seconds(self.lease_seconds)
+        if now >= expires_at:
+            return
+        held = {loan.router_id: loan.slots for loan in message.loans}
+        self.ledgers[message.upstream].take_over(held, expires_at, now)
+        state = self.book.find(message.upstream)
+        if state is not None:
+            state.take_over(message.instance, message.limit, now)
+
     def open_session(
         self, sender_id: str, message: SlotRenew, now: float
     ) -> bool:
@@ -216,10 +250,11 @@
         self, sender_id: str, session: int, returned: Iterable[SlotCount]
     ) -> None:
         """Take slots back."""
+        now = self.clock.monotonic()
         for count in returned:
             ledger = self.ledgers.get(count.upstream)
             if ledger is not None:
-                ledger.give_back(sender_id, session, count.slots)
+                ledger.give_back(sender_id, session, count.slots, now)
 
     def acknowledge(self, sender_id: str, message: SlotRenew) -> None:
         """Answer a renewal with all loans that the holder has not seen."""
@@ -252,16 +287,36 @@
         Nothing is lent of a cold upstream; see ``ColdStarts``.
         """
         if self.read_tables().is_drained(upstream):
+            self.book.state_of(upstream).on_drained()
             return 0
         return self.book.state_of(upstream).lease_limit(now)
 
     def _begin(self, sender_id: str, message: SlotRenew, now: float) -> None:
-        expires_at = now + self.lease_seconds
-        self.borrowers[sender_id] = Borrower(message.session, expires_at)
-        held = {count.upstream: count.slots for count in message.held}
+        borrower = Borrower(message.session, now + self.lease_seconds)
+        borrower.opening = {
+            count.upstream: count.slots for count in message.held
+        }
+        self.borrowers[sender_id] = borrower
+        if not self.ledgers.keys() >= borrower.opening.keys():
+            self._follow_homes(now)
         for name, ledger in self.ledgers.items():
-            slots = held.get(name, 0)
-            ledger.open_loan(sender_id, message.session, slots, expires_at)
+            self._open_loan(sender_id, borrower, name, ledger, now)
+
+    def _open_loan(
+        self,
+        router_id: str,
+        borrower: Borrower,
+        name: str,
+        ledger: SlotLedger,
+        now: float,
+    ) -> None:
+        ledger.open_loan(
+            router_id,
+            borrower.session,
+            borrower.opening.get(name, 0),
+            borrower.expires_at,
+            now,
+        )
 
     def _lost_message(
         self, sender_id: str, borrower: Borrower, message: SlotRenew
@@ -285,14 +340,24 @@
         names = {upstream.name for upstream in own}
         for name in list(self.ledgers):
             if name not in names:
-                self._hand_over(name, self.ledgers.pop(name))
+                self._hand_over(name, self.ledgers.pop(name), now)
         for upstream in own:
-            self.book.state_of(upstream)
             if upstream.name not in self.ledgers:
-                lends_from = now + wait_out_seconds(self.lease_seconds)
-                self.ledgers[upstream.name] = SlotLedger(lends_from)
+                self._become_home(upstream, now)
 
-    def _hand_over(self, name: str, ledger: SlotLedger) -> None:
+    def _become_home(self, upstream: Upstream, now: float) -> None:
+        name = upstream.name
+        self.book.state_of(upstream).forget()
+        ledger = SlotLedger(now + wait_out_seconds(self.lease_seconds))
+        self.ledgers[name] = ledger
+        for router_id, borrower in self.borrowers.items():
+            if name in borrower.opening:
+                self._open_loan(router_id, borrower, name, ledger, now)
+        received = self.handovers.pop(name, None)
+        if received is not None:
+            self.take_over(received.message, received.at, now)
+
+    def _hand_over(self, name: str, ledger: SlotLedger, now: float) -> None:
         state = self.book.find(name)
         home_id = self.home_map.home_of(state.upstream) if state else ''
         if not home_id:
@@ -301,8 +366,14 @@
             HandedLoan(router_id, slots)
             for router_id, slots in ledger.holdings().items()
         ]
-        epoch = self.members.myself.incarnation
-        self.sender.send(home_id, SlotHandover(name, epoch, loans))
+        message = SlotHandover(
+            upstream=name,
+            epoch=self.members.myself.incarnation,
+            instance=state.instance if state else '',
+            limit=self.limit(state.upstream, now) if state else 0,
+            loans=loans,
+        )
+        self.sender.send(home_id, message)
 
     def _serve_all(self, now: float) -> None:
         pools = {
@@ -320,7 +391,7 @@
         limit = self.limit(upstream, now)
         served: set[str] = set()
         while ledger.free(limit, now) > 0:
-            share = pick_neediest(self._borrowing(pool, ledger))
+            share = pick_neediest(self._borrowing(pool, ledger, now))
             if share is None:
                 break
             self._lend(share, upstream, ledger, limit, now)
@@ -337,12 +408,12 @@
             if now - offered_at >= COLD_OFFER_SECONDS:
                 offered.pop(router_id)
         for _ in range(state.cold_room - len(offered)):
-            shares = [
-                share
-                for share in self._shares(pool)
-                if share.router_id not in offered
+            waiting = [
+                one
+                for one in self._heard_lately(self._shares(pool), now)
+                if one.router_id not in offered
             ]
-            share = pick_neediest(shares)
+            share = pick_neediest(waiting)
             if share is None:
                 return
             offered[share.router_id] = now
@@ -375,7 +446,11 @@
         borrower = self.borrowers[share.router_id]
         if share.router_id not in ledger.loans:
             ledger.open_loan(
-                share.router_id, borrower.session, 0, borrower.expires_at
+                share.router_id,
+                borrower.session,
+                0,
+                borrower.expires_at,
+                now,
             )
         ledger.grant(share.router_id, 1, limit, now)
         borrower.touch(upstream.name)
@@ -403,20 +478,31 @@
             shares.append(Share.from_demand(router_id, demand, held))
         return shares
 
-    def _borrowing(self, pool: Pool, ledger: SlotLedger) -> list[Share]:
+    def _borrowing(
+        self, pool: Pool, ledger: SlotLedger, now: float
+    ) -> list[Share]:
+        """Return the shares of the routers that were heard lately."""
         return [
-            share
-            for share in self._shares(pool)
+            one
+            for one in self._heard_lately(self._shares(pool), now)
             if ledger.can_lend_to(
-                share.router_id, self.borrowers[share.router_id].session
+                one.router_id, self.borrowers[one.router_id].session
             )
         ]
 
+    def _heard_lately(self, shares: Iterable[Share], now: float) -> list[Share]:
+        silent_at = now + self.lease_seconds - SILENCE_SECONDS
+        return [
+            share
+            for share in shares
+            if self.borrowers[share.router_id].expires_at > silent_at
+        ]
+
     def _recall_for_waiting(
         self, pool: Pool, served: set[str], now: float
     ) -> None:
         shares = self._shares(pool)
-        waiting = pick_neediest(shares)
+        waiting = pick_neediest(self._heard_lately(shares, now))
         if waiting is None:
             return
         for share in shares:
@@ -425,8 +511,9 @@
             if share.held and now - warned_at >= SHORTAGE_REPEAT_SECONDS:
                 served.add(share.router_id)
         ahead = pick_furthest_ahead(shares, waiting)
-        if ahead is not None and not self._is_recalling(pool):
-            self._recall(ahead.router_id, pool, 1, served)
+        if ahead is None or self._is_recalling(pool):
+            return
+        self._recall(ahead.router_id, pool, 1, served, now)
 
     def _is_recalling(self, pool: Pool) -> bool:
         for upstream in pool.upstreams:
@@ -437,13 +524,21 @@
         return False
 
     def _recall(
-        self, router_id: str, pool: Pool, slots: int, changed: set[str]
+        self,
+        router_id: str,
+        pool: Pool,
+        slots: int,
+        changed: set[str],
+        now: float,
     ) -> None:
+        """Ask back slots that can be lent to another router at once."""
         pending = slots
         for upstream in pool.upstreams:
             ledger = self.ledgers.get(upstream.name)
             if ledger is None or pending <= 0:
                 continue
+            if not ledger.can_move(self.limit(upstream, now), now):
+                continue
             asked = ledger.recall(router_id, pending)
             if asked:
                 pending -= asked
@@ -453,7 +548,9 @@
     def _recall_excess(self, now: float) -> None:
         for name, ledger in self.ledgers.items():
             state = self.book.find(name)
-            limit = self.limit(state.upstream, now) if state else 0
+            if state is None or not state.is_known:
+                continue
+            limit = self.limit(state.upstream, now)
             for router_id in ledger.recall_excess(limit):
                 self._note_change(router_id, name)
                 self._push(router_id)
@@ -560,13 +657,7 @@
 def _handle_handover(
     message: SlotHandover, home: SlotHome, sender_id: str, now: float
 ) -> None:
-    ledger = home.ledgers.get(message.upstream)
-    if ledger is not None:
-        ledger.take_over(
-            {loan.router_id: loan.slots for loan in message.loans},
-            now + wait_out_seconds(home.lease_seconds),
-            now,
-        )
+    home.receive_handover(message, now)
 
 
 @_handle.register
--- a/src/hickorymux/_internal/coordination/slot_messages.py
+++ b/src/hickorymux/_internal/coordination/slot_messages.py
@@ -120,11 +120,14 @@
 class SlotHandover:
     """A home that ends names its loans, so that the next need not wait.
 
-    The sender lends none of the upstream's slots any more.
+    The sender lends none of the upstream's slots any more. ``limit`` is the
+    number of slots that it might lend of the instance when it ended.
     """
 
     upstream: str = ''
     epoch: int = 0
+    instance: str = ''
+    limit: int = 0
     loans: list[HandedLoan] = dataclasses.field(default_factory=list)
 
 
--- a/src/hickorymux/_internal/coordination/slot_session.py
+++ b/src/hickorymux/_internal/coordination/slot_session.py
@@ -84,6 +84,7 @@
     renewed_at: float = 0
     sent_at: dict[int, float] = dataclasses.field(default_factory=dict)
     targets: dict[str, int] = dataclasses.field(default_factory=dict)
+    told_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def next_sequence(self, now: float) -> int:
         """Number a message that is about to be sent."""
--- a/src/hickorymux/_internal/protocol/idl/slots.thrift
+++ b/src/hickorymux/_internal/protocol/idl/slots.thrift
@@ -67,7 +67,9 @@
 struct SlotHandover {
   1: optional string upstream = "",
   2: optional i64 epoch = 0,
-  3: optional list<HandedLoan> loans
+  3: optional string instance = "",
+  4: optional i32 limit = 0,
+  5: optional list<HandedLoan> loans
 }
 
 struct UpstreamSign {
--- a/src/hickorymux/_internal/state/slot_ledger.py
+++ b/src/hickorymux/_internal/state/slot_ledger.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 
 DRIFT_RATIO = 0.01
-PEAK_WINDOW_SECONDS = 2.0
+WINDOW_SECONDS = 2.0
 LAPSED_KEEP_SECONDS = 300.0
 
 
@@ -43,30 +43,49 @@
 
 
 @dataclasses.dataclass(slots=True)
-class LentPeak:
-    """The most slots that were lent at once in the last one or two windows.
+class LentWindow:
+    """What was lent in a span of time; ``slot_seconds`` is its integral."""
 
-    A load report describes the past, so work that it counts is compared with
-    what was lent then.
+    since: float = 0
+    most: int = 0
+    slot_seconds: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class LentHistory:
+    """How many slots were lent in the last one or two windows.
+
+    A load report describes the past, so the work that it counts is compared
+    with what was lent then. The mean leaves out the moments in which a slot
+    is on its way from one router to another.
     """
 
-    window_since: float = 0
-    current: int = 0
-    earlier: int = 0
+    last: int = 0
+    noted_at: float = 0
+    current: LentWindow = dataclasses.field(default_factory=LentWindow)
+    earlier: LentWindow = dataclasses.field(default_factory=LentWindow)
 
     def note(self, lent: int, now: float) -> None:
-        """Take the number of slots that are lent now."""
-        windows = int((now - self.window_since) / PEAK_WINDOW_SECONDS)
-        if windows > 0:
-            self.earlier = self.current if windows == 1 else lent
-            self.current = lent
-            self.window_since = now
-        self.current = max(self.current, lent)
+        """Take the number of slots that are lent from now on."""
+        self.current.slot_seconds += self.last * (now - self.noted_at)
+        self.noted_at = now
+        if now - self.current.since >= WINDOW_SECONDS:
+            self.earlier = self.current
+            self.current = LentWindow(now, self.last)
+        self.current.most = max(self.current.most, lent)
+        self.last = lent
 
     @property
-    def slots(self) -> int:
-        """Return the peak."""
-        return max(self.current, self.earlier)
+    def most(self) -> int:
+        """Return the most slots lent at once."""
+        return max(self.current.most, self.earlier.most)
+
+    @property
+    def mean(self) -> int:
+        """Return the mean of the slots lent, as a whole number."""
+        slot_seconds = self.current.slot_seconds + self.earlier.slot_seconds
+        seconds = self.noted_at - self.earlier.since
+        return round(slot_seconds / seconds) if seconds > 0 else self.last
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,12 +93,13 @@
     """The loans of one upstream, as its home knows them.
 
     ``lends_from`` is the reading of the clock at which the leases of an
-    earlier home have run out for certain.
+    earlier home have run out for certain. ``foreign`` is the work that another
+    home lent for, and ``ceiling`` this home's share of the limit meanwhile.
 
     Example::
 
         ledger = SlotLedger(lends_from=now + wait_out_seconds(3))
-        ledger.open_loan('router-a', 1, 0, expires_at)
+        ledger.open_loan('router-a', 1, 0, expires_at, now)
         ledger.grant('router-a', 2, limit=8, now=now)
     """
 
@@ -87,7 +107,8 @@
     loans: dict[str, Loan] = dataclasses.field(default_factory=dict)
     lapses: dict[str, Lapse] = dataclasses.field(default_factory=dict)
     foreign: int = 0
-    peak: LentPeak = dataclasses.field(default_factory=LentPeak)
+    ceiling: int | None = None
+    history: LentHistory = dataclasses.field(default_factory=LentHistory)
 
     @property
     def lent(self) -> int:
@@ -105,12 +126,17 @@
             return 0
         return max(limit - self.held - self.foreign, 0)
 
+    def can_move(self, limit: int, now: float) -> bool:
+        """Return whether a slot that comes back may be lent again at once."""
+        return now >= self.lends_from and self.held + self.foreign <= limit
+
     def open_loan(
         self,
         router_id: str,
         session: int,
         slots: int,
         expires_at: float,
+        now: float,
     ) -> None:
         """Begin a session with the slots that the router holds already.
 
@@ -122,6 +148,7 @@
             return
         self.lapses.pop(router_id, None)
         self.loans[router_id] = Loan(session, expires_at, granted=slots)
+        self.history.note(self.lent, now)
 
     def grant(self, router_id: str, wanted: int, limit: int, now: float) -> int:
         """Lend up to ``wanted`` free slots; return how many were lent."""
@@ -130,7 +157,7 @@
             return 0
         lent = min(wanted, self.free(limit, now))
         loan.granted += lent
-        self.peak.note(self.lent, now)
+        self.history.note(self.lent, now)
         return lent
 
     def can_lend_to(self, router_id: str, session: int) -> bool:
@@ -150,8 +177,11 @@
             if router_id not in self.loans:
                 self.loans[router_id] = Loan(0, expires_at, granted=slots)
         self.lends_from = min(self.lends_from, now)
+        self.history.note(self.lent, now)
 
-    def give_back(self, router_id: str, session: int, returned: int) -> int:
+    def give_back(
+        self, router_id: str, session: int, returned: int, now: float
+    ) -> int:
         """Take a router's count of returned slots; return how many are new."""
         loan = self.loans.get(router_id)
         if loan is None or loan.session != session:
@@ -160,6 +190,7 @@
         if newly <= 0:
             return 0
         loan.returned += newly
+        self.history.note(self.lent, now)
         return newly
 
     def renew(self, router_id: str, session: int, expires_at: float) -> bool:
@@ -182,7 +213,8 @@
 
     def recall_excess(self, limit: int) -> list[str]:
         """Ask back what is lent above the limit; return whom was asked."""
-        excess = max(self.held + self.foreign - limit, 0)
+        allowed = limit if self.ceiling is None else min(limit, self.ceiling)
+        excess = self.held - allowed
         asked_of = []
         for router_id, loan in self.loans.items():
             excess -= loan.held - loan.recallable
@@ -210,21 +242,32 @@
             loan = self.loans.pop(router_id)
             if loan.held > 0:
                 self.lapses[router_id] = Lapse(loan.held, now)
+        if ended:
+            self.history.note(self.lent, now)
         return ended
 
-    def settle(self, running: int, taken_at: float, now: float) -> None:
+    def settle(
+        self, running: int, limit: int, taken_at: float, now: float
+    ) -> None:
         """Compare the loans with the work that the upstream reported.
 
         ``taken_at`` is the earliest reading of the clock at which the report
-        can have been made. Work beyond the loans belongs to
-        another home, or to a loan that lapsed, and counts against the limit.
+        can have been made. Work beyond the loans belongs to another home, or
+        to a loan that lapsed, and counts against the limit. When the sum is
+        over the limit, this home keeps its proportional share of it.
         """
-        self.peak.note(self.lent, now)
-        beyond = max(running - self.peak.slots, 0)
+        self.history.note(self.lent, now)
+        beyond = max(running - self.history.most, 0)
         for router_id, lapse in list(self.lapses.items()):
             self._settle_lapse(router_id, lapse, beyond, taken_at, now)
         lapsed = sum(one.slots for one in self.lapses.values())
-        self.foreign = max(beyond - lapsed, 0)
+        at_most = running - self.history.mean - lapsed
+        at_least = beyond - lapsed
+        self.foreign = max(min(self.foreign, at_most), at_least, 0)
+        self.ceiling = None
+        total = self.held + self.foreign
+        if self.foreign and total > limit:
+            self.ceiling = max(limit * self.held // total, min(limit, 1))
 
     def _settle_lapse(
         self,
--- a/src/hickorymux/_internal/state/upstream_state.py
+++ b/src/hickorymux/_internal/state/upstream_state.py
@@ -103,6 +103,11 @@
     first_byte_samples: int = 0
     first_byte_outliers: int = 0
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether anything was heard of the upstream yet."""
+        return bool(self.instance)
+
     @property
     def slots(self) -> int:
         """Return the full limit: the table's, or the report's if lower."""
@@ -175,6 +180,26 @@
         """Distrust the upstream until a newer report or answer arrives."""
         self.phase = Phase.unknown
 
+    def forget(self) -> None:
+        """Know nothing of the present, as when the upstream is met first."""
+        self.phase = Phase.unknown
+        self.instance = ''
+        self.report = None
+
+    def take_over(self, instance: str, limit: int, now: float) -> None:
+        """Take what the earlier home knew; the ramp goes on from there."""
+        if self.is_known or not instance or limit <= 0:
+            return
+        self.instance = instance
+        self.phase = Phase.ramping
+        self.ramp_from = limit
+        self.ramp_since = now
+
+    def on_drained(self) -> None:
+        """Make a drained upstream come back by a ramp, after a new report."""
+        if self.phase in {Phase.warm, Phase.ramping}:
+            self.phase = Phase.unknown
+
     def on_refusal(self, now: float) -> None:
         """Halve the limit of an upstream that refused work, then ramp again."""
         if self.phase not in {Phase.warm, Phase.ramping}:
--- a/tests/lib/slot_fleet.py
+++ b/tests/lib/slot_fleet.py
@@ -175,6 +175,7 @@
         self.started += 1
         self.counter += 1
         engine.start(now)
+        self.holder.on_answer(slot.upstream, engine.instance, engine.state)
         until = now + self.work_seconds
         self.running.append((until, slot, engine.instance))
         self.tell()
@@ -212,6 +213,7 @@
         self.tables = Tables(version=1, pools={POOL: pool})
         self.routers: dict[str, Router] = {}
         self.cuts: set[frozenset[str]] = set()
+        self.lost_links: set[frozenset[str]] = set()
         self.delay_seconds = 0.001
         self.loss = 0.0
         self.duplication = 0.0
@@ -253,7 +255,8 @@
         self.sent += 1
         if target not in self.routers:
             return False
-        if frozenset((source, target)) in self.cuts:
+        link = frozenset((source, target))
+        if link in self.cuts or link in self.lost_links:
             return False
         copies = 1
         if source != target:
@@ -270,6 +273,10 @@
             for other in right:
                 self.cuts.add(frozenset((one, other)))
 
+    def hidden_cuts(self, left: str, right: str) -> None:
+        """Lose all messages between two routers that both think live."""
+        self.lost_links.add(frozenset((left, right)))
+
     def deliver(self) -> None:
         while True:
             due = [one for one in self.queue if one[0] <= self.clock.now]
--- /dev/null
+++ b/tests/unit/test_slot_failures.py
@@ -0,0 +1,240 @@
+"""Slots under failures: homes change, routers vanish, zones are cut off."""
+
+import dataclasses
+
+from lib.slot_fleet import POOL, Engine, Network, Router
+
+from hickorymux._internal.coordination.slot_home import LEASE_SECONDS
+from hickorymux._internal.state.tables import Upstream
+
+LIMIT = 4
+MANY = 100_000
+
+
+def make_network(zones: str, routers: int, upstreams: int) -> Network:
+    """Return a network with some routers and upstreams in each zone."""
+    network = Network(
+        [
+            Upstream(f'engine-{zone}{index}', zone, f'{zone}:{index}', LIMIT)
+            for zone in zones
+            for index in range(upstreams)
+        ]
+    )
+    for zone in zones:
+        for index in range(routers):
+            network.add(f'router-{zone}{index}', zone)
+    return network
+
+
+def flood(network: Network) -> None:
+    for router in network.routers.values():
+        router.demand(MANY)
+
+
+def running(network: Network, zone: str = '') -> int:
+    return sum(
+        engine.running
+        for engine in network.engines.values()
+        if engine.upstream.zone.startswith(zone)
+    )
+
+
+def peak(network: Network) -> int:
+    return max(engine.peak for engine in network.engines.values())
+
+
+def home_id_of(network: Network, router: Router, name: str) -> str:
+    upstream = network.engines[name].upstream
+    return router.home.home_map.home_of(upstream)
+
+
+def longest_pause(engine: Engine, since: float) -> float:
+    starts = [one for one in engine.starts if one >= since]
+    return max(later - one for one, later in zip(starts, starts[1:]))
+
+
+async def test_home_leaves_gracefully_without_a_pause() -> None:
+    network = make_network('a', 3, 1)
+    flood(network)
+    await network.run(6)
+    since = network.clock.now
+    name = home_id_of(network, network.routers['router-a0'], 'engine-a0')
+    leaving = network.routers[name]
+    leaving.member = dataclasses.replace(leaving.member, is_leaving=True)
+    for view in (leaving.home.members, leaving.holder.members):
+        view.myself = leaving.member
+    leaving.waiting = 0
+    leaving.tell()
+    leaving.home.hand_over_all()
+    await network.run(1)
+    assert longest_pause(network.engines['engine-a0'], since) < 0.2
+    network.crash(name)
+    await network.run(6)
+    assert peak(network) == LIMIT
+    assert running(network) == LIMIT
+
+
+async def test_home_crash_neither_overlends_nor_stops_what_is_lent() -> None:
+    network = make_network('a', 3, 1)
+    flood(network)
+    await network.run(6)
+    since = network.clock.now
+    home_id = home_id_of(network, network.routers['router-a0'], 'engine-a0')
+    network.crash(home_id)
+    await network.run(8)
+    assert peak(network) == LIMIT
+    assert running(network) == LIMIT
+    assert longest_pause(network.engines['engine-a0'], since) < 0.5
+
+
+async def test_home_that_restarts_with_no_memory_waits_old_leases_out() -> None:
+    network = make_network('a', 3, 1)
+    for router in network.routers.values():
+        router.work_seconds = 1.0
+    flood(network)
+    await network.run(6)
+    home_id = home_id_of(network, network.routers['router-a0'], 'engine-a0')
+    network.crash(home_id)
+    network.add(home_id, 'a', incarnation=2).demand(MANY)
+    await network.run(8)
+    assert peak(network) == LIMIT
+    assert running(network) == LIMIT
+
+
+async def test_router_cut_from_its_home_stops_within_a_lease() -> None:
+    network = make_network('a', 3, 1)
+    flood(network)
+    await network.run(6)
+    names = sorted(network.routers)
+    home_id = home_id_of(network, network.routers[names[0]], 'engine-a0')
+    others = [name for name in names if name != home_id]
+    network.hidden_cuts(others[0], home_id)
+    await network.run(LEASE_SECONDS)
+    started = network.routers[others[0]].started
+    await network.run(4)
+    assert network.routers[others[0]].started == started
+    assert peak(network) == LIMIT
+    assert running(network) == LIMIT
+
+
+async def test_paused_router_does_not_send_after_its_lease() -> None:
+    network = make_network('a', 2, 1)
+    flood(network)
+    await network.run(6)
+    for router in network.routers.values():
+        router.waiting = 0
+        router.tell()
+    await network.run(1)
+    paused, other = network.routers.values()
+    paused.holder.on_available = print
+    paused.waiting = 1
+    paused.tell()
+    await network.run(0.01)
+    slot = paused.holder.take(POOL, network.clock.now)
+    assert slot is not None
+    paused.paused = True
+    other.demand(MANY)
+    await network.run(LEASE_SECONDS + 4)
+    paused.paused = False
+    paused.waiting = 1
+    assert not paused.send(slot)
+    assert peak(network) == LIMIT
+
+
+async def test_drain_holds_also_at_a_router_that_has_not_heard() -> None:
+    network = make_network('ab', 2, 1)
+    flood(network)
+    await network.run(8)
+    drained = dataclasses.replace(
+        network.tables, version=2, drained_zones=frozenset('a')
+    )
+    unaware = network.routers['router-b0']
+    for router in network.routers.values():
+        if router is not unaware:
+            router.tables = drained
+    await network.run(0.3)
+    engine = network.engines['engine-a0']
+    heard = engine.started
+    network.hidden_cuts('router-b0', 'router-a0')
+    network.hidden_cuts('router-b0', 'router-a1')
+    await network.run(5)
+    assert engine.started == heard
+    assert running(network, 'b') == LIMIT
+
+
+async def test_drain_ends_at_a_cut_off_router_within_a_lease() -> None:
+    network = make_network('ab', 2, 1)
+    flood(network)
+    await network.run(8)
+    for name in ('router-a0', 'router-a1', 'router-b1'):
+        network.hidden_cuts('router-b0', name)
+    drained = dataclasses.replace(
+        network.tables, version=2, drained_zones=frozenset('a')
+    )
+    for name, router in network.routers.items():
+        if name != 'router-b0':
+            router.tables = drained
+    await network.run(LEASE_SECONDS)
+    engine = network.engines['engine-a0']
+    started = engine.started
+    await network.run(4)
+    assert engine.started == started
+
+
+async def test_drained_zone_comes_back_by_a_ramp() -> None:
+    network = make_network('ab', 2, 1)
+    flood(network)
+    await network.run(8)
+    before = network.tables
+    drained = dataclasses.replace(
+        before, version=2, drained_zones=frozenset('a')
+    )
+    for router in network.routers.values():
+        router.tables = drained
+    await network.run(3)
+    assert running(network, 'a') == 0
+    assert running(network, 'b') == LIMIT
+    engine = network.engines['engine-a0']
+    engine.peak = 0
+    for router in network.routers.values():
+        router.tables = before
+    await network.run(0.4)
+    assert engine.peak <= LIMIT // 2
+    await network.run(3)
+    assert running(network, 'a') == LIMIT
+
+
+async def test_two_homes_overshoot_is_bounded_and_ends() -> None:
+    network = make_network('a', 4, 1)
+    flood(network)
+    await network.run(6)
+    left, right = ['router-a0', 'router-a1'], ['router-a2', 'router-a3']
+    network.cut(left, right)
+    await network.run(10)
+    engine = network.engines['engine-a0']
+    assert engine.peak <= 2 * LIMIT
+    engine.peak = 0
+    await network.run(5)
+    assert engine.peak <= LIMIT + 1
+    network.cuts.clear()
+    await network.run(8)
+    engine.peak = 0
+    await network.run(2)
+    assert engine.peak == LIMIT
+    assert engine.running == LIMIT
+
+
+async def test_zone_cut_off_serves_itself_and_rejoins() -> None:
+    network = make_network('ab', 2, 2)
+    flood(network)
+    await network.run(8)
+    left = [name for name in network.routers if name.startswith('router-a')]
+    right = [name for name in network.routers if name.startswith('router-b')]
+    network.cut(left, right)
+    await network.run(10)
+    assert running(network, 'a') == 2 * LIMIT
+    assert running(network, 'b') == 2 * LIMIT
+    network.cuts.clear()
+    await network.run(10)
+    assert running(network, 'a') == 2 * LIMIT
+    assert running(network, 'b') == 2 * LIMIT
