Spend less on a short request: one line a placement, no extra task

Cause: the profile of a short request showed a quarter of its time in four log lines and their record look-ups, and a task of its own for each call. Ruled out: buffered log lines, which a kill would lose. Change: routing and placement share one line, which also names the lease; records skip fields that no line shows; calls that may be repeated run in the task of their connection.

--- a/src/hickorymux/_internal/coordination/decisions.py
+++ b/src/hickorymux/_internal/coordination/decisions.py
@@ -9,6 +9,7 @@
 from typing import Any, final
 
 from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.json_logging import FIELDS
 
 MAX_EXPLAINED_REQUESTS = 2000
 
@@ -38,23 +39,30 @@
         """Write one decision with its reason."""
         line = {
             'event': event,
+            'router': self.router_id,
             'request_id': request_id,
             'reason': reason,
             **fields,
         }
-        _logger.info(event, extra={'router': self.router_id, **line})
-        self._remember(request_id, line)
+        _logger.info(event, extra={FIELDS: line})
+        self.remember(request_id, line)
 
     def explain(self, request_id: str) -> list[dict[str, Any]]:
         """Return the decisions on a request, oldest first."""
-        return list(self.lines.get(request_id, ()))
+        lines = self.lines.get(request_id, ())
+        return [_readable(line) for line in lines]
 
-    def _remember(self, request_id: str, line: dict[str, Any]) -> None:
+    def remember(self, request_id: str, line: dict[str, Any]) -> None:
+        """Keep a line for ``explain`` without writing it to the log."""
         known = self.lines.get(request_id)
         if known is None:
             if len(self.lines) >= MAX_EXPLAINED_REQUESTS:
                 self.lines.popitem(last=False)
             known = []
             self.lines[request_id] = known
-        at = self.clock.wall().isoformat(timespec='milliseconds')
-        known.append({'time': at, **line})
+        known.append({'time': self.clock.wall(), **line})
+
+
+def _readable(line: dict[str, Any]) -> dict[str, Any]:
+    moment = line['time'].isoformat(timespec='milliseconds')
+    return {**line, 'time': moment}
--- a/src/hickorymux/_internal/coordination/slot_holder.py
+++ b/src/hickorymux/_internal/coordination/slot_holder.py
@@ -340,7 +340,6 @@
         for permit in self._idle_permits(pool, now):
             permit.is_busy = True
             lease_id = f'cold/{permit.key.index}/{permit.offset}'
-            self._log_take(permit.upstream, pool, lease_id)
             return Slot(
                 permit.upstream,
                 pool,
@@ -392,7 +391,6 @@
         holding.busy += 1
         session = self.sessions[holding.home_id]
         lease_id = f'{session.home_id}/{session.number}'
-        self._log_take(holding.upstream, pool, lease_id)
         return Slot(
             holding.upstream,
             pool,
@@ -402,18 +400,6 @@
             generation=holding.generation,
         )
 
-    def _log_take(self, upstream: Upstream, pool: str, lease_id: str) -> None:
-        log.info(
-            'slot taken',
-            extra={
-                'event': 'slot_take',
-                'upstream': upstream.name,
-                'zone': upstream.zone,
-                'pool': pool,
-                'lease': lease_id,
-            },
-        )
-
     def _may_send(self, holding: Holding, now: float) -> bool:
         session = self.sessions.get(holding.home_id)
         if session is None or now >= session.usable_until:
--- a/src/hickorymux/_internal/transport/caller_server.py
+++ b/src/hickorymux/_internal/transport/caller_server.py
@@ -8,7 +8,7 @@
 import dataclasses
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Final, Protocol, final
+from typing import Any, Final, Protocol, final
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -38,6 +38,7 @@
 MAX_KEY_CHARACTERS: Final = 255
 BODY_TIMEOUT_SECONDS: Final = 30
 OVERLOAD_RETRY_SECONDS: Final = 2.0
+DRAIN_POLL_SECONDS: Final = 0.05
 
 _logger = logging.getLogger(__name__)
 
@@ -148,7 +149,7 @@
         self.clock: Clock = dispatcher.clock
         self.decisions: DecisionLog = dispatcher.decisions
         self.metrics: RouterMetrics = dispatcher.metrics
-        self.running: set[asyncio.Task[None]] = set()
+        self.running: set[asyncio.Task[Any]] = set()
 
     def application(self) -> web.Application:
         """Return the application to serve."""
@@ -175,7 +176,7 @@
     async def drained(self) -> None:
         """Wait until no request runs."""
         while self.running:
-            await asyncio.wait(self.running)
+            await self.clock.sleep(DRAIN_POLL_SECONDS)
 
     async def _serve(
         self,
@@ -187,29 +188,32 @@
         self._check_ready()
         body = await self._read_body(request)
         call = self._match(request, request_id, customer, body)
-        self.decisions.record(
-            request_id,
-            'routed',
-            'model' if call.route.model else 'path prefix',
-            customer=customer,
-            route=call.route.name,
-            pool=call.pool.name,
-        )
-        work = asyncio.create_task(self._run(call, reply))
-        self.running.add(work)
-        work.add_done_callback(self.running.discard)
-        await self._finish(call, work)
+        if call.is_repeatable:
+            await self._run_tracked(call, reply, asyncio.current_task())
+        else:
+            await self._run_shielded(call, reply)
         self.metrics.count_outcome(call.pool.name, 'answered')
 
-    async def _finish(
+    async def _run_tracked(
         self,
         call: calls.Call,
-        work: 'asyncio.Task[None]',
+        reply: HttpReply,
+        work: 'asyncio.Task[Any] | None',
     ) -> None:
-        """Wait for the work; it goes on alone if it may not be repeated."""
-        if call.is_repeatable:
-            await work
-            return
+        """Run a call in the task that serves its connection."""
+        if work is None:
+            raise RuntimeError('a call runs outside of a task')
+        self.running.add(work)
+        try:
+            await self._run(call, reply)
+        finally:
+            self.running.discard(work)
+
+    async def _run_shielded(self, call: calls.Call, reply: HttpReply) -> None:
+        """Run a call that goes on to its end when the caller has left."""
+        work = asyncio.create_task(self._run(call, reply))
+        self.running.add(work)
+        work.add_done_callback(self.running.discard)
         work.add_done_callback(_read_exception)
         await asyncio.shield(work)
 
@@ -253,6 +257,8 @@
             )
 
     async def _read_body(self, request: web.Request) -> bytes:
+        if not request.body_exists:
+            return b''
         try:
             async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
                 return await request.read()
--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -47,6 +47,11 @@
 _STATUS_TOO_MANY: Final = 429
 _STATUS_UNAVAILABLE: Final = 503
 
+_PLACEMENT_REASON: Final = {
+    True: 'route by model; least served customer took a free slot',
+    False: 'route by path; least served customer took a free slot',
+}
+
 VerifyConnection = Callable[[Upstream, str, Any], Awaitable[None]]
 
 _logger = logging.getLogger(__name__)
@@ -180,12 +185,13 @@
         self.decisions.record(
             call.request_id,
             'dispatch',
-            'lowest counter of the pool, slot at hand',
+            _PLACEMENT_REASON[bool(call.route.model)],
             customer=call.customer,
             route=call.route.name,
             pool=call.pool.name,
             upstream=upstream.name,
             zone=upstream.zone,
+            lease=placement.slot.lease_id,
             attempt=history.attempts,
             waited_ms=round(waited * _MS_PER_SECOND, 1),
         )
--- a/src/hickorymux/_internal/utils/json_logging.py
+++ b/src/hickorymux/_internal/utils/json_logging.py
@@ -11,7 +11,7 @@
 import datetime as dt
 import logging
 import sys
-from typing import Any, final
+from typing import Any, TextIO, final
 
 import msgspec
 from absl import flags
@@ -25,39 +25,74 @@
         'taskName',
     )
 )
+FIELDS = 'fields'
+
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
 
 @final
 class JsonFormatter(logging.Formatter):
-    """Formats a record as one JSON object on one line."""
+    """Formats a record as one JSON object on one line.
+
+    A record whose only extra is ``fields`` is formatted fastest.
+    """
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line, without its end."""
         line: dict[str, Any] = {
-            'time': dt.datetime.fromtimestamp(
-                record.created,
-                dt.UTC,
-            ).isoformat(timespec='milliseconds'),
+            'time': _time_text(record.created),
             'level': record.levelname.lower(),
             'logger': record.name.rpartition('.')[2],
             'message': record.getMessage(),
         }
-        for name, field in record.__dict__.items():
-            if name not in _STANDARD_FIELDS:
-                line[name] = field
+        fields = record.__dict__.get(FIELDS)
+        line.update(_extras(record) if fields is None else fields)
         if record.exc_info:
             line['exception'] = self.formatException(record.exc_info)
         return _encoder.encode(line).decode()
 
 
+@final
+class JsonHandler(absl_logging.PythonHandler[TextIO]):
+    """Writes each record to stderr, with none of the file handling."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        self.stream.write(f'{self.format(record)}\n')
+
+
 def configure_logging(level: str = 'info') -> None:
-    """Send all loggers through absl's handler as JSON lines on stderr."""
+    """Send all loggers through an absl handler as JSON lines on stderr."""
     flags.FLAGS.mark_as_parsed()
-    handler = absl_logging.get_absl_handler()
-    handler.setFormatter(JsonFormatter())
-    absl_logging.use_absl_handler()
     absl_logging.set_verbosity(level)
-    absl_logging.set_stderrthreshold('debug')
-    handler.python_handler.stream = sys.stderr
+    root = logging.getLogger()
+    for former in root.handlers.copy():
+        root.removeHandler(former)
+    root.addHandler(JsonHandler(sys.stderr, JsonFormatter()))
     logging.getLogger('hickorymux').setLevel(level.upper())
+    _skip_unused_record_fields()
+
+
+def _skip_unused_record_fields() -> None:
+    """Spare each record the look-ups that its line does not show.
+
+    These switches are the ones that the documentation of ``logging`` lists
+    under optimization.
+    """
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging._srcfile = None
+
+
+def _time_text(seconds: float) -> str:
+    moment = dt.datetime.fromtimestamp(seconds, dt.UTC)
+    return moment.isoformat(timespec='milliseconds')
+
+
+def _extras(record: logging.LogRecord) -> dict[str, Any]:
+    return {
+        name: field
+        for name, field in record.__dict__.items()
+        if name not in _STANDARD_FIELDS
+    }
--- /dev/null
+++ b/tools/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of the real code, for ``docs/CAPACITY.md``."""
--- /dev/null
+++ b/tools/measure/slopes.py
@@ -0,0 +1,97 @@
+"""Measures a quantity at several sizes and fits a straight line."""
+
+import dataclasses
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable
+from typing import Any, Self
+
+REPEATS = 5
+MIN_RUN_SECONDS = 0.02
+US_PER_SECOND = 1_000_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Slope:
+    """A quantity at several sizes, with its line ``base + slope * size``.
+
+    ``straightness`` is the squared correlation of size and quantity; it is 1
+    for a straight line, and also for a quantity that does not change.
+    """
+
+    name: str
+    size_unit: str
+    unit: str
+    points: tuple[tuple[float, float], ...]
+    slope: float
+    base: float
+    straightness: float
+
+    @classmethod
+    def fit(
+        cls,
+        name: str,
+        size_unit: str,
+        unit: str,
+        points: Iterable[tuple[float, float]],
+    ) -> Self:
+        """Fit a line through points of size and quantity."""
+        found = tuple(points)
+        sizes = [size for size, _ in found]
+        readings = [reading for _, reading in found]
+        line = statistics.linear_regression(sizes, readings)
+        return cls(
+            name=name,
+            size_unit=size_unit,
+            unit=unit,
+            points=found,
+            slope=line.slope,
+            base=line.intercept,
+            straightness=_straightness(sizes, readings),
+        )
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the members for the result file."""
+        return dataclasses.asdict(self)
+
+
+def _straightness(sizes: list[float], readings: list[float]) -> float:
+    if len(set(readings)) == 1:
+        return 1
+    return statistics.correlation(sizes, readings) ** 2
+
+
+def processor_us(work: Callable[[], object]) -> float:
+    """Return the processor time of one call in microseconds.
+
+    It is the least of several runs, each long enough to be read.
+    """
+    calls = 1
+    spent = _spent_seconds(work, calls)
+    while spent < MIN_RUN_SECONDS:
+        calls *= 2
+        spent = _spent_seconds(work, calls)
+    best = min(_spent_seconds(work, calls) for _ in range(REPEATS))
+    return best / calls * US_PER_SECOND
+
+
+def _spent_seconds(work: Callable[[], object], calls: int) -> float:
+    gc.collect()
+    started = time.process_time()
+    for _ in range(calls):
+        work()
+    return time.process_time() - started
+
+
+def retained_octets(build: Callable[[], object]) -> float:
+    """Return how much memory the result of a call holds, in octets."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = build()
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return after - before if kept is not None else 0
