--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,12 +1,13 @@
 """Runs the demo: ``python -m demo --deployment two-zones --keep 0``."""
 
 import asyncio
+import io
 import signal
 import sys
 import tempfile
 import time
 from pathlib import Path
-from typing import Final
+from typing import Final, TextIO
 
 import aiohttp
 import defopt
@@ -35,7 +36,7 @@
     :param phase_seconds: seconds of each phase: before a zone is taken out,
         while it is out, and after it is back
     """
-    sys.stdout.reconfigure(line_buffering=True)
+    _flush_each_line(sys.stdout)
     try:
         chosen = Deployment.from_examples(deployment)
     except DeploymentError as error:
@@ -80,6 +81,11 @@
     return int(not all(verdict.is_kept for verdict in verdicts))
 
 
+def _flush_each_line(output: TextIO) -> None:
+    if isinstance(output, io.TextIOWrapper):
+        output.reconfigure(line_buffering=True)
+
+
 def _cancel_on_signals() -> None:
     task = asyncio.current_task()
     if task is None:
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -1,11 +1,11 @@
 """A deployment from ``examples/``: its tables, zones and customers."""
 
 import dataclasses
-import itertools
+import datetime as dt
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
-from typing import Final, Self, final
+from typing import Any, Final, Self, final
 
 from hickorymux._internal.state.rows import (
     PoolRow,
@@ -14,13 +14,11 @@
 )
 from hickorymux._internal.state.table_files import TableFiles
 from hickorymux._internal.state.tables import PoolKind
+from hickorymux._internal.utils.durations import parse_duration
 
 _EXAMPLES: Final = Path(__file__).parent.parent / 'examples'
-_ROUTERS_PER_ZONE: Final = 2
-_MAX_ROUTERS: Final = 7
 _LARGE_WIDTH: Final = 6
 _SMALL_WIDTH: Final = 2
-_LARGE_CUSTOMERS: Final = 2
 
 
 class DeploymentError(Exception):
@@ -41,7 +39,8 @@
     """The two table files and what the demo reads from them.
 
     ``customers`` maps each customer to the number of requests that it sends
-    at a time; those that the file lists first are large.
+    at a time; those with a weight of their own are large. ``client_delay``
+    is the time from callers to routers, one way.
     """
 
     name: str
@@ -52,6 +51,8 @@
     pools: Mapping[str, PoolRow]
     upstreams: tuple[UpstreamRow, ...]
     customers: Mapping[str, int]
+    routers: tuple[RouterPlace, ...]
+    client_delay: dt.timedelta
 
     @classmethod
     def from_examples(cls, name: str) -> Self:
@@ -62,6 +63,7 @@
             raise DeploymentError(f'no deployment {name!r}; there are {known}')
         files = directory / 'routes.toml', directory / 'pools.toml'
         rows = TableFiles.load(*files).rows.rows.values()
+        network = _read_toml(directory / 'network.toml')
         pools = [row for row in rows if isinstance(row, PoolRow)]
         return cls(
             name=name,
@@ -73,7 +75,9 @@
                 row for row in rows if isinstance(row, UpstreamRow)
             ),
             customers_file=directory / 'customers.toml',
-            customers=_widths(directory / 'customers.toml'),
+            customers=_widths(directory / 'customers.toml', pools),
+            routers=_routers(network),
+            client_delay=parse_duration(network['client_delay']),
         )
 
     @property
@@ -81,16 +85,6 @@
         """Return the availability zones in order."""
         return tuple(sorted({upstream.zone for upstream in self.upstreams}))
 
-    @property
-    def routers(self) -> tuple[RouterPlace, ...]:
-        """Return the routers: two a zone, and no more than seven."""
-        numbers = range(1, _ROUTERS_PER_ZONE + 1)
-        pairs = itertools.product(numbers, self.zones)
-        places = (
-            RouterPlace(f'{zone}-{number}', zone) for number, zone in pairs
-        )
-        return tuple(itertools.islice(places, _MAX_ROUTERS))
-
     @property
     def model(self) -> str:
         """Return the model of the first model route."""
@@ -132,9 +126,19 @@
         raise DeploymentError(f'{self.name} has no route of kind {kind.value}')
 
 
-def _widths(path: Path) -> dict[str, int]:
-    rows = tomllib.loads(path.read_text(encoding='utf-8'))['customer']
+def _routers(network: Mapping[str, Any]) -> tuple[RouterPlace, ...]:
+    hosts = network['entry_host']
+    return tuple(RouterPlace(host['name'], host['zone']) for host in hosts)
+
+
+def _widths(path: Path, pools: Iterable[PoolRow]) -> dict[str, int]:
+    large = {customer for pool in pools for customer in pool.weights}
+    rows = _read_toml(path)['customer']
     return {
-        row['name']: _LARGE_WIDTH if number < _LARGE_CUSTOMERS else _SMALL_WIDTH
-        for number, row in enumerate(rows)
+        row['name']: _LARGE_WIDTH if row['name'] in large else _SMALL_WIDTH
+        for row in rows
     }
+
+
+def _read_toml(path: Path) -> dict[str, Any]:
+    return tomllib.loads(path.read_text(encoding='utf-8'))
--- a/demo/requests.py
+++ b/demo/requests.py
@@ -1,5 +1,6 @@
 """Sends one request to a router and judges its answer as a caller would."""
 
+import asyncio
 import json
 import time
 from collections.abc import Iterator
@@ -23,9 +24,19 @@
 
 @final
 class Caller:
-    """One customer's client; ``key`` is the customer's key."""
+    """One customer's client; ``key`` is the customer's key.
 
-    __slots__ = ('customer', 'key', 'model', 'prefix', 'session')
+    ``delay_seconds`` is the time to a router, one way.
+    """
+
+    __slots__ = (
+        'customer',
+        'delay_seconds',
+        'key',
+        'model',
+        'prefix',
+        'session',
+    )
 
     def __init__(
         self,
@@ -34,18 +45,22 @@
         key: str,
         model: str,
         prefix: str,
+        delay_seconds: float = 0,
     ) -> None:
         self.session = session
         self.customer = customer
         self.key = key
         self.model = model
-        self.prefix = prefix
+        self.prefix = prefix.rstrip('/')
+        self.delay_seconds = delay_seconds
 
     async def send(self, outcome: Outcome, url: str, tokens: int) -> None:
         """Send the request of an outcome and note how it ended."""
         started_at = time.monotonic()
         try:
+            await asyncio.sleep(self.delay_seconds)
             await self._send(outcome, url, tokens)
+            await asyncio.sleep(self.delay_seconds)
         except (aiohttp.ClientError, TimeoutError, AnswerError) as error:
             outcome.result = Result.lost
             outcome.cause = f'{type(error).__name__}: {error}'
@@ -56,7 +71,7 @@
         method, path = 'POST', _CHAT_PATH
         if outcome.kind in {WorkKind.read, WorkKind.write}:
             method = 'GET' if outcome.kind is WorkKind.read else 'POST'
-            path = f'{self.prefix}{self.customer}'
+            path = f'{self.prefix}/{self.customer}'
         async with self.session.request(
             method,
             f'{url}{path}',
--- a/demo/show.py
+++ b/demo/show.py
@@ -136,6 +136,7 @@
                 deployment.key_of(customer),
                 deployment.model,
                 deployment.path_prefix,
+                deployment.client_delay.total_seconds(),
             ),
             width,
         )
--- a/src/hickorymux_emulator/programs.py
+++ b/src/hickorymux_emulator/programs.py
@@ -136,7 +136,7 @@
 
     def last_words(self) -> str:
         """Return the last lines of both outputs, for an error message."""
-        lines = [*self.stdout[-5:], *self.stderr[-20:]]
+        lines = [*self.stdout[-3:], *self.stderr[-6:]]
         return f'status {self.process.poll()}, output:\n' + '\n'.join(lines)
 
     def terminate(self) -> None:
--- a/tests/unit/test_demo_judgement.py
+++ b/tests/unit/test_demo_judgement.py
@@ -36,7 +36,9 @@
     write.result = Result.whole
     refused = Outcome('r2', 'hotel', WorkKind.stream, 'n1', ran='no')
     refused.result = Result.refused
-    return [write, refused], records
+    served = Outcome('r0', 'hotel', WorkKind.stream, 'n1')
+    served.result = Result.whole
+    return [write, refused, served], records
 
 
 def broken(outcomes, records, statuses=None) -> list[str]:
@@ -50,7 +52,7 @@
 
 def test_lost_answer_is_found() -> None:
     outcomes, records = kept_world()
-    outcomes.append(Outcome('r3', 'hotel', WorkKind.read, 'n1'))
+    outcomes.append(Outcome('r3', 'hotel', WorkKind.stream, 'n1'))
     assert broken(outcomes, records) == [
         'every answer is whole and to its own request'
     ]
@@ -95,6 +97,14 @@
     assert broken(outcomes, records) == ['a zone that is back gets work again']
 
 
+def test_unserved_customer_is_found() -> None:
+    outcomes, records = kept_world()
+    outcomes.pop()
+    assert broken(outcomes, records) == [
+        'every customer is served, with each kind of work'
+    ]
+
+
 def test_bad_exit_is_found() -> None:
     assert broken(*kept_world(), statuses={'router': 1}) == [
         'every process stops by itself'
