Settle claims through a writer for each partition

Cause: at the planned size some 1,750 claims a second would need as many appends when each of 410 routers appends for itself; the log takes several hundred. Also, the expiry of a key rested on the stated retention, while a log may trim earlier, by number of records.

Change: live routers rank themselves for a partition by rendezvous hash; others send batches to the first, then to the second, then append for themselves with the same attempt ids. The expiry of a UUIDv7 key now rests only on what the reader has seen trimmed; silent streams get an empty record at a quarter of the retention, so that a new reader knows how far back the log reaches.

Conclusion: one mechanism for 1 and 64 partitions; safety rests on offset order only. Not yet model checked.

--- a/src/hickorymux/_internal/coordination/claim_lane.py
+++ b/src/hickorymux/_internal/coordination/claim_lane.py
@@ -1,32 +1,31 @@
-"""One claim stream: appends entries in batches and folds what the log holds.
+"""The queue of one claim stream: gathers entries and settles them in batches.
 
 One task serves the lane. While one batch is on its way the next one gathers,
-so the number of appends is bounded by the round trip and not by the load.
+so the number of appends is bounded by time and not by the load.
 """
 
 import asyncio
 import collections
 import contextlib
 import dataclasses
-import datetime as dt
 import logging
 from collections.abc import Sequence
 from typing import final
 
-from hickorymux._internal.coordination.ports import LogClient
+from hickorymux._internal.coordination.claim_relay import ClaimRelay
+from hickorymux._internal.coordination.claim_settings import ClaimSettings
+from hickorymux._internal.coordination.claim_stream import ClaimStream
 from hickorymux._internal.exceptions import (
     ClaimUnavailable,
     LogAppendUnknown,
     LogError,
-    LogTrimmed,
     LogUnavailable,
 )
 from hickorymux._internal.state.claim_fold import (
     ClaimEntry,
-    ClaimFold,
     Entry,
-    ProtectedWindow,
     ReleaseEntry,
+    Standing,
     Verdict,
     encode_entries,
 )
@@ -35,43 +34,20 @@
 logger = logging.getLogger(__name__)
 
 _RETRY_PAUSE_SECONDS = 0.05
-_READ_LIMIT_RECORDS = 1000
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class ClaimSettings:
-    """Settings of the claim streams; each must be equal on all routers.
-
-    ``partitions`` is the number of streams. ``retention`` is the least age at
-    which the log service trims a record. ``skew`` bounds how far a caller's
-    clock may run ahead. ``decision`` bounds the time to a verdict.
-    """
-
-    partitions: int = 1
-    retention: dt.timedelta = dt.timedelta(hours=1)
-    skew: dt.timedelta = dt.timedelta(minutes=1)
-    decision: dt.timedelta = dt.timedelta(seconds=3)
-    batch_window: dt.timedelta = dt.timedelta(milliseconds=2)
-    log_timeout: dt.timedelta = dt.timedelta(seconds=1)
-    retry_after: dt.timedelta = dt.timedelta(seconds=1)
-    max_batch: int = 512
-    max_pending: int = 8192
-
-    @property
-    def window(self) -> ProtectedWindow:
-        """Return how long keys are protected under these settings."""
-        return ProtectedWindow(self.retention, self.skew, self.decision)
+_SILENT_LOG = 'the log service does not answer'
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Pending:
-    """An entry that waits to be appended, and who waits for its verdict.
+    """An entry that waits to be settled, and who waits for its verdict.
 
-    ``may_have_landed`` is set once an append that holds the entry was sent.
+    ``may_have_landed`` is set once the entry may be on the log. ``is_direct``
+    marks an entry that this router settles as the writer.
     """
 
     entry: Entry
     verdict: asyncio.Future[Verdict]
+    is_direct: bool = False
     may_have_landed: bool = False
 
 
@@ -80,40 +56,50 @@
         pending.may_have_landed = may_have_landed
 
 
+def _resolve(batch: Sequence[Pending], verdicts: Sequence[Verdict]) -> None:
+    for pending, verdict in zip(batch, verdicts, strict=True):
+        if not pending.verdict.done():
+            pending.verdict.set_result(verdict)
+
+
 @final
 class ClaimLane:
-    """Appends to one claim stream and follows it as far as needed."""
+    """Settles the entries of one partition, by its writer or by itself."""
 
     def __init__(
         self,
-        stream: str,
-        log: LogClient,
+        partition: int,
+        stream: ClaimStream,
         clock: Clock,
         settings: ClaimSettings,
+        relay: ClaimRelay | None = None,
     ) -> None:
+        self.partition = partition
         self.stream = stream
-        self.log = log
         self.clock = clock
         self.settings = settings
-        self.fold = ClaimFold()
+        self.relay = relay
         self.queue: collections.deque[Pending] = collections.deque()
         self.arrived = asyncio.Event()
-        self.read_lock = asyncio.Lock()
         self.is_down = False
         self.probe_at = float('-inf')
+        self.append_at = float('-inf')
         self.task: asyncio.Task[None] | None = None
 
-    def submit(self, entry: Entry) -> Pending:
+    def submit(self, entry: Entry, *, is_direct: bool = False) -> Pending:
         """Queue an entry; raise ``ClaimUnavailable`` if the log is down."""
         if self.is_down:
             self._admit_probe()
         if len(self.queue) >= self.settings.max_pending:
             raise self.unavailable('too many claims wait for the log service')
-        return self._enqueue(entry)
+        return self._enqueue(entry, is_direct=is_direct)
 
     def abandon(self, pending: Pending) -> None:
         """Give up on a claim: its attempt will not send, so release it."""
         pending.verdict.cancel()
+        if pending.is_direct:
+            # Only the router that made the attempt knows that it won't send.
+            return
         if isinstance(pending.entry, ClaimEntry) and pending.may_have_landed:
             self.note(ReleaseEntry(pending.entry.key, pending.entry.attempt))
 
@@ -122,18 +108,27 @@
         if len(self.queue) < self.settings.max_pending:
             self._enqueue(entry)
 
+    def known_refusal(self, entry: Entry) -> Verdict | None:
+        """Return a verdict without an append if another attempt owns the key.
+
+        An attempt that is refused so never sends, whatever happens later.
+        """
+        fold = self.stream.fold
+        if not isinstance(entry, ClaimEntry):
+            return None
+        if fold.owner(entry.key) in {b'', entry.attempt}:
+            return None
+        verdict = fold.verdict(entry.key, entry.attempt)
+        return dataclasses.replace(verdict, standing=Standing.lost)
+
     def unavailable(self, reason: str) -> ClaimUnavailable:
         """Return the error of a claim that will certainly not be used."""
         return ClaimUnavailable(
             reason,
-            where=self.stream,
+            where=self.stream.name,
             retry_after=self.settings.retry_after.total_seconds(),
         )
 
-    async def refresh(self) -> None:
-        """Fold what was appended since the last read; raises ``LogError``."""
-        await self._read_through(-1)
-
     async def close(self) -> None:
         """Stop the task of the lane."""
         if self.task is not None:
@@ -157,11 +152,12 @@
     def _admit_probe(self) -> None:
         now = self.clock.monotonic()
         if now < self.probe_at:
-            raise self.unavailable('the log service does not answer')
+            raise self.unavailable(_SILENT_LOG)
         self.probe_at = now + self.settings.retry_after.total_seconds()
 
-    def _enqueue(self, entry: Entry) -> Pending:
-        pending = Pending(entry, asyncio.get_running_loop().create_future())
+    def _enqueue(self, entry: Entry, *, is_direct: bool = False) -> Pending:
+        verdict = asyncio.get_running_loop().create_future()
+        pending = Pending(entry, verdict, is_direct)
         self.queue.append(pending)
         self.arrived.set()
         if self.task is None:
@@ -179,31 +175,70 @@
         return batch
 
     async def _settle(self, batch: list[Pending]) -> None:
+        payload = encode_entries(pending.entry for pending in batch)
+        was_asked = self._has_other_writer(batch)
+        if was_asked and await self._settle_by_writer(batch, payload):
+            self.is_down = False
+            return
         try:
-            await self._read_through(await self._append(batch))
+            await self._settle_directly(batch, payload, was_asked=was_asked)
         except LogError as error:
             await self._fail(batch, error)
-            return
-        self.is_down = False
-        for pending in batch:
-            if not pending.verdict.done():
-                pending.verdict.set_result(self._verdict(pending.entry))
+        else:
+            self.is_down = False
 
-    def _verdict(self, entry: Entry) -> Verdict:
-        return self.fold.verdict(entry.key, entry.attempt)
+    def _has_other_writer(self, batch: list[Pending]) -> bool:
+        if self.relay is None or any(item.is_direct for item in batch):
+            return False
+        return not self.relay.is_first_writer(self.partition)
 
-    async def _append(self, batch: list[Pending]) -> int:
-        payload = encode_entries(pending.entry for pending in batch)
+    async def _settle_by_writer(
+        self,
+        batch: list[Pending],
+        payload: bytes,
+    ) -> bool:
+        if self.relay is None:
+            return False
+        # From here on the writer may append the entries at any time.
+        _mark_landed(batch, may_have_landed=True)
+        verdicts = await self.relay.ask(self.partition, payload)
+        if len(verdicts) != len(batch):
+            return False
+        _resolve(batch, verdicts)
+        return True
+
+    async def _settle_directly(
+        self,
+        batch: list[Pending],
+        payload: bytes,
+        *,
+        was_asked: bool,
+    ) -> None:
         give_up_at = self.clock.monotonic()
         give_up_at += self.settings.decision.total_seconds()
+        await self._keep_interval()
         _mark_landed(batch, may_have_landed=True)
         try:
-            return await self._append_once(payload)
+            offset = await self.stream.append(payload)
         except LogUnavailable:
-            _mark_landed(batch, may_have_landed=False)
+            _mark_landed(batch, may_have_landed=was_asked)
             raise
         except LogAppendUnknown:
-            return await self._append_again(payload, give_up_at)
+            offset = await self._append_again(payload, give_up_at)
+        await self.stream.read_through(offset)
+        fold = self.stream.fold
+        entries = (pending.entry for pending in batch)
+        _resolve(
+            batch,
+            [fold.verdict(entry.key, entry.attempt) for entry in entries],
+        )
+
+    async def _keep_interval(self) -> None:
+        now = self.clock.monotonic()
+        if now < self.append_at:
+            await self.clock.sleep(self.append_at - now)
+        interval = self.settings.append_interval.total_seconds()
+        self.append_at = self.clock.monotonic() + interval
 
     async def _append_again(self, payload: bytes, give_up_at: float) -> int:
         # Entries carry the attempt id, so that appending a batch again after
@@ -211,53 +246,15 @@
         while self.clock.monotonic() < give_up_at:
             await self.clock.sleep(_RETRY_PAUSE_SECONDS)
             with contextlib.suppress(LogError):
-                return await self._append_once(payload)
-        raise LogAppendUnknown('no answer in time', where=self.stream)
-
-    async def _append_once(self, payload: bytes) -> int:
-        try:
-            async with asyncio.timeout(self._log_timeout):
-                return await self.log.append(self.stream, payload)
-        except TimeoutError as error:
-            raise LogAppendUnknown('timeout', where=self.stream) from error
-
-    @property
-    def _log_timeout(self) -> float:
-        return self.settings.log_timeout.total_seconds()
-
-    async def _read_through(self, offset: int) -> None:
-        async with self.read_lock:
-            is_complete = False
-            while not is_complete:
-                is_complete = await self._read_page(offset)
-
-    async def _read_page(self, offset: int) -> bool:
-        """Fold one page; return whether ``offset`` and all known are in."""
-        try:
-            async with asyncio.timeout(self._log_timeout):
-                page = await self.log.read(
-                    self.stream,
-                    self.fold.next_offset,
-                    limit=_READ_LIMIT_RECORDS,
-                )
-        except TimeoutError as error:
-            raise LogUnavailable('timeout', where=self.stream) from error
-        except LogTrimmed as trimmed:
-            # What was folded is trimmed, and so is what was missed.
-            self.fold.trim(trimmed.first_offset)
-            return False
-        self.fold.trim(page.first_offset)
-        for record in page.records:
-            self.fold.apply(record.offset, record.appended_at, record.payload)
-        is_at_end = self.fold.next_offset >= page.end_offset
-        return is_at_end or 0 <= offset < self.fold.next_offset
+                return await self.stream.append(payload)
+        raise LogAppendUnknown('no answer in time', where=self.stream.name)
 
     async def _fail(self, batch: list[Pending], error: LogError) -> None:
         logger.warning(
             'claims not recorded',
             extra={
                 'event': 'claims_failed',
-                'stream': self.stream,
+                'stream': self.stream.name,
                 'reason': str(error),
             },
         )
@@ -273,6 +270,5 @@
             self.note(pending.entry)
             return
         if not pending.verdict.done():
-            error = self.unavailable('the log service does not answer')
-            pending.verdict.set_exception(error)
+            pending.verdict.set_exception(self.unavailable(_SILENT_LOG))
             self.abandon(pending)
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/claim_relay.py
@@ -0,0 +1,191 @@
+"""Hands claims to the writer of their stream and waits for its verdicts.
+
+At size not every router can append for itself. The live routers rank
+themselves for each partition by rendezvous hash; the first is its writer and
+the second stands by. Safety does not rest on there being one writer: offset
+order decides, and appending an entry twice changes nothing.
+"""
+
+import asyncio
+import datetime as dt
+import itertools
+from typing import final
+
+import xxhash
+
+from hickorymux._internal.coordination.claim_messages import (
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimVerdict,
+)
+from hickorymux._internal.coordination.claim_settings import ClaimSettings
+from hickorymux._internal.coordination.ports import (
+    Member,
+    MemberView,
+    PeerSender,
+)
+from hickorymux._internal.state.claim_fold import NEVER, Standing, Verdict
+from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.ids import new_incarnation
+
+WRITERS_PER_PARTITION = 2
+_EPOCH = dt.datetime(1970, 1, 1, tzinfo=dt.UTC)
+_MILLISECOND = dt.timedelta(milliseconds=1)
+
+
+def _score(member: Member, partition: int) -> int:
+    text = f'{partition}/{member.router_id}'
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def writers_of(partition: int, members: MemberView) -> list[str]:
+    """Return the ids of a partition's writer and of its standby."""
+    staying = [member for member in members.live() if not member.is_leaving]
+    ranked = sorted(
+        staying,
+        key=lambda member: _score(member, partition),
+        reverse=True,
+    )
+    return [member.router_id for member in ranked[:WRITERS_PER_PARTITION]]
+
+
+def _to_ms(wall: dt.datetime) -> int:
+    if wall == NEVER:
+        return 0
+    return (wall - _EPOCH) // _MILLISECOND
+
+
+def _from_ms(milliseconds: int) -> dt.datetime:
+    if not milliseconds:
+        return NEVER
+    return _EPOCH + milliseconds * _MILLISECOND
+
+
+def encode_verdict(verdict: Verdict) -> ClaimVerdict:
+    """Return the verdict in the form that is sent.
+
+    ``trimmed_until`` is rounded up, so that no forgotten claim counts as seen.
+    """
+    trimmed_until_ms = _to_ms(verdict.trimmed_until)
+    return ClaimVerdict(
+        verdict.standing.value,
+        verdict.owner_body,
+        verdict.status,
+        _to_ms(verdict.claimed_at),
+        trimmed_until_ms + 1 if trimmed_until_ms else 0,
+    )
+
+
+def decode_verdict(message: ClaimVerdict) -> Verdict:
+    """Return the verdict that was sent; raises ``ValueError`` if unknown."""
+    return Verdict(
+        Standing(message.standing),
+        message.owner_body,
+        message.status,
+        _from_ms(message.claimed_at_ms),
+        _from_ms(message.trimmed_until_ms),
+    )
+
+
+@final
+class ClaimRelay:
+    """Asks writers, and remembers which ones kept silent of late."""
+
+    __slots__ = (
+        'clock',
+        'members',
+        'numbers',
+        'sender',
+        'settings',
+        'silent_until',
+        'waiting',
+    )
+
+    def __init__(
+        self,
+        members: MemberView,
+        sender: PeerSender,
+        clock: Clock,
+        settings: ClaimSettings,
+    ) -> None:
+        self.members = members
+        self.sender = sender
+        self.clock = clock
+        self.settings = settings
+        self.numbers = itertools.count(new_incarnation())
+        self.silent_until: dict[str, float] = {}
+        self.waiting: dict[int, asyncio.Future[ClaimAnswer]] = {}
+
+    def is_writer(self, partition: int) -> bool:
+        """Return whether this router writes or stands by for a partition."""
+        my_id = self.members.myself.router_id
+        return my_id in writers_of(partition, self.members)
+
+    def is_first_writer(self, partition: int) -> bool:
+        """Return whether this router writes a partition, or nobody does."""
+        writers = writers_of(partition, self.members)
+        return not writers or writers[0] == self.members.myself.router_id
+
+    async def ask(self, partition: int, entries: bytes) -> list[Verdict]:
+        """Return a verdict for each entry, none when no writer answers.
+
+        The entries may have been appended also when there is no answer.
+        """
+        for router_id in writers_of(partition, self.members):
+            if router_id == self.members.myself.router_id:
+                return []
+            verdicts = await self._ask_one(router_id, partition, entries)
+            if verdicts:
+                return verdicts
+        return []
+
+    def on_answer(self, answer: ClaimAnswer) -> None:
+        """Take an answer; one that nobody waits for any more is dropped."""
+        future = self.waiting.get(answer.number)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    async def _ask_one(
+        self,
+        router_id: str,
+        partition: int,
+        entries: bytes,
+    ) -> list[Verdict]:
+        if self.clock.monotonic() < self.silent_until.get(router_id, 0):
+            return []
+        number = next(self.numbers)
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        try:
+            if not self.sender.send(
+                router_id, ClaimAsk(number, partition, entries)
+            ):
+                return []
+            async with asyncio.timeout(self._writer_timeout):
+                return _verdicts(await future)
+        except TimeoutError:
+            self._note_silence(router_id)
+            return []
+        finally:
+            self.waiting.pop(number)
+
+    @property
+    def _writer_timeout(self) -> float:
+        return self.settings.writer_timeout.total_seconds()
+
+    def _note_silence(self, router_id: str) -> None:
+        now = self.clock.monotonic()
+        self.silent_until = {
+            known: until
+            for known, until in self.silent_until.items()
+            if until > now
+        }
+        pause = self.settings.writer_pause.total_seconds()
+        self.silent_until[router_id] = now + pause
+
+
+def _verdicts(answer: ClaimAnswer) -> list[Verdict]:
+    try:
+        return [decode_verdict(message) for message in answer.verdicts]
+    except ValueError:
+        return []
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/claim_settings.py
@@ -0,0 +1,49 @@
+"""Settings of the claim streams; they must be equal on all routers."""
+
+import dataclasses
+import datetime as dt
+
+from hickorymux._internal.state.claim_fold import ProtectedWindow
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClaimSettings:
+    """How claims are spread, batched and bounded in time.
+
+    ``partitions`` is the number of streams. ``retention`` is the least age at
+    which the log service trims a record. ``skew`` bounds how far a caller's
+    clock may run ahead. ``decision`` bounds the time to a verdict.
+    ``append_interval`` is the least time between two appends of one writer to
+    one stream, so that ``partitions / append_interval`` bounds the appends a
+    second of the whole fleet. ``writer_timeout`` is how long a router waits
+    for a writer before it turns to the next, and then to the log itself.
+    """
+
+    partitions: int = 4
+    retention: dt.timedelta = dt.timedelta(hours=1)
+    skew: dt.timedelta = dt.timedelta(seconds=30)
+    decision: dt.timedelta = dt.timedelta(seconds=3)
+    batch_window: dt.timedelta = dt.timedelta(milliseconds=2)
+    append_interval: dt.timedelta = dt.timedelta(milliseconds=20)
+    writer_timeout: dt.timedelta = dt.timedelta(milliseconds=250)
+    writer_pause: dt.timedelta = dt.timedelta(seconds=1)
+    log_timeout: dt.timedelta = dt.timedelta(seconds=1)
+    retry_after: dt.timedelta = dt.timedelta(seconds=1)
+    follow_interval: dt.timedelta = dt.timedelta(seconds=1)
+    forget_after: dt.timedelta = dt.timedelta(minutes=1)
+    max_batch: int = 512
+    max_pending: int = 8192
+
+    @property
+    def window(self) -> ProtectedWindow:
+        """Return how long keys are protected under these settings."""
+        return ProtectedWindow(self.retention, self.skew, self.decision)
+
+    @property
+    def mark_interval(self) -> dt.timedelta:
+        """Return how often a silent stream gets an empty record.
+
+        Without it a router that starts after a long silence could not tell
+        how far back the log reaches, and would refuse keys for ``skew``.
+        """
+        return self.retention / 4
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/claim_stream.py
@@ -0,0 +1,116 @@
+"""One claim stream as this router has read it from the log."""
+
+import asyncio
+from typing import final
+
+from hickorymux._internal.coordination.claim_settings import ClaimSettings
+from hickorymux._internal.coordination.ports import LogClient
+from hickorymux._internal.exceptions import (
+    LogAppendUnknown,
+    LogTrimmed,
+    LogUnavailable,
+)
+from hickorymux._internal.state.claim_fold import (
+    ClaimFold,
+    encode_entries,
+)
+from hickorymux._internal.utils.clock import Clock
+
+_READ_LIMIT_RECORDS = 1000
+
+
+@final
+class ClaimStream:
+    """Appends to the stream and folds it up to a wanted offset.
+
+    ``used_at`` and ``grown_at`` are the monotonic times, in seconds, of the
+    last read and of the last read that found records.
+    """
+
+    __slots__ = (
+        'clock',
+        'fold',
+        'grown_at',
+        'lock',
+        'log',
+        'name',
+        'settings',
+        'used_at',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        log: LogClient,
+        clock: Clock,
+        settings: ClaimSettings,
+    ) -> None:
+        self.name = name
+        self.log = log
+        self.clock = clock
+        self.settings = settings
+        self.fold = ClaimFold()
+        self.lock = asyncio.Lock()
+        self.used_at = clock.monotonic()
+        self.grown_at = float('-inf')
+
+    async def append(self, payload: bytes) -> int:
+        """Append a record within the time limit; raises ``LogError``."""
+        try:
+            async with asyncio.timeout(self._log_timeout):
+                return await self.log.append(self.name, payload)
+        except TimeoutError as error:
+            raise LogAppendUnknown('timeout', where=self.name) from error
+
+    async def read_through(self, offset: int) -> None:
+        """Fold up to ``offset``, or up to the end; raises ``LogError``."""
+        async with self.lock:
+            self.used_at = self.clock.monotonic()
+            is_complete = False
+            while not is_complete:
+                is_complete = await self._read_page(offset)
+
+    async def refresh(self) -> None:
+        """Fold everything up to the end of the stream."""
+        await self.read_through(-1)
+
+    async def follow(self) -> None:
+        """Refresh, and mark the stream when it has long been silent."""
+        await self.refresh()
+        now = self.clock.monotonic()
+        if self.grown_at + self.settings.mark_interval.total_seconds() > now:
+            return
+        self.grown_at = now
+        await self.append(encode_entries(()))
+
+    async def forget(self) -> None:
+        """Drop what was read; the next read starts anew."""
+        async with self.lock:
+            self.fold = ClaimFold()
+
+    @property
+    def _log_timeout(self) -> float:
+        return self.settings.log_timeout.total_seconds()
+
+    async def _read_page(self, offset: int) -> bool:
+        """Fold one page; return whether the wanted offset is in."""
+        try:
+            async with asyncio.timeout(self._log_timeout):
+                page = await self.log.read(
+                    self.name,
+                    self.fold.next_offset,
+                    limit=_READ_LIMIT_RECORDS,
+                )
+        except TimeoutError as error:
+            raise LogUnavailable('timeout', where=self.name) from error
+        except LogTrimmed as trimmed:
+            # What was folded is trimmed, and so is what was missed.
+            self.fold.trim(trimmed.first_offset)
+            return False
+        self.fold.trim(page.first_offset)
+        if page.records:
+            self.grown_at = self.clock.monotonic()
+        for record in page.records:
+            self.fold.apply(record.offset, record.appended_at, record.payload)
+        is_at_end = self.fold.next_offset >= page.end_offset
+        return is_at_end or 0 <= offset < self.fold.next_offset
--- a/src/hickorymux/_internal/coordination/claims.py
+++ b/src/hickorymux/_internal/coordination/claims.py
@@ -19,17 +19,28 @@
 import enum
 import logging
 import secrets
-from typing import final
+from typing import NoReturn, final
 
-from hickorymux._internal.coordination.claim_lane import (
-    ClaimLane,
-    ClaimSettings,
-    Pending,
+from hickorymux._internal.coordination.claim_lane import ClaimLane, Pending
+from hickorymux._internal.coordination.claim_messages import (
+    ClaimAnswer,
+    ClaimAsk,
+)
+from hickorymux._internal.coordination.claim_relay import (
+    ClaimRelay,
+    encode_verdict,
+)
+from hickorymux._internal.coordination.claim_settings import ClaimSettings
+from hickorymux._internal.coordination.claim_stream import ClaimStream
+from hickorymux._internal.coordination.ports import (
+    LogClient,
+    MemberView,
+    PeerSender,
 )
-from hickorymux._internal.coordination.ports import LogClient
 from hickorymux._internal.exceptions import (
     BadRequest,
     ClaimSpent,
+    ClaimUnavailable,
     DuplicateRequest,
     KeyExpired,
     KeyInvalid,
@@ -39,10 +50,12 @@
 )
 from hickorymux._internal.state.claim_fold import (
     ClaimEntry,
+    Entry,
     OutcomeEntry,
     ReleaseEntry,
     Standing,
     Verdict,
+    decode_entries,
     digest,
     key_time,
 )
@@ -52,6 +65,7 @@
 
 STREAM_PREFIX = 'claims-'
 MAX_KEY_CHARS = 255
+MAX_SERVED_ASKS = 1024
 _ATTEMPT_BYTES = 16
 _PARTITION_BYTES = 8
 
@@ -134,16 +148,16 @@
 
     def __init__(
         self,
-        log: LogClient,
+        lanes: tuple[ClaimLane, ...],
         clock: Clock,
         settings: ClaimSettings,
+        relay: ClaimRelay | None,
     ) -> None:
+        self.lanes = lanes
         self.clock = clock
         self.settings = settings
-        self.lanes = tuple(
-            ClaimLane(f'{STREAM_PREFIX}{number}', log, clock, settings)
-            for number in range(settings.partitions)
-        )
+        self.relay = relay
+        self.served: set[asyncio.Task[None]] = set()
 
     @classmethod
     def from_config(
@@ -151,9 +165,27 @@
         log: LogClient,
         clock: Clock,
         settings: ClaimSettings,
+        members: MemberView | None = None,
+        sender: PeerSender | None = None,
     ) -> 'Claimer':
-        """Return a claimer; its streams are read when they are first used."""
-        return cls(log, clock, settings)
+        """Return a claimer; its streams are read when they are first used.
+
+        Without ``members`` and ``sender`` it appends everything by itself.
+        """
+        relay = None
+        if members is not None and sender is not None:
+            relay = ClaimRelay(members, sender, clock, settings)
+        lanes = [
+            ClaimLane(
+                number,
+                ClaimStream(f'{STREAM_PREFIX}{number}', log, clock, settings),
+                clock,
+                settings,
+                relay,
+            )
+            for number in range(settings.partitions)
+        ]
+        return cls(tuple(lanes), clock, settings, relay)
 
     async def claim(
         self,
@@ -173,33 +205,90 @@
         longer tell, ``KeyInvalid`` and ``ClaimUnavailable`` (nothing ran).
         """
         created = _created(key, requires_uuid7=requires_uuid7)
-        key_digest = digest(customer.encode(), route.encode(), key.encode())
-        attempt = secrets.token_bytes(_ATTEMPT_BYTES)
-        entry = ClaimEntry(key_digest, attempt, body_digest)
+        entry = ClaimEntry(
+            digest(customer.encode(), route.encode(), key.encode()),
+            secrets.token_bytes(_ATTEMPT_BYTES),
+            body_digest,
+        )
         ask = _Ask(entry, created, self.clock.monotonic())
-        lane = self._lane(key_digest)
-        await self._refuse_known(lane, entry)
+        lane = self.lane_of(customer, route, key)
+        await self._refuse_known(lane, ask)
         verdict = await self._decide(lane, ask, deadline)
         return self._judge(lane, ask, verdict)
 
+    async def run(self) -> None:
+        """Follow the streams that this router writes, until cancelled."""
+        while True:
+            for lane in self.lanes:
+                await self._follow(lane)
+            await self.clock.sleep(
+                self.settings.follow_interval.total_seconds(),
+            )
+
+    def on_message(self, sender: str, message: ClaimAsk | ClaimAnswer) -> None:
+        """Take a message of another router."""
+        if self.relay is None:
+            return
+        if isinstance(message, ClaimAnswer):
+            self.relay.on_answer(message)
+            return
+        if message.partition >= len(self.lanes):
+            return
+        if len(self.served) < MAX_SERVED_ASKS:
+            work = asyncio.create_task(self._serve(sender, message))
+            self.served.add(work)
+            work.add_done_callback(self.served.discard)
+
+    def lane_of(self, customer: str, route: str, key: str) -> ClaimLane:
+        """Return the lane of the partition that a key belongs to."""
+        hashed = digest(customer.encode(), route.encode(), key.encode())
+        number = int.from_bytes(hashed[:_PARTITION_BYTES], 'big')
+        return self.lanes[number % len(self.lanes)]
+
     async def close(self) -> None:
         """Stop the tasks of all streams."""
+        for work in self.served:
+            work.cancel()
         await asyncio.gather(*(lane.close() for lane in self.lanes))
 
-    def _lane(self, key: bytes) -> ClaimLane:
-        number = int.from_bytes(key[:_PARTITION_BYTES], 'big')
-        return self.lanes[number % len(self.lanes)]
-
-    async def _refuse_known(self, lane: ClaimLane, entry: ClaimEntry) -> None:
+    async def _follow(self, lane: ClaimLane) -> None:
+        stream = lane.stream
+        if self.relay is None or self.relay.is_writer(lane.partition):
+            try:
+                await stream.follow()
+            except LogError as error:
+                logger.info('claims not read', extra={'reason': str(error)})
+            return
+        idle_seconds = self.clock.monotonic() - stream.used_at
+        if idle_seconds > self.settings.forget_after.total_seconds():
+            await stream.forget()
+
+    async def _serve(self, sender: str, ask: ClaimAsk) -> None:
+        """Settle the entries of another router and answer it."""
+        lane = self.lanes[ask.partition]
+        entries = decode_entries(ask.entries)
+        try:
+            async with asyncio.timeout(self.settings.decision.total_seconds()):
+                verdicts = await asyncio.gather(
+                    *(_settle_for_peer(lane, entry) for entry in entries),
+                )
+        except (ClaimUnavailable, TimeoutError):
+            verdicts = []
+        rows = [encode_verdict(verdict) for verdict in verdicts]
+        if self.relay is not None:
+            self.relay.sender.send(sender, ClaimAnswer(ask.number, rows))
+
+    async def _refuse_known(self, lane: ClaimLane, ask: _Ask) -> None:
         """Refuse without an append a key that is known to have an owner."""
-        if not lane.fold.owner(entry.key):
+        if lane.known_refusal(ask.entry) is None:
             return
         try:
-            await lane.refresh()
+            await lane.stream.refresh()
         except LogError as error:
-            logger.info('claim stream not read', extra={'reason': str(error)})
-        if lane.fold.owner(entry.key):
-            raise _refusal(lane.fold.verdict(entry.key, entry.attempt), entry)
+            logger.info('claims not read', extra={'reason': str(error)})
+        refusal = lane.known_refusal(ask.entry)
+        if refusal is not None:
+            self._refuse(ask, refusal)
 
     async def _decide(
         self,
@@ -237,42 +326,52 @@
     def _judge(self, lane: ClaimLane, ask: _Ask, verdict: Verdict) -> Claim:
         entry = ask.entry
         if verdict.standing is Standing.lost:
-            raise _refusal(verdict, entry)
+            self._refuse(ask, verdict)
         if verdict.standing is Standing.unseen:
             lane.note(ReleaseEntry(entry.key, entry.attempt))
             raise lane.unavailable('the claim was not found on the log')
         claim = self._won(lane, ask)
         try:
-            self._check_window(lane, ask, verdict)
+            self._check_creation(ask, verdict)
         except (KeyExpired, KeyInvalid):
             claim.release()
             raise
         return claim
 
+    def _refuse(self, ask: _Ask, verdict: Verdict) -> NoReturn:
+        if not verdict.status:
+            self._check_expiry(ask, verdict)
+        raise _refusal(verdict, ask.entry)
+
     def _won(self, lane: ClaimLane, ask: _Ask) -> Claim:
         window = self.settings.window.length.total_seconds()
         valid_until = ask.started + window
         return Claim(lane, ask.entry.key, ask.entry.attempt, valid_until)
 
-    def _check_window(
-        self,
-        lane: ClaimLane,
-        ask: _Ask,
-        verdict: Verdict,
-    ) -> None:
-        if ask.created is None or verdict.claimed_at is None:
-            return
+    def _check_creation(self, ask: _Ask, verdict: Verdict) -> None:
         window = self.settings.window
-        if window.is_ahead(ask.created, verdict.claimed_at):
+        created = ask.created
+        if created and window.is_ahead(created, verdict.claimed_at):
             raise KeyInvalid('the key was created in the future')
-        trimmed_until = lane.fold.trimmed_until
-        if window.is_expired(ask.created, verdict.claimed_at, trimmed_until):
+        self._check_expiry(ask, verdict)
+
+    def _check_expiry(self, ask: _Ask, verdict: Verdict) -> None:
+        window = self.settings.window
+        created = ask.created
+        if created and window.is_expired(created, verdict.trimmed_until):
             raise KeyExpired(
-                'the key is older than the protected window',
+                'the key is older than what the log retains',
                 ran=Ran.unknown,
             )
 
 
+async def _settle_for_peer(lane: ClaimLane, entry: Entry) -> Verdict:
+    refusal = lane.known_refusal(entry)
+    if refusal is not None:
+        return refusal
+    return await lane.submit(entry, is_direct=True).verdict
+
+
 def _created(key: str, *, requires_uuid7: bool) -> dt.datetime | None:
     if not key or len(key) > MAX_KEY_CHARS:
         raise BadRequest(
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -11,6 +11,8 @@
     (1, 'membership', 'Heartbeat'),
     (2, 'membership', 'ZoneDigest'),
     (3, 'membership', 'DigestRequest'),
+    (40, 'claim', 'ClaimAsk'),
+    (41, 'claim', 'ClaimAnswer'),
 )
 
 
--- a/src/hickorymux/_internal/state/claim_fold.py
+++ b/src/hickorymux/_internal/state/claim_fold.py
@@ -27,6 +27,7 @@
 DIGEST_BYTES = 16
 _UUID7_VERSION = 7
 _UUID7_TIME_SHIFT_BITS = 80
+NEVER = dt.datetime.min.replace(tzinfo=dt.UTC)
 
 
 @final
@@ -114,13 +115,15 @@
     """The standing of an attempt and what is known about the key's owner.
 
     ``status`` is the HTTP status of the owner's answer, 0 while unknown.
-    ``claimed_at`` is the log's time of the owner's first claim.
+    ``claimed_at`` is the log's time of the owner's first claim. Claims up to
+    ``trimmed_until`` may be forgotten.
     """
 
     standing: Standing
     owner_body: bytes = b''
     status: int = 0
-    claimed_at: dt.datetime | None = None
+    claimed_at: dt.datetime = NEVER
+    trimmed_until: dt.datetime = NEVER
 
 
 @dataclasses.dataclass(slots=True)
@@ -185,53 +188,85 @@
     """The keys of one stream, as far as the log retains their records.
 
     A key is forgotten when its last record is trimmed. ``trimmed_until`` is
-    the log's time of the newest record that this fold has seen trimmed.
+    the log's time up to which claims may be forgotten or were never seen.
     """
 
-    __slots__ = ('keys', 'next_offset', 'retained', 'trimmed_until')
+    __slots__ = (
+        'has_gap',
+        'keys',
+        'next_offset',
+        'retained',
+        'seen_until',
+        'trimmed_until',
+    )
 
     def __init__(self) -> None:
         self.keys: dict[bytes, KeyState] = {}
         self.next_offset = 0
-        self.trimmed_until = dt.datetime.min.replace(tzinfo=dt.UTC)
+        self.has_gap = False
+        self.seen_until = NEVER
+        self.trimmed_until = NEVER
         self.retained: collections.deque[tuple[int, dt.datetime, bytes]]
         self.retained = collections.deque()
 
     def apply(self, offset: int, wall: dt.datetime, payload: bytes) -> None:
         """Fold one record; records must come in offset order."""
+        if self.has_gap or offset > self.next_offset:
+            # The records in between are older than this one.
+            self.trimmed_until = max(self.trimmed_until, wall)
+            self.has_gap = False
         for entry in decode_entries(payload):
-            state = self.keys.get(entry.key)
-            if state is None:
-                state = KeyState(offset, wall)
-                self.keys[entry.key] = state
-            apply_entry(entry, state, wall)
-            state.last_offset = offset
-            self.retained.append((offset, wall, entry.key))
+            self._apply_entry(offset, wall, entry)
         self.next_offset = offset + 1
+        self.seen_until = wall
 
     def trim(self, first_offset: int) -> None:
         """Forget the keys whose records all lie before ``first_offset``."""
         while self.retained and self.retained[0][0] < first_offset:
-            offset, wall, key = self.retained.popleft()
-            self.trimmed_until = max(self.trimmed_until, wall)
-            state = self.keys.get(key)
-            if state is not None and state.last_offset == offset:
-                self.keys.pop(key)
-        self.next_offset = max(self.next_offset, first_offset)
+            self._forget_oldest()
+        if first_offset > self.next_offset:
+            self.next_offset = first_offset
+            self.has_gap = True
 
     def verdict(self, key: bytes, attempt: bytes) -> Verdict:
         """Return how the attempt stands by the records folded so far."""
         state = self.keys.get(key)
         if state is None:
-            return Verdict(Standing.unseen)
-        standing = _standing(state, attempt)
-        return Verdict(standing, state.body, state.status, state.claimed_at)
+            return Verdict(Standing.unseen, trimmed_until=self.trimmed_until)
+        return Verdict(
+            _standing(state, attempt),
+            state.body,
+            state.status,
+            state.claimed_at,
+            self.trimmed_until,
+        )
 
     def owner(self, key: bytes) -> bytes:
         """Return the attempt that owns the key, empty when it is free."""
         state = self.keys.get(key)
         return state.owner if state is not None else b''
 
+    def _apply_entry(
+        self,
+        offset: int,
+        wall: dt.datetime,
+        entry: Entry,
+    ) -> None:
+        state = self.keys.get(entry.key)
+        if state is None:
+            state = KeyState(offset, wall)
+            self.keys[entry.key] = state
+        apply_entry(entry, state, wall)
+        state.last_offset = offset
+        self.retained.append((offset, wall, entry.key))
+
+    def _forget_oldest(self) -> None:
+        offset, wall, key = self.retained.popleft()
+        self.trimmed_until = max(self.trimmed_until, wall)
+        state = self.keys.get(key)
+        if state is not None and state.last_offset == offset:
+            self.keys.pop(key)
+
 
 def _standing(state: KeyState, attempt: bytes) -> Standing:
     if attempt == state.owner:
@@ -245,9 +280,10 @@
 class ProtectedWindow:
     """How long a key is protected, derived from what the log retains.
 
-    ``retention`` is the least age at which the log trims a record. ``skew`` is
-    how far a caller's clock may run ahead of the log's. ``decision`` is the
-    longest time from the first append of a claim to its verdict.
+    ``retention`` is the least age at which the log trims a record; keys that
+    carry no time rest on it. ``skew`` is how far a caller's clock may run
+    ahead of the log's; keys that carry their time rest on it alone.
+    ``decision`` is the longest time from the start of a claim to its verdict.
     """
 
     retention: dt.timedelta
@@ -256,23 +292,26 @@
 
     @property
     def length(self) -> dt.timedelta:
-        """Return how long after its claim a key is certainly protected."""
-        return self.retention - self.skew - self.decision
+        """Return how long after its claim any key is protected.
+
+        It is also how long a claim may wait for its send.
+        """
+        return self.retention - self.decision
+
+    def is_ahead(self, created: dt.datetime, claimed_at: dt.datetime) -> bool:
+        """Return whether a key claims to come from the future."""
+        return created > claimed_at + self.skew
 
     def is_expired(
         self,
         created: dt.datetime,
-        claimed_at: dt.datetime,
         trimmed_until: dt.datetime,
     ) -> bool:
-        """Return whether an earlier claim of the key may have been trimmed.
+        """Return whether an earlier claim of the key may be forgotten.
 
-        A key that passes was created at most ``skew`` after any earlier claim
-        of it, so that claim is younger than the retention when it is read.
+        A key that is not ahead at its claim is at most ``skew`` younger than
+        that claim, so a claim that is forgotten makes the key expired.
         """
-        floor = max(claimed_at - self.retention, trimmed_until)
-        return created < floor + self.skew + self.decision
-
-    def is_ahead(self, created: dt.datetime, claimed_at: dt.datetime) -> bool:
-        """Return whether the key claims to come from the future."""
-        return created > claimed_at + self.skew
+        if trimmed_until == NEVER:
+            return False
+        return created <= trimmed_until + self.skew
--- /dev/null
+++ b/tests/lib/claim_fleet.py
@@ -0,0 +1,130 @@
+"""Routers that claim over one log in memory and message each other."""
+
+import asyncio
+import contextlib
+import dataclasses
+import datetime as dt
+import uuid
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+from hickorymux._internal.coordination.claim_messages import ClaimAnswer
+from hickorymux._internal.coordination.claim_settings import ClaimSettings
+from hickorymux._internal.coordination.claims import Claimer
+from hickorymux._internal.coordination.ports import Member
+from lib.fake_clock import FakeClock
+from lib.fake_log import FakeLog
+
+SETTINGS = ClaimSettings(
+    decision=dt.timedelta(seconds=5),
+    retry_after=dt.timedelta(milliseconds=20),
+    append_interval=dt.timedelta(0),
+)
+
+
+def uuid7_at(moment: dt.datetime) -> str:
+    """Return a UUID of version 7 that carries the time."""
+    milliseconds = int(moment.timestamp() * 1000)
+    number = (milliseconds << 80) | (7 << 76) | (2 << 62) | 1
+    return str(uuid.UUID(int=number))
+
+
+@dataclasses.dataclass
+class View:
+    """The membership as one router sees it."""
+
+    myself: Member
+    members: list[Member]
+
+    def live(self) -> Sequence[Member]:
+        return self.members
+
+    def live_in_zone(self, zone: str) -> Sequence[Member]:
+        return self.members
+
+
+class ClaimFleet:
+    """Claimers on one log; ``silent`` routers take no messages.
+
+    ``lost_verdicts`` is the number of coming answers that get lost.
+    """
+
+    def __init__(self, size: int, *, has_peers: bool = False) -> None:
+        self.log = FakeLog()
+        self.clock = FakeClock()
+        self.members = [
+            Member(f'r{number}', 1, 'msasani', '127.0.0.1', number)
+            for number in range(size)
+        ]
+        self.has_peers = has_peers
+        self.silent: set[str] = set()
+        self.lost_verdicts = 0
+        self.sent = 0
+        self.routers: list[Claimer] = []
+        self.by_id: dict[str, Claimer] = {}
+        for member in self.members:
+            self.start(member)
+
+    def start(self, member: Member) -> Claimer:
+        """Start a router, in the place of an earlier one with its id."""
+        view = View(member, self.members) if self.has_peers else None
+        sender = Link(self, member.router_id) if self.has_peers else None
+        router = Claimer.from_config(
+            self.log, self.clock, SETTINGS, view, sender
+        )
+        self.routers.append(router)
+        self.by_id[member.router_id] = router
+        return router
+
+    def pass_time(self, span: dt.timedelta) -> None:
+        """Let time pass for the routers and the log, which trims."""
+        self.clock.advance(span.total_seconds())
+        self.log.now += span
+        for stream, records in self.log.streams.items():
+            oldest = self.log.now - SETTINGS.retention
+            old = sum(record.appended_at < oldest for record in records)
+            self.log.trim(stream, self.log.first[stream] + old)
+
+    async def follow(self) -> None:
+        """Let each router look at its streams once, as it does each second."""
+        for router in self.routers:
+            for lane in router.lanes:
+                await lane.stream.follow()
+
+    async def settle(self) -> None:
+        """Let everything that is under way come to its end."""
+        for _ in range(100):
+            await asyncio.sleep(0)
+
+
+class Link:
+    """Delivers messages on the next turn of the loop."""
+
+    def __init__(self, fleet: ClaimFleet, router_id: str) -> None:
+        self.fleet = fleet
+        self.router_id = router_id
+
+    def send(self, router_id: str, message: Any) -> bool:
+        self.fleet.sent += 1
+        if router_id in self.fleet.silent:
+            return True
+        if isinstance(message, ClaimAnswer) and self.fleet.lost_verdicts:
+            self.fleet.lost_verdicts -= 1
+            return True
+        target = self.fleet.by_id[router_id]
+        loop = asyncio.get_running_loop()
+        loop.call_soon(target.on_message, self.router_id, message)
+        return True
+
+
+@contextlib.asynccontextmanager
+async def claim_fleet(
+    size: int = 2, *, has_peers: bool = False
+) -> AsyncIterator[ClaimFleet]:
+    """Yield a fleet whose tasks end with the test."""
+    fleet = ClaimFleet(size, has_peers=has_peers)
+    try:
+        yield fleet
+    finally:
+        for router in fleet.routers:
+            await router.close()
