--- a/src/hickorymux/_internal/coordination/config_follower.py
+++ b/src/hickorymux/_internal/coordination/config_follower.py
@@ -130,6 +130,13 @@
         self.is_loaded = True
         return True
 
+    def take_fold(self, fold: ConfigFold) -> bool:
+        """Go on from a snapshot on the log if it holds more records."""
+        if fold.next_offset <= self.fold.next_offset:
+            return False
+        self._replace_fold(fold)
+        return True
+
     async def run(self) -> None:
         """Follow the log until the task is cancelled."""
         while True:
@@ -186,8 +193,7 @@
         if fold is None:
             return
         self.turn.note(fold.next_offset)
-        if fold.next_offset > self.fold.next_offset:
-            self._replace_fold(fold)
+        self.take_fold(fold)
 
     async def _recover(self) -> None:
         """Go on from a snapshot after the next record was trimmed."""
--- a/src/hickorymux/_internal/coordination/slot_messages.py
+++ b/src/hickorymux/_internal/coordination/slot_messages.py
@@ -120,11 +120,14 @@
 class SlotHandover:
     """A home that ends names its loans, so that the next need not wait.
 
-    The sender lends none of the upstream's slots any more.
+    The sender lends none of the upstream's slots any more. ``limit`` is the
+    number of slots that it might lend of the instance when it ended.
     """
 
     upstream: str = ''
     epoch: int = 0
+    instance: str = ''
+    limit: int = 0
     loans: list[HandedLoan] = dataclasses.field(default_factory=list)
 
 
@@ -135,3 +138,15 @@
     upstream: str = ''
     instance: str = ''
     state: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class ColdOffer:
+    """A home offers a permit of a cold upstream, to be claimed on the log.
+
+    ``limit`` is the number of permits of the instance.
+    """
+
+    upstream: str = ''
+    instance: str = ''
+    limit: int = 0
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -13,6 +13,15 @@
     (3, 'membership', 'DigestRequest'),
     (40, 'claim', 'ClaimAsk'),
     (41, 'claim', 'ClaimAnswer'),
+    (10, 'config', 'ConfigRequest'),
+    (11, 'config', 'ConfigOffer'),
+    (20, 'slot', 'SlotRequest'),
+    (21, 'slot', 'SlotRenew'),
+    (22, 'slot', 'SlotReturn'),
+    (23, 'slot', 'SlotGrant'),
+    (24, 'slot', 'SlotHandover'),
+    (25, 'slot', 'UpstreamSign'),
+    (26, 'slot', 'ColdOffer'),
 )
 
 
--- /dev/null
+++ b/tests/unit/test_config_model.py
@@ -0,0 +1,111 @@
+"""The configuration holds in every order of races, losses and restarts.
+
+Each broken variant switches one rule of the program off; the model checker
+must then find a counterexample.
+"""
+
+from unittest import mock
+
+import pytest
+from lib.config_model import (
+    FIRST,
+    FoldTable,
+    FollowModel,
+    PublishModel,
+    refuted,
+)
+from lib.config_samples import upstream_row
+
+from hickorymux._internal.coordination.config_follower import ConfigFollower
+from hickorymux._internal.state.config_changes import (
+    DrainZone,
+    PutPool,
+    PutRoute,
+    PutUpstream,
+)
+from hickorymux._internal.state.config_fold import ConfigFold
+from hickorymux._internal.state.config_history import ChangeHistory
+from hickorymux._internal.state.rows import PoolRow, RouteRow
+from hickorymux._internal.state.tables import PoolKind
+
+RACE = {
+    'a': (PutUpstream(upstream_row('engine-1', slots=4)),),
+    'b': (PutUpstream(upstream_row('engine-1', slots=6)),),
+    'b2': (PutUpstream(upstream_row('engine-1', slots=7)), DrainZone('b')),
+}
+JOIN = {
+    'route': (PutRoute(RouteRow(name='late', pool='late', model='late')),),
+    'pool': (PutPool(PoolRow(name='late', kind=PoolKind.model)),),
+}
+LOG = (
+    FIRST,
+    ('a', 1),
+    ('b', 1),
+    ('a', 1),
+    ('b2', 2),
+)
+
+
+def race_model() -> PublishModel:
+    return PublishModel(RACE, ('a', 'b'), {'b': 'b2'})
+
+
+def join_model() -> PublishModel:
+    return PublishModel(JOIN, ('route', 'pool'), {})
+
+
+def test_races_and_lost_answers_have_one_truth() -> None:
+    assert refuted(race_model().protocol()) == set()
+
+
+def test_a_rejected_change_never_takes_effect() -> None:
+    assert refuted(join_model().protocol()) == set()
+
+
+def test_last_writer_wins_is_refuted() -> None:
+    with mock.patch.object(ChangeHistory, 'conflicts', return_value=()):
+        assert 'one_winner' in refuted(race_model().protocol())
+
+
+def test_forgetting_the_decided_ids_is_refuted() -> None:
+    with mock.patch.object(ChangeHistory, 'decide'):
+        broken = refuted(join_model().protocol())
+    assert broken == {'decided_once', 'told_the_truth'}
+
+
+def test_versions_never_go_back_on_a_log_of_a_race() -> None:
+    model = race_model()
+    assert refuted(model.protocol()) == set()
+    log = min(log for log in model.logs if len(log) == 7)
+    for each in (log, LOG):
+        assert refuted(FollowModel(model.folds, each).protocol()) == set()
+
+
+def adopt_any(follower: ConfigFollower, snapshot: bytes) -> bool:
+    follower.fold = ConfigFold.from_snapshot(snapshot)
+    return True
+
+
+def take_any(follower: ConfigFollower, fold: ConfigFold) -> bool:
+    follower.fold = fold
+    return True
+
+
+@pytest.mark.parametrize(
+    ('name', 'rule'), [('adopt', adopt_any), ('take_fold', take_any)]
+)
+def test_taking_any_snapshot_is_refuted(name: str, rule: object) -> None:
+    with mock.patch.object(ConfigFollower, name, rule):
+        broken = refuted(FollowModel(FoldTable(RACE), LOG).protocol())
+    assert broken == {'never_back'}
+
+
+def test_a_snapshot_without_history_is_refuted() -> None:
+    def snapshot_without_touches(fold: ConfigFold) -> bytes:
+        fold.history.touches.clear()
+        return whole_snapshot(fold)
+
+    whole_snapshot = ConfigFold.snapshot
+    with mock.patch.object(ConfigFold, 'snapshot', snapshot_without_touches):
+        broken = refuted(race_model().protocol())
+    assert 'one_winner' in broken
