--- a/src/hickorymux/_internal/coordination/config_follower.py
+++ b/src/hickorymux/_internal/coordination/config_follower.py
@@ -124,10 +124,12 @@
         Raises ``SnapshotError`` when the snapshot is malformed.
         """
         fold = ConfigFold.from_snapshot(snapshot)
-        if fold.version <= self.version:
+        if fold.version < self.version:
             return False
-        self._replace_fold(fold)
         self.is_loaded = True
+        if fold.version == self.version:
+            return False
+        self._replace_fold(fold)
         return True
 
     def take_fold(self, fold: ConfigFold) -> bool:
--- a/src/hickorymux/_internal/coordination/config_relay.py
+++ b/src/hickorymux/_internal/coordination/config_relay.py
@@ -1,4 +1,9 @@
-"""Gets the configuration from peers while the log can't be read."""
+"""Gets the configuration from peers that are ahead of the log's answers.
+
+A router may be cut off from the log and not know it yet, as when its read
+hangs. So it asks a peer whenever one stays ahead of it, and at once while it
+has no configuration.
+"""
 
 from typing import Any, Final, final
 
@@ -7,17 +12,25 @@
     ConfigOffer,
     ConfigRequest,
 )
-from hickorymux._internal.coordination.ports import MemberView, PeerSender
+from hickorymux._internal.coordination.ports import (
+    Member,
+    MemberView,
+    PeerSender,
+)
 from hickorymux._internal.utils.clock import Clock
 
 ASK_SECONDS: Final = 0.5
 
+# Ticks for which a peer is ahead before it is asked, as the log mostly
+# brings the same change at the same time.
+PATIENCE_TICKS: Final = 2
+
 
 @final
 class ConfigRelay:
     """Asks the live router with the highest version, and answers others."""
 
-    __slots__ = ('clock', 'follower', 'members', 'sender')
+    __slots__ = ('behind_ticks', 'clock', 'follower', 'members', 'sender')
 
     def __init__(
         self,
@@ -30,6 +43,7 @@
         self.members = members
         self.sender = sender
         self.clock = clock
+        self.behind_ticks = 0
 
     async def run(self) -> None:
         """Ask whenever a peer is ahead, until cancelled."""
@@ -38,22 +52,27 @@
             await self.clock.sleep(ASK_SECONDS)
 
     def tick(self) -> None:
-        """Ask one peer if the log is out of reach and the peer is ahead."""
-        if self.follower.is_loaded and self.follower.is_log_reachable:
+        """Ask the peer that is furthest ahead, if one has been for a while."""
+        is_loaded = self.follower.is_loaded
+        known = self.follower.version if is_loaded else -1
+        ahead = self._highest_peer()
+        if ahead is None or ahead.config_version <= known:
+            self.behind_ticks = 0
             return
-        known = self.follower.version if self.follower.is_loaded else -1
-        own_id = self.members.myself.router_id
-        peers = [
-            member
-            for member in self.members.live()
-            if member.router_id != own_id and member.config_version > known
-        ]
-        if not peers:
+        self.behind_ticks += 1
+        if is_loaded and self.behind_ticks < PATIENCE_TICKS:
             return
-        ahead = max(peers, key=lambda member: member.config_version)
         request = ConfigRequest(known_version=known)
         self.sender.send(ahead.router_id, request)
 
+    def _highest_peer(self) -> Member | None:
+        own_id = self.members.myself.router_id
+        return max(
+            (one for one in self.members.live() if one.router_id != own_id),
+            key=lambda member: member.config_version,
+            default=None,
+        )
+
     def on_message(self, sender_id: str, message: Any) -> None:
         """Answer a request, or take an offer if it is newer."""
         if isinstance(message, ConfigRequest):
--- a/src/hickorymux/_internal/coordination/config_snapshots.py
+++ b/src/hickorymux/_internal/coordination/config_snapshots.py
@@ -35,6 +35,19 @@
     spread: dt.timedelta = dt.timedelta(minutes=1)
     records: int = 1000
 
+    @classmethod
+    def from_retention(cls, retention: dt.timedelta) -> 'SnapshotPolicy':
+        """Return the policy for a log that keeps records for some time.
+
+        A snapshot may then fail for half of that time before one is lost.
+        """
+        policy = cls()
+        return dataclasses.replace(
+            policy,
+            interval=min(policy.interval, retention / 4),
+            spread=min(policy.spread, retention / 20),
+        )
+
 
 @final
 class SnapshotStore:
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -22,6 +22,7 @@
 from hickorymux._internal.coordination.claims import Claimer
 from hickorymux._internal.coordination.config_follower import ConfigFollower
 from hickorymux._internal.coordination.config_relay import ConfigRelay
+from hickorymux._internal.coordination.config_snapshots import SnapshotPolicy
 from hickorymux._internal.coordination.decisions import DecisionLog
 from hickorymux._internal.coordination.membership import Membership
 from hickorymux._internal.coordination.ports import Member
@@ -201,6 +202,7 @@
             self.log,
             self.clock,
             router_id=settings.router_id,
+            policy=SnapshotPolicy.from_retention(settings.claims.retention),
         )
         self.relay = ConfigRelay(
             self.follower,
--- /dev/null
+++ b/tests/functional/test_config_fleet.py
@@ -0,0 +1,203 @@
+"""Real routers get each configuration in time, and never an older one."""
+
+import json
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from lib.command_line import control_log, run_command
+from lib.config_samples import POOLS_TOML, ROUTES_TOML
+from lib.processes import Program, ProgramGroup
+
+from hickorymux._internal.state.customers import key_digest
+
+pytestmark = pytest.mark.processes
+
+IN_FORCE_SECONDS = 3
+START_SECONDS = 10
+CUSTOMERS_TOML = f"""
+[[customer]]
+name = "one"
+key_sha256 = "{key_digest('key-one')}"
+"""
+
+
+class Fleet:
+    """The log, the tables and some routers."""
+
+    def __init__(self, programs: ProgramGroup, path: Path) -> None:
+        self.programs = programs
+        self.path = path
+        self.log = programs.start_emulator('log-service').url
+        self.seeds: list[str] = []
+        (path / 'routes.toml').write_text(ROUTES_TOML)
+        (path / 'pools.toml').write_text(POOLS_TOML)
+        (path / 'customers.toml').write_text(CUSTOMERS_TOML)
+
+    def start(
+        self, name: str, zone: str, *, log: str = '', retention: str = '1h'
+    ) -> Program:
+        router = self.programs.start(
+            name,
+            'hickorymux',
+            [
+                'router',
+                f'--router-id={name}',
+                f'--zone={zone}',
+                f'--log={log or self.log}',
+                f'--customers={self.path}/customers.toml',
+                f'--log-retention={retention}',
+                '--fleet-key=a-key-for-tests-only',
+                '--listen=127.0.0.1:0',
+                '--admin-listen=127.0.0.1:0',
+                '--peer-listen=127.0.0.1:0',
+                '--drain-notice=10ms',
+                '--log-level=warning',
+                *(word for seed in self.seeds for word in ('--peer', seed)),
+            ],
+        )
+        line = router.wait_event('listening')
+        router.address = line['admin']
+        self.seeds.append(f'{name}@{zone}={line["peers"]}')
+        return router
+
+    def apply(self, *flags: str) -> None:
+        tables = (
+            f'--routes={self.path}/routes.toml',
+            f'--pools={self.path}/pools.toml',
+        )
+        self.command('apply', *tables, *flags)
+
+    def command(self, *words: str) -> None:
+        ended = run_command(*words, f'--log={self.log}')
+        assert ended.returncode == 0, ended.stderr
+
+
+def status(router: Program) -> dict[str, Any]:
+    with urllib.request.urlopen(
+        f'{router.url}/admin/status', timeout=5
+    ) as page:
+        found: dict[str, Any] = json.load(page)
+        return found
+
+
+def readiness(router: Program) -> list[str]:
+    """Return why the router is not ready."""
+    with pytest.raises(urllib.error.HTTPError) as refused:
+        urllib.request.urlopen(f'{router.url}/readyz', timeout=5)
+    return refused.value.read().decode().splitlines()
+
+
+def has_version(router: Program, version: int) -> Callable[[], bool]:
+    return lambda: status(router)['config_version'] == version
+
+
+def wait_for(condition: Callable[[], bool], seconds: float) -> None:
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, f'not within {seconds} s'
+        time.sleep(0.02)
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    with ProgramGroup() as programs:
+        yield Fleet(programs, tmp_path)
+
+
+def test_each_change_is_in_force_everywhere_in_time(fleet: Fleet) -> None:
+    routers = [fleet.start('r1', 'a'), fleet.start('r2', 'b')]
+    assert not status(routers[0])['pools']
+    fleet.apply()
+    for router in routers:
+        wait_for(has_version(router, 1), IN_FORCE_SECONDS)
+    fleet.command('drain', '--zone=a')
+    for router in routers:
+        wait_for(has_version(router, 2), IN_FORCE_SECONDS)
+        upstreams = status(router)['pools']['drafting']['upstreams']
+        assert [each['drained'] for each in upstreams] == [True, False]
+
+
+def test_a_router_starts_from_a_peer_while_the_log_is_down(
+    fleet: Fleet,
+) -> None:
+    first = fleet.start('r1', 'a')
+    fleet.apply()
+    fleet.command('drain', '--zone=a')
+    wait_for(has_version(first, 2), IN_FORCE_SECONDS)
+    control_log(fleet.log, outage='refuse')
+    second = fleet.start('r2', 'b')
+    wait_for(has_version(second, 2), START_SECONDS)
+    assert status(second)['ready']
+    first.kill()
+    third = fleet.start('r3', 'b')
+    wait_for(has_version(third, 2), START_SECONDS)
+    control_log(fleet.log, outage='off')
+    fleet.command('restore', '--zone=a')
+    for router in (second, third):
+        wait_for(has_version(router, 3), IN_FORCE_SECONDS)
+
+
+def test_a_router_that_is_cut_off_from_the_log_hears_from_its_peers(
+    fleet: Fleet,
+) -> None:
+    first = fleet.start('r1', 'a')
+    silent = fleet.programs.start_emulator('log-service').url
+    control_log(silent, outage='hang')
+    second = fleet.start('r2', 'a', log=silent)
+    fleet.apply()
+    for router in (first, second):
+        wait_for(has_version(router, 1), START_SECONDS)
+    fleet.command('drain', '--zone=b')
+    wait_for(has_version(second, 2), IN_FORCE_SECONDS)
+
+
+def test_with_log_and_peers_down_it_says_what_it_lacks(fleet: Fleet) -> None:
+    control_log(fleet.log, outage='refuse')
+    router = fleet.start('r1', 'a')
+    router.wait_event('config_read_failed')
+    assert readiness(router) == [
+        'the log service does not answer',
+        'no peer has given a configuration',
+    ]
+    control_log(fleet.log, outage='off')
+    wait_for(lambda: status(router)['ready'], START_SECONDS)
+
+
+def has_snapshot(fleet: Fleet) -> Callable[[], bool]:
+    def is_written() -> bool:
+        url = f'{fleet.log}/streams/config-snapshots/records?from=0&limit=1'
+        with urllib.request.urlopen(url, timeout=5) as page:
+            return bool(json.load(page)['records'])
+
+    return is_written
+
+
+def test_a_router_starts_from_a_snapshot_after_retention(fleet: Fleet) -> None:
+    first = fleet.start('r1', 'a', retention='8s')
+    fleet.apply()
+    fleet.command('drain', '--zone=a')
+    wait_for(has_version(first, 2), IN_FORCE_SECONDS)
+    wait_for(has_snapshot(fleet), START_SECONDS)
+    first.kill()
+    fleet.seeds.clear()
+    fleet.command('drain', '--zone=b')
+    control_log(fleet.log, retain_records=1)
+    second = fleet.start('r2', 'b')
+    wait_for(has_version(second, 3), START_SECONDS)
+    upstreams = status(second)['pools']['drafting']['upstreams']
+    assert [each['drained'] for each in upstreams] == [True, True]
+
+
+def test_after_retention_without_a_snapshot_it_says_so(fleet: Fleet) -> None:
+    fleet.apply()
+    fleet.command('drain', '--zone=a')
+    control_log(fleet.log, retain_records=1)
+    router = fleet.start('r1', 'a')
+    router.wait_event('config_read_failed')
+    assert not status(router)['ready']
+    assert 'trimmed the configuration' in readiness(router)[0]
--- a/tests/unit/test_config_follower.py
+++ b/tests/unit/test_config_follower.py
@@ -146,7 +146,7 @@
     first = fleet.follower()
     await fleet.read(first)
     second = fleet.follower('r2')
-    second.adopt(first.snapshot())
+    assert second.adopt(first.snapshot())
     fleet.log.put(CONFIG_STREAM, change(1, DrainZone('a')))
     fleet.log.put(CONFIG_STREAM, change(2, RestoreZone('a')))
     await fleet.read(second)
@@ -170,6 +170,25 @@
     assert fold.tables == followers[0].tables
 
 
+def test_the_policy_follows_a_short_retention() -> None:
+    policy = SnapshotPolicy.from_retention(dt.timedelta(minutes=20))
+    assert policy.interval == dt.timedelta(minutes=5)
+    assert policy.spread == dt.timedelta(minutes=1)
+    policy = SnapshotPolicy.from_retention(dt.timedelta(days=7))
+    assert policy == SnapshotPolicy()
+
+
+async def test_equal_versions_make_a_partly_read_router_whole() -> None:
+    fleet = Fleet()
+    first = fleet.follower()
+    await fleet.read(first)
+    second = fleet.follower('r2')
+    second.take_fold(ConfigFold.from_snapshot(first.snapshot()))
+    assert second.missing()
+    assert not second.adopt(first.snapshot())
+    assert second.missing() == ()
+
+
 async def test_many_records_bring_the_snapshot_forward() -> None:
     fleet = Fleet()
     follower = fleet.follower()
