--- a/tools/measure/pass_through.py
+++ b/tools/measure/pass_through.py
@@ -11,8 +11,7 @@
 import sys
 from typing import Final
 
-import aiohttp
-from aiohttp import web
+from aiohttp import ClientSession, TCPConnector, web
 
 BUFFER_OCTETS: Final = 1 << 16
 
@@ -23,8 +22,8 @@
     def __init__(self, engine: str, service: str) -> None:
         self.engine = engine
         self.service = service
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+        self.session = ClientSession(
+            connector=TCPConnector(limit=0),
             auto_decompress=False,
             read_bufsize=BUFFER_OCTETS,
         )
--- a/tools/measure/path.py
+++ b/tools/measure/path.py
@@ -244,8 +244,7 @@
         response.raise_for_status()
         await response.content.readany()
         delays.append(time.monotonic() - started)
-        async for _ in response.content.iter_any():
-            continue
+        await response.read()
 
 
 async def run_short(
@@ -346,8 +345,7 @@
         json=_chat(MEMORY_TOKENS),
         headers=_HEADERS,
     ) as response:
-        async for _ in response.content.iter_any():
-            continue
+        await response.read()
 
 
 def _processor_seconds(program: Program) -> float:
