--- /dev/null
+++ b/src/hickorymux/_internal/coordination/counter_exchange.py
@@ -0,0 +1,244 @@
+"""Exchange of service counters between routers within a byte budget.
+
+At each tick the links of all pools are served in the order of their unsent
+changes, largest first, until the budget is spent. What does not fit waits and
+grows; nothing is queued, as every message carries cumulative figures.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterator
+from typing import Any, Self, final
+
+from hickorymux._internal.coordination.fair_queue import FairQueue
+from hickorymux._internal.coordination.pool_exchange import PoolExchange
+from hickorymux._internal.coordination.ports import MemberView, PeerSender
+from hickorymux._internal.coordination.service_intake import take_message
+from hickorymux._internal.coordination.service_link import (
+    MESSAGE_OVERHEAD_BYTES,
+    Batch,
+    LinkKind,
+    ReadRow,
+    ServiceLink,
+)
+from hickorymux._internal.coordination.service_messages import (
+    FleetService,
+    ServiceReport,
+    ZoneService,
+)
+from hickorymux._internal.coordination.service_rows import row_reader
+from hickorymux._internal.utils.clock import Clock
+
+EXCHANGE_INTERVAL_SECONDS = 0.5
+BUDGET_BYTES_PER_SECOND = 2000
+BUDGET_BURST_SECONDS = 1.0
+
+_FIRST_ROW_BYTES = 32
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Candidate:
+    """A link with something unsent; ``urgency`` is in virtual units."""
+
+    urgency: float
+    exchange: PoolExchange
+    link: ServiceLink
+    read: ReadRow
+
+
+@final
+class CounterExchange:
+    """Exchanges the counters of all pools with the other routers.
+
+    Example::
+
+        exchange = CounterExchange.from_config(members, sender, clock)
+        exchange.add_pool(queue)
+        task = asyncio.create_task(exchange.run())
+    """
+
+    __slots__ = (
+        'allowance',
+        'bytes_per_second',
+        'clock',
+        'interval',
+        'members',
+        'pools',
+        'refilled_at',
+        'sender',
+        'sent_bytes',
+    )
+
+    def __init__(
+        self,
+        members: MemberView,
+        sender: PeerSender,
+        clock: Clock,
+        bytes_per_second: int,
+        interval: float,
+    ) -> None:
+        self.members = members
+        self.sender = sender
+        self.clock = clock
+        self.bytes_per_second = bytes_per_second
+        self.interval = interval
+        self.pools: dict[str, PoolExchange] = {}
+        self.allowance: float = 0
+        self.refilled_at = clock.monotonic()
+        self.sent_bytes = 0
+
+    @classmethod
+    def from_config(
+        cls,
+        members: MemberView,
+        sender: PeerSender,
+        clock: Clock,
+        bytes_per_second: int = BUDGET_BYTES_PER_SECOND,
+        interval: float = EXCHANGE_INTERVAL_SECONDS,
+    ) -> Self:
+        """Return an exchange without pools; ``interval`` is in seconds."""
+        return cls(members, sender, clock, bytes_per_second, interval)
+
+    def add_pool(self, queue: FairQueue) -> None:
+        """Exchange the counters of a queue's pool from now on."""
+        exchange = PoolExchange(queue, self.members, self.clock)
+        self.pools[queue.pool.name] = exchange
+
+    def remove_pool(self, pool: str) -> None:
+        """Stop the exchange for a pool that is no longer configured."""
+        self.pools.pop(pool, None)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await self.clock.sleep(self.interval)
+
+    def tick(self) -> None:
+        """Send what the budget allows, the largest unsent changes first."""
+        self._refill()
+        self._send_changes()
+
+    def flush(self) -> None:
+        """Send all that is unsent, regardless of the budget.
+
+        A router calls it when it has ended its last request before it stops.
+        """
+        self.allowance = math.inf
+        self._send_changes()
+        self.allowance = 0
+
+    def on_message(self, sender_id: str, message: Any) -> None:
+        """Take a message from a router; those of unknown pools are dropped."""
+        exchange = self.pools.get(message.pool)
+        if exchange is not None:
+            take_message(message, sender_id, exchange)
+
+    def _refill(self) -> None:
+        now = self.clock.monotonic()
+        gained = (now - self.refilled_at) * self.bytes_per_second
+        most = self.bytes_per_second * BUDGET_BURST_SECONDS
+        self.allowance = min(self.allowance + gained, most)
+        self.refilled_at = now
+
+    def _send_changes(self) -> None:
+        candidates: list[Candidate] = []
+        for exchange in self.pools.values():
+            exchange.prepare()
+            self._send_requests(exchange)
+            candidates.extend(find_candidates(exchange))
+        candidates.sort(key=lambda one: one.urgency, reverse=True)
+        for candidate in candidates:
+            self._send_link(candidate)
+
+    def _send_requests(self, exchange: PoolExchange) -> None:
+        for router_id, request in exchange.requests():
+            self._spend(MESSAGE_OVERHEAD_BYTES)
+            self.sender.send(router_id, request)
+
+    def _send_link(self, candidate: Candidate) -> None:
+        while self.allowance >= MESSAGE_OVERHEAD_BYTES + _FIRST_ROW_BYTES:
+            link = candidate.link
+            batch = link.take(candidate.read, self.allowance)
+            self._spend(batch.size)
+            message = compose(candidate.exchange, link, batch)
+            if not self.sender.send(link.key.router_id, message):
+                link.reset()
+                return
+            if self.allowance < math.inf or not link.pending:
+                return
+
+    def _spend(self, size: int) -> None:
+        self.allowance -= size
+        self.sent_bytes += size
+
+
+def find_candidates(exchange: PoolExchange) -> Iterator[Candidate]:
+    """Yield the links of a pool that have something unsent."""
+    floor = int(exchange.counters.floor)
+    for link in exchange.links.values():
+        read = row_reader(exchange, link)
+        urgency = link.urgency(read, floor)
+        if not link.pending and is_word_due(exchange, link):
+            urgency = math.inf
+        if urgency:
+            yield Candidate(urgency, exchange, link, read)
+
+
+def is_word_due(exchange: PoolExchange, link: ServiceLink) -> bool:
+    """Return whether the peer is to hear that it has everything, or not."""
+    if link.is_once:
+        return False
+    if link.sent_term != link.term:
+        return True
+    return link.sent_complete != is_complete(exchange, link)
+
+
+def is_complete(exchange: PoolExchange, link: ServiceLink) -> bool:
+    """Return whether the peer has everything, once it gets this message."""
+    if link.key.kind is LinkKind.fleet:
+        return exchange.counters.is_synced and link.is_complete
+    return all(
+        other.is_complete
+        for other in exchange.links.values()
+        if other.key.router_id == link.key.router_id
+        and other.key.kind is link.key.kind
+    )
+
+
+def compose(
+    exchange: PoolExchange,
+    link: ServiceLink,
+    batch: Batch,
+) -> ServiceReport | ZoneService | FleetService:
+    """Return the message that carries a batch of rows over a link."""
+    floor = int(exchange.counters.floor)
+    complete = is_complete(exchange, link)
+    link.note_sent(floor, is_complete=complete)
+    if link.key.kind is LinkKind.report:
+        return ServiceReport(
+            pool=exchange.pool,
+            incarnation=exchange.members.myself.incarnation,
+            rows=batch.rows,
+            zone_known=batch.extra if any(batch.extra) else [],
+            floor=floor,
+            term=link.term,
+            is_complete=complete,
+        )
+    if link.key.kind is LinkKind.zone:
+        return ZoneService(
+            pool=exchange.pool,
+            zone=link.key.zone,
+            rows=batch.rows,
+            floor=floor,
+            term=link.term,
+            is_complete=complete,
+        )
+    return FleetService(
+        pool=exchange.pool,
+        incarnation=exchange.members.myself.incarnation,
+        rows=batch.rows,
+        other_zones=batch.extra,
+        floor=floor,
+        is_complete=complete,
+    )
--- a/src/hickorymux/_internal/coordination/fair_queue.py
+++ b/src/hickorymux/_internal/coordination/fair_queue.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable
 from typing import Self, final
 
+from hickorymux._internal.coordination.fairness_limits import FairnessLimits
 from hickorymux._internal.state.service_counters import (
     Account,
     ServiceCounters,
@@ -24,12 +25,10 @@
 
 # A customer whose queue was empty for no longer than this is not idle.
 IDLE_GRACE_SECONDS = 4.0
-# An estimate stays within this factor of the customer's mean cost.
+# An estimate is at least the customer's mean cost divided by this.
 HINT_SPREAD = 4.0
 MEAN_COST_GAIN = 0.1
 INITIAL_COST = 100.0
-# The largest cost of one request: tokens, or milliseconds of a service.
-LARGEST_REQUEST_COST = 32_768.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -59,7 +58,11 @@
 
 @dataclasses.dataclass(slots=True)
 class CustomerQueue:
-    """The waiting requests of one customer; ``entry`` is its heap entry."""
+    """The waiting requests of one customer; ``entry`` is its heap entry.
+
+    ``is_unchecked`` is set when it returned from idle while service elsewhere
+    was unknown.
+    """
 
     account: Account
     tickets: collections.deque[Ticket] = dataclasses.field(
@@ -70,15 +73,18 @@
     idle_since: float = -math.inf
     mean_cost: float = 0
     entry: int = 0
+    is_unchecked: bool = False
 
-    def estimate(self, cost_hint: float) -> float:
-        """Return the expected cost of a request, from its hint or the mean."""
-        if not self.mean_cost:
-            return cost_hint or INITIAL_COST
+    def estimate(self, cost_hint: float, largest: float) -> float:
+        """Return the expected cost of a request, from its hint or the mean.
+
+        A hint far below the customer's mean is raised, as it would let the
+        customer start many requests at once.
+        """
         if not cost_hint:
-            return self.mean_cost
+            return self.mean_cost or min(INITIAL_COST, largest)
         least = self.mean_cost / HINT_SPREAD
-        return min(max(cost_hint, least), self.mean_cost * HINT_SPREAD)
+        return min(max(cost_hint, least), largest)
 
     def learn(self, cost: float) -> None:
         """Take the final cost of a request into the mean."""
@@ -114,6 +120,7 @@
         'customers',
         'entries',
         'heap',
+        'limits',
         'pool',
         'waits_elsewhere_least',
     )
@@ -123,8 +130,10 @@
         pool: Pool,
         counters: ServiceCounters,
         clock: Clock,
+        limits: FairnessLimits,
     ) -> None:
         self.pool = pool
+        self.limits = limits
         self.counters = counters
         self.clock = clock
         self.customers: dict[str, CustomerQueue] = {}
@@ -139,9 +148,14 @@
         pool: Pool,
         counters: ServiceCounters,
         clock: Clock,
+        limits: FairnessLimits | None = None,
     ) -> Self:
-        """Return an empty queue for a pool over its counters."""
-        return cls(pool, counters, clock)
+        """Return an empty queue for a pool over its counters.
+
+        ``limits`` is derived from the pool when it is not given.
+        """
+        limits = limits or FairnessLimits.from_pool(pool)
+        return cls(pool, counters, clock, limits)
 
     def enqueue(
         self,
@@ -154,6 +168,7 @@
         queue = self._customer(customer)
         if queue.is_idle(now):
             self.counters.raise_to(queue.account, self._least_waiting())
+            queue.is_unchecked = not self.counters.is_synced
         ticket = Ticket(customer, cost_hint, deadline, now)
         queue.tickets.append(ticket)
         queue.waiting += 1
@@ -241,25 +256,50 @@
             known = max(known, self._least_waiting())
         return max(known, head.virtual_counter)
 
-    def refresh(self, debt_limit: float) -> None:
-        """Take merged counters into account; called once for each exchange.
+    def refresh(self) -> None:
+        """Take merged counters into account; called after each exchange.
 
-        No waiting customer stays more than ``debt_limit`` virtual units
-        behind the one that is furthest ahead: what goes beyond is forgiven.
+        No waiting customer stays further behind the one that is furthest
+        ahead than the limit on debt: what goes beyond is forgiven.
         """
-        waiting = [
-            account
-            for account in self.counters.accounts.values()
-            if account.waits
-        ]
-        if waiting:
-            ahead = max(account.counter for account in waiting)
-            self._lift_all(waiting, ahead - debt_limit)
+        waiting = self._waiting()
+        self._forgive(waiting, self.limits.debt_limit)
         self.waits_elsewhere_least = min(
             (one.counter for one in waiting if one.waits_elsewhere),
             default=math.inf,
         )
 
+    def rejoin(self) -> None:
+        """Forgive debt from a network partition, but for one request."""
+        self._forgive(self._waiting(), self.limits.rejoin_limit)
+        self.refresh()
+
+    def lift_returned(self) -> None:
+        """Lift customers that returned while service elsewhere was unknown.
+
+        They keep a credit of one largest request: the router may have
+        restarted, and its customers have waited all the time.
+        """
+        self.refresh()
+        least = self.waits_elsewhere_least
+        if math.isinf(least):
+            least = self.counters.floor
+        for queue in self.customers.values():
+            account = queue.account
+            if queue.is_unchecked and not account.waits_elsewhere:
+                kept = self.limits.rejoin_limit
+                self.counters.raise_to(account, least - kept)
+            queue.is_unchecked = False
+
+    def _waiting(self) -> list[Account]:
+        accounts = self.counters.accounts.values()
+        return [account for account in accounts if account.waits]
+
+    def _forgive(self, waiting: list[Account], limit: float) -> None:
+        if waiting and self.counters.is_synced:
+            ahead = max(account.counter for account in waiting)
+            self._lift_all(waiting, ahead - limit)
+
     def _lift_all(self, accounts: Iterable[Account], counter: float) -> None:
         for account in accounts:
             self.counters.raise_to(account, counter)
@@ -319,6 +359,9 @@
         queue.account.revision = self.counters.revision
 
     def _start(self, queue: CustomerQueue, ticket: Ticket) -> None:
-        ticket.provisional = queue.estimate(ticket.cost_hint)
+        ticket.provisional = queue.estimate(
+            ticket.cost_hint,
+            self.limits.largest_request,
+        )
         queue.in_flight += 1
         queue.account.provisional += ticket.provisional / queue.account.weight
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/pool_exchange.py
@@ -0,0 +1,415 @@
+"""The counter exchange of one pool at one router.
+
+In each zone one live router, chosen by rendezvous hash of its id and the
+pool's name, is the delegate. The others report to it what they have served;
+it tells the zone's total to the delegates of the other zones, and to each
+router of its zone what all others have served. Any router can become the
+delegate at any moment: it asks all peers to send everything, and its figures
+stay lower bounds until they have.
+"""
+
+import dataclasses
+import logging
+from collections.abc import Iterable, Iterator, Sequence
+from typing import final
+
+import xxhash
+
+from hickorymux._internal.coordination.fair_queue import FairQueue
+from hickorymux._internal.coordination.ports import Member, MemberView
+from hickorymux._internal.coordination.service_link import (
+    LinkKey,
+    LinkKind,
+    ServiceLink,
+)
+from hickorymux._internal.coordination.service_messages import ServiceRequest
+from hickorymux._internal.state.service_counters import AccountUpdate
+from hickorymux._internal.state.zone_columns import Source, ZoneColumns
+from hickorymux._internal.utils.clock import Clock
+
+REQUEST_INTERVAL_SECONDS = 2
+SYNC_TIMEOUT_SECONDS = 60
+# A new delegate waits for longer than the membership needs to name all peers.
+LEAST_TERM_SECONDS = 5
+
+_MS_PER_SECOND = 1000
+
+_logger = logging.getLogger(__name__)
+
+
+def choose_delegate(members: Sequence[Member], pool: str) -> Member | None:
+    """Return the member that speaks for its zone, by rendezvous hash."""
+    staying = [member for member in members if not member.is_leaving]
+    return max(
+        staying or members,
+        key=lambda member: xxhash.xxh64_intdigest(
+            f'{member.router_id}|{pool}'.encode(),
+        ),
+        default=None,
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Request:
+    """What a peer is asked for: everything, or what it has not sent yet."""
+
+    term: int
+    is_full: bool
+
+
+@final
+class WaitingPeers:
+    """Which routers and zones have requests of a customer waiting."""
+
+    __slots__ = ('peers',)
+
+    def __init__(self) -> None:
+        self.peers: dict[int, set[str]] = {}
+
+    def put(self, number: int, peer: str, *, waits: bool) -> None:
+        """Note whether the customer waits at a peer."""
+        if waits:
+            self.peers.setdefault(number, set()).add(peer)
+            return
+        names = self.peers.get(number)
+        if names is not None:
+            names.discard(peer)
+            if not names:
+                self.peers.pop(number)
+
+    def drop(self, peer: str) -> list[int]:
+        """Forget a peer; return the customers that waited there."""
+        numbers = [
+            number for number, names in self.peers.items() if peer in names
+        ]
+        for number in numbers:
+            self.put(number, peer, waits=False)
+        return numbers
+
+    def any_but(self, number: int, left_out: str) -> bool:
+        """Return whether the customer waits at a peer but the one given."""
+        names = self.peers.get(number, ())
+        return any(name != left_out for name in names)
+
+
+@final
+class PoolExchange:
+    """Links, sums and synchronisation of one pool."""
+
+    __slots__ = (
+        'clock',
+        'columns',
+        'counters',
+        'delegate',
+        'departed',
+        'is_cut',
+        'is_isolated',
+        'links',
+        'members',
+        'outstanding',
+        'present',
+        'queue',
+        'request_due',
+        'revision',
+        'sync_deadline',
+        'sync_due',
+        'term',
+        'touched',
+        'waits_at_routers',
+        'waits_in_zones',
+    )
+
+    def __init__(
+        self,
+        queue: FairQueue,
+        members: MemberView,
+        clock: Clock,
+    ) -> None:
+        self.queue = queue
+        self.counters = queue.counters
+        self.members = members
+        self.clock = clock
+        self.columns: ZoneColumns | None = None
+        self.delegate: Source | None = None
+        self.departed: dict[str, int] = {}
+        self.present: dict[str, int] = {}
+        self.links: dict[LinkKey, ServiceLink] = {}
+        self.outstanding: dict[str, Request] = {}
+        self.is_cut = False
+        self.is_isolated = True
+        self.request_due = clock.monotonic()
+        self.sync_deadline = clock.monotonic()
+        self.sync_due = clock.monotonic()
+        self.revision = 0
+        self.term = 0
+        self.touched: set[int] = set()
+        self.waits_at_routers = WaitingPeers()
+        self.waits_in_zones = WaitingPeers()
+
+    @property
+    def pool(self) -> str:
+        """Return the name of the pool."""
+        return self.queue.pool.name
+
+    def prepare(self) -> None:
+        """Follow the membership and find what is to be sent."""
+        delegates = self._delegates()
+        self._follow_role(delegates[self.members.myself.zone])
+        if self.columns is not None:
+            self._follow_presence(self.columns, delegates)
+        self._follow_links(delegates)
+        changed = self._changed()
+        for link in self.links.values():
+            link.note_changes(changed)
+        self.queue.refresh()
+
+    def requests(self) -> Iterator[tuple[str, ServiceRequest]]:
+        """Yield the routers to be asked to send, with the request."""
+        now = self.clock.monotonic()
+        if self.columns is None or now < self.request_due:
+            return
+        self.request_due = now + REQUEST_INTERVAL_SECONDS
+        delegates = self._delegates()
+        for peer, request in self.outstanding.items():
+            delegate = delegates.get(peer)
+            router_id = delegate.router_id if delegate else peer
+            message = ServiceRequest(self.pool, request.term, request.is_full)
+            yield router_id, message
+
+    def answer(self, sender: str, message: ServiceRequest) -> None:
+        """Do as a peer asks: send all, or what is unsent, and say when."""
+        for link in self.links.values():
+            if link.key.router_id != sender or link.term == message.term:
+                continue
+            link.term = message.term
+            if message.is_full:
+                link.reset()
+            else:
+                link.start_catch_up()
+
+    def take_over(self, numbers: Iterable[int]) -> None:
+        """Bring accounts up to date with the sums that this router keeps."""
+        columns = self.columns
+        if columns is None:
+            return
+        for number in tuple(numbers):
+            self.touched.add(number)
+            update = AccountUpdate(
+                number,
+                in_zone=columns.of_members(number),
+                other_zones=columns.other_zones.get(number, 0),
+            )
+            self.counters.merge(update)
+            self.counters.set_waits_elsewhere(
+                self.counters.account_by_id(number),
+                waits=self._waits_elsewhere(number),
+            )
+
+    def hear_complete(self, peer: str, term: int) -> None:
+        """Note that a peer has sent everything that was asked for."""
+        request = self.outstanding.get(peer)
+        if request is not None and request.term == term:
+            self.outstanding.pop(peer)
+            self._check_synced()
+
+    def follow_delegate(self, *, is_complete: bool) -> None:
+        """Take the delegate's word on whether the counters are synced."""
+        if not is_complete:
+            self._start_rejoin()
+        elif not self.counters.is_synced:
+            self._mark_synced()
+
+    def _waits_elsewhere(self, number: int) -> bool:
+        if number in self.waits_at_routers.peers:
+            return True
+        return number in self.waits_in_zones.peers
+
+    def _delegates(self) -> dict[str, Member]:
+        zones = {member.zone for member in self.members.live()}
+        zones.add(self.members.myself.zone)
+        chosen = {}
+        for zone in zones:
+            delegate = choose_delegate(
+                self.members.live_in_zone(zone),
+                self.pool,
+            )
+            if delegate is not None:
+                chosen[zone] = delegate
+        chosen.setdefault(self.members.myself.zone, self.members.myself)
+        return chosen
+
+    def _follow_role(self, delegate: Member) -> None:
+        source = Source(delegate.router_id, delegate.incarnation)
+        if source == self.delegate:
+            return
+        _logger.info(
+            'delegate changed',
+            extra={
+                'event': 'fairness.delegate',
+                'pool': self.pool,
+                'delegate': source.router_id,
+            },
+        )
+        self.delegate = source
+        self.is_cut = False
+        self.counters.mark_unsynced()
+        self._forget_waiting()
+        if source.router_id == self.members.myself.router_id:
+            self._start_term()
+        else:
+            self.columns = None
+            self.is_isolated = False
+
+    def _forget_waiting(self) -> None:
+        self.waits_at_routers = WaitingPeers()
+        self.waits_in_zones = WaitingPeers()
+        for account in self.counters.accounts.values():
+            self.counters.set_waits_elsewhere(account, waits=False)
+
+    def _start_term(self) -> None:
+        started = self.clock.wall().timestamp() * _MS_PER_SECOND
+        accounts = self.counters.accounts.values()
+        self.columns = ZoneColumns.from_base(
+            int(started),
+            {account.customer_id: account.in_zone for account in accounts},
+        )
+        self.sync_due = self.clock.monotonic() + LEAST_TERM_SECONDS
+        self.present.clear()
+        self.departed.clear()
+        self.outstanding.clear()
+
+    def _follow_presence(
+        self,
+        columns: ZoneColumns,
+        delegates: dict[str, Member],
+    ) -> None:
+        now = self.clock.monotonic()
+        myself = self.members.myself
+        routers = {
+            member.router_id: member.incarnation
+            for member in self.members.live_in_zone(myself.zone)
+            if member.router_id != myself.router_id
+        }
+        present = dict.fromkeys(delegates, 0) | routers
+        present.pop(myself.zone)
+        self._note_departed(present)
+        if self.is_isolated and len(delegates) > 1:
+            self.is_isolated = False
+            columns.reopen()
+        for peer, incarnation in present.items():
+            if self.present.get(peer) != incarnation:
+                self._note_arrived(peer, incarnation)
+        self.present = present
+        columns.fold((Source(*pair) for pair in routers.items()), now)
+        self._check_synced()
+
+    def _note_departed(self, present: dict[str, int]) -> None:
+        for peer, incarnation in self.present.items():
+            if peer not in present:
+                self.departed[peer] = incarnation
+                self.outstanding.pop(peer, None)
+                self.take_over(
+                    self.waits_at_routers.drop(peer)
+                    + self.waits_in_zones.drop(peer),
+                )
+
+    def _note_arrived(self, peer: str, incarnation: int) -> None:
+        is_back = self.departed.pop(peer, None) == incarnation
+        if is_back or not incarnation:
+            self._start_rejoin()
+        self.term += 1
+        self.outstanding[peer] = Request(self.term, is_full=not is_back)
+        self.request_due = self.clock.monotonic()
+        self.sync_deadline = self.request_due + SYNC_TIMEOUT_SECONDS
+
+    def _start_rejoin(self) -> None:
+        if self.counters.is_synced:
+            self.is_cut = True
+            self.counters.mark_unsynced()
+
+    def _check_synced(self) -> None:
+        columns = self.columns
+        if columns is None:
+            return
+        now = self.clock.monotonic()
+        if now < self.sync_due:
+            return
+        if self.outstanding and now < self.sync_deadline:
+            return
+        self._settle(columns)
+        if not self.counters.is_synced:
+            self._mark_synced()
+            for link in self.links.values():
+                if link.key.kind is LinkKind.fleet:
+                    link.start_catch_up()
+
+    def _settle(self, columns: ZoneColumns) -> None:
+        if columns.is_settled:
+            return
+        columns.settle()
+        self.take_over(self.counters.accounts)
+        for link in self.links.values():
+            link.note_changes(self.counters.accounts)
+
+    def _mark_synced(self) -> None:
+        self.counters.mark_synced()
+        if self.is_cut:
+            self.is_cut = False
+            self.queue.rejoin()
+        else:
+            self.queue.lift_returned()
+
+    def _follow_links(self, delegates: dict[str, Member]) -> None:
+        wanted = dict(self._wanted_links(delegates))
+        for key in self.links.keys() - wanted.keys():
+            self.links.pop(key)
+        for key in wanted.keys() - self.links.keys():
+            self.links[key] = ServiceLink(
+                key,
+                self.counters.accounts,
+                is_once=wanted[key],
+            )
+
+    def _wanted_links(
+        self,
+        delegates: dict[str, Member],
+    ) -> Iterator[tuple[LinkKey, bool]]:
+        myself = self.members.myself
+        if self.columns is None:
+            yield _key(LinkKind.report, delegates[myself.zone]), False
+            return
+        for member in self.members.live_in_zone(myself.zone):
+            if member.router_id != myself.router_id:
+                yield _key(LinkKind.fleet, member), False
+        for zone, delegate in delegates.items():
+            if zone == myself.zone:
+                continue
+            yield _key(LinkKind.zone, delegate, myself.zone), False
+            for known in self._zones_to_return(zone, delegates):
+                yield _key(LinkKind.zone, delegate, known), True
+
+    def _zones_to_return(
+        self,
+        zone: str,
+        delegates: dict[str, Member],
+    ) -> Iterator[str]:
+        # A delegate with no memory gets back its own zone's total, and those
+        # of zones that nobody hears.
+        known_zones = self.columns.zones if self.columns else ()
+        for known in known_zones:
+            if known == zone or known not in delegates:
+                yield known
+
+    def _changed(self) -> set[int]:
+        changed = {
+            account.customer_id
+            for account in self.counters.changed_since(self.revision)
+        }
+        changed |= self.touched
+        self.touched.clear()
+        self.revision = self.counters.next_revision()
+        return changed
+
+
+def _key(kind: LinkKind, member: Member, zone: str = '') -> LinkKey:
+    return LinkKey(kind, member.router_id, member.incarnation, zone)
--- a/src/hickorymux/_internal/state/service_counters.py
+++ b/src/hickorymux/_internal/state/service_counters.py
@@ -15,6 +15,7 @@
 from typing import Self, final
 
 from hickorymux._internal.state.tables import Pool
+from hickorymux._internal.utils.ids import customer_id
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,18 +24,23 @@
 
     ``served`` is what this router gave, ``in_zone`` what the other routers of
     its zone gave and ``other_zones`` what the rest of the fleet gave, as far
-    as known here. ``lift`` is the idle time's share that a returning customer
-    does not get back. ``provisional`` is the part of the estimates of the
-    requests in flight that is not yet charged.
+    as known here. ``lift`` is the credit for idle time that the customer does
+    not get; it is shared with the fleet. ``guess`` is a lift that was made
+    before the service elsewhere was known; it stays at this router.
+    ``provisional`` is the part of the estimates of the requests in flight
+    that is not yet charged.
     """
 
-    customer: str
+    customer_id: int
+    customer: str = ''
     weight: float = 1.0
     served: float = 0
     in_zone: float = 0
     other_zones: float = 0
     lift: float = 0
+    guess: float = 0
     provisional: float = 0
+    is_known: bool = False
     waits_here: bool = False
     waits_elsewhere: bool = False
     revision: int = 0
@@ -47,7 +53,8 @@
     @property
     def counter(self) -> float:
         """Return the virtual counter, without work that is in flight."""
-        return self.served + self.in_zone + self.other_zones + self.lift
+        service = self.served + self.in_zone + self.other_zones
+        return service + self.lift + self.guess
 
     @property
     def order(self) -> float:
@@ -59,12 +66,18 @@
         """Return whether the customer has requests waiting in the fleet."""
         return self.waits_here or self.waits_elsewhere
 
+    def mark_known(self) -> None:
+        """Turn the guess into a lift: the service elsewhere is now known."""
+        self.lift += self.guess
+        self.guess = 0
+        self.is_known = True
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AccountUpdate:
     """What another router knows of a customer; lower bounds, virtual units."""
 
-    customer: str
+    customer_id: int
     in_zone: float = 0
     other_zones: float = 0
     lift: float = 0
@@ -78,16 +91,26 @@
 
         counters = ServiceCounters.from_config(pool)
         counters.charge('kitchen', 120)
-        counters.merge(AccountUpdate('kitchen', other_zones=400))
+        update = AccountUpdate(customer_id('kitchen'), other_zones=400)
+        counters.merge(update)
         counters.total('kitchen')  # 520.0
     """
 
-    __slots__ = ('accounts', 'floor', 'pool', 'revision')
+    __slots__ = (
+        'accounts',
+        'floor',
+        'is_synced',
+        'names',
+        'pool',
+        'revision',
+    )
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
-        self.accounts: dict[str, Account] = {}
+        self.accounts: dict[int, Account] = {}
+        self.names: dict[str, Account] = {}
         self.floor: float = 0
+        self.is_synced = False
         self.revision = 1
 
     @classmethod
@@ -98,8 +121,8 @@
     def configure(self, pool: Pool) -> None:
         """Take the weights of a new configuration, for later charges."""
         self.pool = pool
-        for account in self.accounts.values():
-            account.weight = self.weight(account.customer)
+        for customer, account in self.names.items():
+            account.weight = self.weight(customer)
 
     def weight(self, customer: str) -> float:
         """Return the configured weight of a customer."""
@@ -107,10 +130,20 @@
 
     def account(self, customer: str) -> Account:
         """Return the customer's account, opening it when there is none."""
-        account = self.accounts.get(customer)
+        account = self.names.get(customer)
         if account is None:
-            account = Account(customer, weight=self.weight(customer))
-            self.accounts[customer] = account
+            account = self.account_by_id(customer_id(customer))
+            account.customer = customer
+            account.weight = self.weight(customer)
+            self.names[customer] = account
+        return account
+
+    def account_by_id(self, number: int) -> Account:
+        """Return the account of a customer that may be unknown by name."""
+        account = self.accounts.get(number)
+        if account is None:
+            account = Account(number, is_known=self.is_synced)
+            self.accounts[number] = account
         return account
 
     def charge(self, customer: str, cost: float) -> None:
@@ -121,34 +154,58 @@
 
     def total(self, customer: str) -> float:
         """Return the customer's service in the fleet, in virtual units."""
-        account = self.accounts.get(customer)
+        account = self.accounts.get(customer_id(customer))
         return account.total if account else 0
 
     def counter(self, customer: str) -> float:
         """Return the customer's virtual counter: service and lift."""
-        account = self.accounts.get(customer)
+        account = self.accounts.get(customer_id(customer))
         return account.counter if account else 0
 
     def merge(self, update: AccountUpdate) -> None:
-        """Take over what another router knows, by maximum."""
-        account = self.account(update.customer)
+        """Take over what another router knows, by maximum.
+
+        A guess shrinks by the service that becomes known, so the counter
+        of a customer never goes down and old service is not counted as new.
+        """
+        account = self.account_by_id(update.customer_id)
         before = account.counter
         account.in_zone = max(account.in_zone, update.in_zone)
         account.other_zones = max(account.other_zones, update.other_zones)
         account.lift = max(account.lift, update.lift)
+        if not account.is_known:
+            known = account.total + account.lift
+            account.guess = max(before - known, 0)
         if account.counter > before:
             account.revision = self.revision
 
+    def mark_synced(self) -> None:
+        """Note that all service elsewhere is known, as of a moment ago."""
+        self.is_synced = True
+        for account in self.accounts.values():
+            if not account.is_known:
+                account.mark_known()
+                account.revision = self.revision
+
+    def mark_unsynced(self) -> None:
+        """Note that service elsewhere may be unknown; lifts are guesses."""
+        self.is_synced = False
+        for account in self.accounts.values():
+            account.is_known = False
+
     def raise_to(self, account: Account, counter: float) -> None:
         """Lift an account to a virtual counter; it never goes down."""
         missing = counter - account.counter
-        if missing > 0:
+        if missing <= 0:
+            return
+        if account.is_known:
             account.lift += missing
-            account.revision = self.revision
+        else:
+            account.guess += missing
+        account.revision = self.revision
 
-    def set_waits_elsewhere(self, customer: str, *, waits: bool) -> None:
+    def set_waits_elsewhere(self, account: Account, *, waits: bool) -> None:
         """Note whether other routers have requests of the customer waiting."""
-        account = self.account(customer)
         if account.waits_elsewhere != waits:
             account.waits_elsewhere = waits
             account.revision = self.revision
--- /dev/null
+++ b/tests/unit/test_counter_exchange.py
@@ -0,0 +1,217 @@
+"""Counters that routers exchange bound the gap, through faults and restarts.
+
+The routers are real; see ``tools.fairness_model`` for what is a fake.
+"""
+
+import random
+
+import pytest
+
+from hickorymux._internal.coordination.pool_exchange import (
+    LEAST_TERM_SECONDS,
+)
+from hickorymux._internal.protocol.peer_messages import default_codec
+from tools.fairness_model import Fleet, Load, Settings
+
+ZONES = (('a-1', 'a-2'), ('b-1', 'b-2'), ('c-1', 'c-2'), ('d-1',))
+ROUTERS = tuple(router for zone in ZONES for router in zone)
+CUSTOMERS = 16
+SECONDS = 240
+RESTARTS = 8
+RESTART_EVERY_SECONDS = 15
+
+
+def make_loads():
+    every = [Load(f'big-{number}', ROUTERS, 50) for number in range(3)]
+    single = [
+        Load(f'small-{number}', (ROUTERS[number % 7],), (50, 300)[number % 2])
+        for number in range(CUSTOMERS - 3)
+    ]
+    # Shares are 12 slots of 100 a second, over 18 customers and 100 a request.
+    flood = Load('flood', ROUTERS, 100, rate=0.67 * 100 / 7)
+    polite = Load('polite', ('d-1',), 100, rate=0.2, is_judged=False)
+    return [*every, *single, flood, polite]
+
+
+def make_fleet(policy='fair', seed=7, **changes):
+    return Fleet(
+        Settings(
+            loads=make_loads(),
+            zones=ZONES,
+            seed=seed,
+            slots=12,
+            least_cost=10,
+            largest_cost=1000,
+            policy=policy,
+            **changes,
+        ),
+    )
+
+
+def largest_gap(fleet):
+    largest = 0
+    for _ in range(SECONDS // 10):
+        fleet.time.run(10)
+        largest = max(largest, fleet.gap())
+    return largest
+
+
+def test_gap_and_waits_stay_under_their_bounds():
+    fleet = make_fleet()
+    limits = fleet.settings.limits()
+    assert largest_gap(fleet) < limits.gap_bound
+    own = fleet.settings.largest_cost
+    bound = limits.wait_bound(CUSTOMERS + 2, own)
+    assert max(fleet.waits['polite']) < bound
+
+
+@pytest.mark.parametrize('policy', ['no-exchange', 'round-robin', 'fifo'])
+def test_baselines_break_the_bound(policy):
+    fleet = make_fleet(policy)
+    assert largest_gap(fleet) > fleet.settings.limits().gap_bound
+
+
+def test_views_are_as_fresh_as_stated_and_never_too_high():
+    fleet = make_fleet()
+    fleet.time.run(5)
+    for _ in range(40):
+        fleet.time.run(0.7)
+        assert fleet.lag() <= fleet.settings.staleness
+        assert fleet.excess() <= 0
+
+
+def test_exchange_keeps_to_its_budget():
+    fleet = make_fleet(bytes_per_second=700)
+    fleet.time.run(60)
+    for router in fleet.routers.values():
+        assert router.exchange.sent_bytes <= 61 * 700
+
+
+def test_messages_take_no_more_bytes_than_reckoned():
+    fleet = make_fleet()
+    codec = default_codec()
+    encoded = 0
+
+    def count(router_id, message):
+        nonlocal encoded
+        encoded += len(codec.encode(message)[1]) + 100
+        return True
+
+    router = fleet.routers['d-1']
+    fleet.time.run(30)
+    before = router.exchange.sent_bytes
+    router.exchange.sender = type('Counter', (), {'send': count})
+    fleet.time.run(5)
+    assert 0 < encoded <= router.exchange.sent_bytes - before
+
+
+def test_messages_survive_the_codec():
+    fleet = make_fleet()
+    codec = default_codec()
+    deliver = fleet.deliver
+
+    def through_codec(sender, router_id, message):
+        decoded = codec.decode(*codec.encode(message))
+        assert decoded == message
+        deliver(sender, router_id, decoded)
+
+    fleet.deliver = through_codec
+    fleet.time.run(10)
+    assert fleet.lag() <= fleet.settings.staleness
+
+
+def test_gap_is_bounded_through_restarts_with_no_memory():
+    fleet = make_fleet()
+    limits = fleet.settings.limits()
+    chance = random.Random(3)
+    lost = 0
+    for _ in range(RESTARTS):
+        router_id = chance.choice(ROUTERS)
+        fleet.stop_router(router_id)
+        fleet.start_router(router_id)
+        fleet.time.run(RESTART_EVERY_SECONDS)
+        lost += limits.staleness * limits.slots * limits.slot_rate
+        assert fleet.excess() <= 0
+    assert fleet.gap() < limits.gap_bound + lost
+
+
+def restart(fleet, router_ids):
+    for router_id in router_ids:
+        fleet.stop_router(router_id)
+    for router_id in router_ids:
+        fleet.start_router(router_id)
+
+
+def assert_little_is_lost(fleet, slots=1):
+    """Only service from before the crash or while syncing may be missing.
+
+    ``slots`` is the part of the slots in use while syncing.
+    """
+    seconds = fleet.settings.staleness + LEAST_TERM_SECONDS * slots
+    lost = seconds * fleet.settings.slots * fleet.settings.slot_rate
+    for router in fleet.routers.values():
+        known = sum(map(router.queue.counters.total, fleet.service))
+        assert sum(fleet.service.values()) - known < lost
+    assert fleet.excess() <= 0
+
+
+@pytest.mark.parametrize('routers', [('a-1', 'a-2'), ('d-1',), ROUTERS[:6]])
+def test_zone_that_lost_its_memory_goes_on_from_its_total(routers):
+    fleet = make_fleet()
+    fleet.time.run(60)
+    restart(fleet, routers)
+    fleet.time.run(60)
+    assert_little_is_lost(fleet)
+
+
+@pytest.mark.parametrize('zone', [0, 3])
+def test_zone_that_restarted_while_cut_off_goes_on_from_its_total(zone):
+    fleet = make_fleet()
+    fleet.time.run(120)
+    fleet.cut_zone = f'zone-{zone}'
+    for router_id in ZONES[zone]:
+        fleet.stop_router(router_id)
+    for router_id in ZONES[zone]:
+        fleet.start_router(router_id)
+        fleet.time.run(1)
+    fleet.time.run(90)
+    fleet.cut_zone = None
+    fleet.time.run(30)
+    assert_little_is_lost(fleet, 1 / len(ZONES))
+
+
+def test_no_customer_starves_after_a_rejoin():
+    fleet = make_fleet()
+    fleet.time.run(30)
+    fleet.cut_zone = 'zone-3'
+    fleet.time.run(60)
+    fleet.cut_zone = None
+    fleet.time.run(5)
+    counters = fleet.routers['a-1'].queue.counters
+    fleet.waits.clear()
+    before = dict(fleet.service)
+    limits = fleet.settings.limits()
+    # Forgiven down to one largest request, so everyone is served within this.
+    rate = limits.slots * limits.slot_rate
+    horizon = (CUSTOMERS + 2) * limits.largest_request / rate
+    horizon += limits.wait_bound(CUSTOMERS + 2, 0)
+    fleet.time.run(horizon)
+    starved = [name for name in before if fleet.service[name] == before[name]]
+    assert counters.is_synced
+    assert starved == []
+
+
+@pytest.mark.parametrize('seed', range(2))
+def test_views_never_exceed_the_truth_under_faults(seed):
+    chance = random.Random(seed)
+    fleet = make_fleet(seed=seed)
+    for _ in range(30):
+        fleet.cut_zone = chance.choice([None, 'zone-0', 'zone-1', 'zone-3'])
+        restart(fleet, chance.sample(ROUTERS, chance.randint(0, 2)))
+        fleet.time.run(chance.choice([1, 4, 15]))
+        assert fleet.excess() <= 0
+    fleet.cut_zone = None
+    fleet.time.run(40)
+    assert all(
+        router.queue.counters.is_synced for router in fleet.routers.values()
+    )
--- a/tests/unit/test_fair_queue.py
+++ b/tests/unit/test_fair_queue.py
@@ -4,18 +4,30 @@
     CustomerHead,
     FairQueue,
 )
+from hickorymux._internal.coordination.fairness_limits import FairnessLimits
 from hickorymux._internal.state.service_counters import (
     AccountUpdate,
     ServiceCounters,
 )
 from hickorymux._internal.state.tables import Pool, PoolKind
+from hickorymux._internal.utils.ids import customer_id
 from lib.manual_clock import ManualClock
 
+# A debt limit of 1,000 virtual units: one slot, requests of up to 1,000.
+LIMITS = FairnessLimits(slots=1, largest_request=1000, staleness=0)
+
 
 def make_queue(weights=None, default_weight=1.0):
     pool = Pool('p', PoolKind.model, (), weights or {}, default_weight)
     counters = ServiceCounters.from_config(pool)
-    return FairQueue.from_config(pool, counters, ManualClock())
+    return FairQueue.from_config(pool, counters, ManualClock(), LIMITS)
+
+
+def give(queue, customer, service, *, waits=True):
+    number = customer_id(customer)
+    queue.counters.merge(AccountUpdate(number, other_zones=service))
+    account = queue.counters.account(customer)
+    queue.counters.set_waits_elsewhere(account, waits=waits)
 
 
 def run_one(queue, cost):
@@ -84,16 +96,15 @@
         queue.enqueue('busy', 0, 100)
     for _ in range(10):
         run_one(queue, 100)
-    queue.counters.set_waits_elsewhere('behind', waits=True)
+    give(queue, 'behind', 0)
     queue.enqueue('behind', 0, 100)
     assert queue.counters.counter('behind') == 0
 
 
 def test_customer_is_lifted_to_the_least_waiting_elsewhere():
     queue = make_queue()
-    queue.counters.merge(AccountUpdate('far', other_zones=700))
-    queue.counters.set_waits_elsewhere('far', waits=True)
-    queue.refresh(debt_limit=10_000)
+    give(queue, 'far', 700)
+    queue.refresh()
     queue.enqueue('new', 0, 100)
     assert queue.counters.counter('new') == 700
 
@@ -112,8 +123,7 @@
 def test_heads_are_in_order_and_limited():
     queue = make_queue()
     for customer, service in (('a', 30), ('b', 10), ('c', 20)):
-        queue.counters.merge(AccountUpdate(customer, in_zone=service))
-        queue.counters.set_waits_elsewhere(customer, waits=True)
+        give(queue, customer, service)
     for customer in ('a', 'b', 'b', 'c'):
         queue.enqueue(customer, 0, 100)
     assert queue.heads(2) == [
@@ -125,17 +135,24 @@
 def test_debt_beyond_the_limit_is_forgiven():
     queue = make_queue()
     for customer, service in (('ahead', 5000), ('behind', 100)):
-        queue.counters.merge(AccountUpdate(customer, other_zones=service))
-        queue.counters.set_waits_elsewhere(customer, waits=True)
-    queue.refresh(debt_limit=1000)
+        give(queue, customer, service)
+    queue.counters.mark_synced()
+    queue.refresh()
     assert queue.counters.counter('behind') == 4000
 
 
 def test_home_does_not_favour_a_router_with_no_memory():
     home = make_queue()
-    home.counters.merge(AccountUpdate('a', other_zones=900))
-    home.counters.merge(AccountUpdate('b', other_zones=800))
-    home.counters.set_waits_elsewhere('b', waits=True)
-    home.refresh(debt_limit=10_000)
+    give(home, 'a', 900, waits=False)
+    give(home, 'b', 800)
+    home.refresh()
     assert home.rank(CustomerHead('a', 5, 1)) == 900
     assert home.rank(CustomerHead('unknown', 0, 1)) == 800
+
+
+def test_debt_is_kept_while_service_elsewhere_is_unknown():
+    queue = make_queue()
+    for customer, service in (('ahead', 5000), ('behind', 100)):
+        give(queue, customer, service)
+    queue.refresh()
+    assert queue.counters.counter('behind') == 100
--- a/tests/unit/test_service_counters.py
+++ b/tests/unit/test_service_counters.py
@@ -13,7 +13,7 @@
 UPDATES = st.lists(
     st.builds(
         AccountUpdate,
-        st.sampled_from(('a', 'b', 'c')),
+        st.integers(1, 3),
         AMOUNT,
         AMOUNT,
         AMOUNT,
@@ -46,9 +46,11 @@
 def test_merge_never_lowers_a_counter(updates):
     counters = ServiceCounters.from_config(Pool('p', PoolKind.model, ()))
     for update in updates:
-        before = counters.counter(update.customer)
+        account = counters.account_by_id(update.customer_id)
+        counters.raise_to(account, update.lift / 2)
+        before = account.counter
         counters.merge(update)
-        assert counters.counter(update.customer) >= before
+        assert account.counter >= before
 
 
 def test_changed_weight_applies_to_later_charges_only():
@@ -66,3 +68,12 @@
     counters.charge('b', 1)
     changed = [one.customer for one in counters.changed_since(closed)]
     assert changed == ['b']
+
+
+def test_old_service_that_becomes_known_replaces_a_guess():
+    counters = ServiceCounters.from_config(Pool('p', PoolKind.model, ()))
+    account = counters.account('a')
+    counters.raise_to(account, 1000)
+    counters.merge(AccountUpdate(account.customer_id, other_zones=900))
+    counters.mark_synced()
+    assert (account.counter, account.lift) == (1000, 100)
--- /dev/null
+++ b/tools/fairness_model.py
@@ -0,0 +1,508 @@
+"""Routers with real fair queues and exchanges, in one process and virtual time.
+
+Only the network, the membership and the upstreams' slots are small fakes. A
+free slot goes to a router chosen by the policy under test; the router takes a
+request from its queue and the slot charges it as it runs.
+"""
+
+import collections
+import dataclasses
+import datetime as dt
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, final
+
+from hickorymux._internal.coordination.counter_exchange import CounterExchange
+from hickorymux._internal.coordination.fair_queue import FairQueue, Ticket
+from hickorymux._internal.coordination.fairness_limits import FairnessLimits
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.coordination.service_link import (
+    MAX_MESSAGE_BYTES,
+    MESSAGE_OVERHEAD_BYTES,
+)
+from hickorymux._internal.state.service_counters import ServiceCounters
+from hickorymux._internal.state.tables import Pool, PoolKind, Upstream
+
+ZONE_TIMEOUT_SECONDS = 2.5
+REMOTE_TIMEOUT_SECONDS = 10.0
+LATENCY_SECONDS = 0.001
+ROW_BYTES = 16
+HISTORY_STEPS = 600
+# Each figure that is sent is rounded down, on its way through three routers.
+ROUNDING_UNITS = 30
+CHARGE_SECONDS = 0.2
+TICK_SECONDS = 0.5
+START_SECONDS = 1_700_000_000.0
+MS_PER_SECOND = 1000
+
+Event = tuple[float, int, Callable[[], None]]
+
+
+@final
+class VirtualTime:
+    """A clock and the events to come; time moves when an event runs."""
+
+    def __init__(self) -> None:
+        self.now = START_SECONDS
+        self.events: list[Event] = []
+        self.numbers = itertools.count()
+
+    def monotonic(self) -> float:
+        """Return virtual seconds."""
+        return self.now
+
+    def wall(self) -> dt.datetime:
+        """Return the virtual time of day."""
+        return dt.datetime.fromtimestamp(self.now, dt.UTC)
+
+    async def sleep(self, seconds: float) -> None:
+        """Not used: the model calls ``tick`` itself."""
+        raise NotImplementedError
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        event = (self.now + seconds, next(self.numbers), action)
+        heapq.heappush(self.events, event)
+
+    def every(self, seconds: float, action: Callable[[], None]) -> None:
+        """Run an action again and again."""
+
+        self.after(seconds, lambda: self._repeat(seconds, action))
+
+    def _repeat(self, seconds: float, action: Callable[[], None]) -> None:
+        action()
+        self.every(seconds, action)
+
+    def run(self, seconds: float) -> None:
+        """Run the events of the next seconds."""
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            event = heapq.heappop(self.events)
+            self.now = event[0]
+            event[2]()
+        self.now = end
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Load:
+    """What customers ask for.
+
+    ``mean_cost`` scales a heavy-tailed cost; ``rate`` is in requests a second
+    at each router, or None for a queue that is never empty.
+    """
+
+    customer: str
+    routers: tuple[str, ...]
+    mean_cost: float
+    rate: float | None = None
+    is_judged: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Settings:
+    """The size of the model and the spread of costs and hints."""
+
+    loads: Sequence[Load]
+    zones: Sequence[Sequence[str]]
+    seed: int = 1
+    slots: int = 45
+    slot_rate: float = 100
+    least_cost: float = 20
+    largest_cost: float = 2000
+    hint_error: float = 4
+    queue_limit: int = 300
+    policy: str = 'fair'
+    bytes_per_second: int = 2000
+    weights: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    @property
+    def staleness(self) -> float:
+        """Return how late a charge may be known everywhere, in seconds.
+
+        A charge waits for a tick at its own router and at two delegates. A
+        delegate needs several ticks for its links within the budget.
+        """
+        rows = len(self.loads) * ROW_BYTES
+        message = min(MESSAGE_OVERHEAD_BYTES + rows, MAX_MESSAGE_BYTES)
+        routers = max(len(zone) for zone in self.zones)
+        links = len(self.zones) - 1 + routers - 1
+        a_tick = self.bytes_per_second * TICK_SECONDS
+        ticks = math.ceil(links * message / a_tick)
+        return (1 + 2 * ticks) * TICK_SECONDS + CHARGE_SECONDS
+
+    def limits(self) -> FairnessLimits:
+        """Return the limits that follow from the size."""
+        return FairnessLimits(
+            slots=self.slots,
+            largest_request=self.largest_cost,
+            slot_rate=self.slot_rate,
+            staleness=self.staleness,
+            least_weight=min((1.0, *self.weights.values())),
+        )
+
+
+@final
+class Slot:
+    """A slot of an upstream; ``zone`` is the number of its zone."""
+
+    def __init__(self, zone: int) -> None:
+        self.zone = zone
+        self.request: Request | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request that runs, with its true cost."""
+
+    router: 'Router'
+    ticket: Ticket
+    cost: float
+    done: float = 0
+
+
+@final
+class Router:
+    """One life of a router; it is its own ``MemberView`` and sender."""
+
+    def __init__(self, fleet: 'Fleet', member: Member) -> None:
+        self.fleet = fleet
+        self.member = member
+        self.heard: dict[str, tuple[float, Member]] = {}
+        settings = fleet.settings
+        self.queue = FairQueue.from_config(
+            fleet.pool,
+            ServiceCounters.from_config(fleet.pool),
+            fleet.time,
+            settings.limits(),
+        )
+        self.exchange = CounterExchange.from_config(
+            self,
+            self,
+            fleet.time,
+            bytes_per_second=settings.bytes_per_second,
+            interval=TICK_SECONDS,
+        )
+        self.exchange.add_pool(self.queue)
+        self.costs: dict[int, float] = {}
+
+    @property
+    def myself(self) -> Member:
+        """Return this router."""
+        return self.member
+
+    def live(self) -> Sequence[Member]:
+        """Return the routers heard of late."""
+        now = self.fleet.time.now
+        found = [
+            member
+            for heard_at, member in self.heard.values()
+            if now - heard_at < self.timeout(member)
+        ]
+        found.append(self.member)
+        return sorted(found, key=lambda one: one.router_id)
+
+    def timeout(self, member: Member) -> float:
+        """Return for how long a silent router is taken to be live."""
+        if member.zone == self.member.zone:
+            return ZONE_TIMEOUT_SECONDS
+        return REMOTE_TIMEOUT_SECONDS
+
+    def live_in_zone(self, zone: str) -> Sequence[Member]:
+        """Return the routers of a zone heard of late."""
+        return [member for member in self.live() if member.zone == zone]
+
+    def send(self, router_id: str, message: Any) -> bool:
+        """Deliver a message after the latency, unless cut off."""
+        if not self.fleet.reaches(self.member.router_id, router_id):
+            return False
+        self.fleet.time.after(
+            LATENCY_SECONDS,
+            lambda: self.fleet.deliver(self, router_id, message),
+        )
+        return True
+
+    def beat(self) -> None:
+        """Let the routers that can be reached hear of this one."""
+        now = self.fleet.time.now
+        for other in self.fleet.routers.values():
+            if other is not self and self.fleet.reaches(
+                self.member.router_id,
+                other.member.router_id,
+            ):
+                other.heard[self.member.router_id] = (now, self.member)
+
+
+@final
+class Fleet:
+    """All routers, the network, the customers and the slots."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.random = random.Random(settings.seed)
+        self.time = VirtualTime()
+        self.zones = {
+            router_id: f'zone-{number}'
+            for number, zone in enumerate(settings.zones)
+            for router_id in zone
+        }
+        upstream = Upstream('u', 'zone-0', 'u:1', settings.slots)
+        self.pool = Pool('p', PoolKind.model, (upstream,), settings.weights)
+        self.routers: dict[str, Router] = {}
+        self.stopped: set[str] = set()
+        self.cut_zone: str | None = None
+        self.slots = [
+            Slot(number % len(settings.zones))
+            for number in range(settings.slots)
+        ]
+        self.service: dict[str, float] = collections.defaultdict(float)
+        self.history: collections.deque[tuple[float, dict[str, float]]]
+        self.history = collections.deque(maxlen=HISTORY_STEPS)
+        self.waits: dict[str, list[float]] = collections.defaultdict(list)
+        self.order: dict[str, int] = collections.defaultdict(int)
+        self.turns = itertools.count(1)
+        for router_id in self.zones:
+            self.start_router(router_id)
+        self.time.every(CHARGE_SECONDS, self.charge)
+        self.time.every(TICK_SECONDS, self.beat)
+        for load in settings.loads:
+            if load.rate is not None:
+                self.arrive(load)
+
+    def start_router(self, router_id: str) -> None:
+        """Start a router with no memory, in place of its earlier life."""
+        incarnation = int(self.time.now * MS_PER_SECOND)
+        zone = self.zones[router_id]
+        member = Member(router_id, incarnation, zone, '127.0.0.1', 1)
+        router = Router(self, member)
+        self.routers[router_id] = router
+        self.time.after(
+            self.random.random() * TICK_SECONDS,
+            lambda: self.tick(router),
+        )
+        self.fill()
+
+    def stop_router(self, router_id: str) -> None:
+        """End a router without notice; what it ran is lost."""
+        router = self.routers.pop(router_id)
+        for slot in self.slots:
+            if slot.request is not None and slot.request.router is router:
+                slot.request = None
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Return whether the network carries messages."""
+        if receiver not in self.routers:
+            return False
+        zones = {self.zones[sender], self.zones[receiver]}
+        return len(zones) == 1 or self.cut_zone not in zones
+
+    def deliver(self, sender: Router, router_id: str, message: Any) -> None:
+        """Hand a message over, unless the receiver is gone."""
+        receiver = self.routers.get(router_id)
+        if receiver is not None:
+            receiver.exchange.on_message(sender.member.router_id, message)
+
+    def tick(self, router: Router) -> None:
+        """Let a router exchange counters and repeat."""
+        if self.routers.get(router.member.router_id) is not router:
+            return
+        if self.settings.policy == 'fair':
+            router.exchange.tick()
+        self.time.after(TICK_SECONDS, lambda: self.tick(router))
+
+    def beat(self) -> None:
+        """Exchange heartbeats."""
+        for router in self.routers.values():
+            router.beat()
+
+    def cost(self, load: Load) -> float:
+        """Return a heavy-tailed cost around the customer's mean."""
+        drawn = load.mean_cost * self.random.paretovariate(1.5) / 3
+        least, largest = self.settings.least_cost, self.settings.largest_cost
+        return min(max(drawn, least), largest)
+
+    def put(self, load: Load, router: Router) -> None:
+        """Enqueue one request with a wrong hint."""
+        cost = self.cost(load)
+        error = math.log(self.settings.hint_error)
+        wrong = math.exp(self.random.uniform(-error, error))
+        ticket = router.queue.enqueue(load.customer, cost * wrong, math.inf)
+        router.costs[id(ticket)] = cost
+
+    def arrive(self, load: Load) -> None:
+        """Let the next request of a customer arrive at one of its routers."""
+        assert load.rate is not None
+        router = self.routers.get(self.random.choice(load.routers))
+        if router is not None:
+            queue = router.queue.customers.get(load.customer)
+            limit = self.settings.queue_limit
+            if queue is None or queue.waiting < limit:
+                self.put(load, router)
+                self.dispatch()
+        rate = load.rate * len(load.routers)
+        gap = self.random.expovariate(rate)
+        self.time.after(gap, lambda: self.arrive(load))
+
+    def fill(self) -> None:
+        """Keep the queues of customers that are always backlogged full."""
+        for load in self.settings.loads:
+            if load.rate is not None:
+                continue
+            for router_id in load.routers:
+                router = self.routers.get(router_id)
+                if router is not None:
+                    self.refill(load, router)
+
+    def refill(self, load: Load, router: Router) -> None:
+        """Keep two requests of a customer waiting at a router."""
+        queue = router.queue.customers.get(load.customer)
+        waiting = queue.waiting if queue else 0
+        for _ in range(2 - waiting):
+            self.put(load, router)
+
+    def charge(self) -> None:
+        """Let all slots do a step of work and take new requests."""
+        step = self.settings.slot_rate * CHARGE_SECONDS
+        for slot in self.slots:
+            request = slot.request
+            if request is None:
+                continue
+            cost = min(step, request.cost - request.done)
+            request.done += cost
+            ticket = request.ticket
+            weight = self.settings.weights.get(ticket.customer, 1.0)
+            self.service[ticket.customer] += cost / weight
+            request.router.queue.charge(ticket, cost)
+            if request.done >= request.cost:
+                request.router.queue.settle(ticket, request.cost)
+                slot.request = None
+        self.history.append((self.time.now, dict(self.service)))
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        """Give free slots to routers in turn, by the policy."""
+        for slot in self.slots:
+            if slot.request is None:
+                self.start(slot)
+
+    def start(self, slot: Slot) -> None:
+        """Give one slot to the best router that can be reached."""
+        home = self.home(slot)
+        if home is None:
+            return
+        ranked = [
+            (self.rank(home, router), router.member.router_id)
+            for router in self.routers.values()
+            if router.queue.backlog
+            and self.reaches(home.member.router_id, router.member.router_id)
+        ]
+        if not ranked:
+            return
+        router = self.routers[min(ranked)[1]]
+        ticket = self.pop(router)
+        cost = router.costs.pop(id(ticket))
+        waited = self.time.now - ticket.enqueued_at
+        self.waits[ticket.customer].append(waited)
+        self.order[ticket.customer] = next(self.turns)
+        slot.request = Request(router, ticket, cost)
+        for load in self.settings.loads:
+            if load.customer == ticket.customer and load.rate is None:
+                self.refill(load, router)
+
+    def home(self, slot: Slot) -> Router | None:
+        """Return the router that lends the slot."""
+        for router_id in self.settings.zones[slot.zone]:
+            router = self.routers.get(router_id)
+            if router is not None:
+                return router
+        return None
+
+    def rank(self, home: Router, router: Router) -> float:
+        """Return the place of a router's best request; the least goes first."""
+        if self.settings.policy == 'fifo':
+            return self.first(router, self.age).enqueued_at
+        if self.settings.policy == 'round-robin':
+            return self.turn(self.first(router, self.turn))
+        head = router.queue.heads(1)[0]
+        if self.settings.policy == 'no-exchange':
+            return head.virtual_counter
+        return home.queue.rank(head)
+
+    def pop(self, router: Router) -> Ticket:
+        """Take the request from a router's queue that the policy prefers."""
+        queue = router.queue
+        if self.settings.policy == 'fifo':
+            return self.take(router, self.first(router, self.age))
+        if self.settings.policy == 'round-robin':
+            return self.take(router, self.first(router, self.turn))
+        ticket = queue.pop()
+        assert ticket is not None
+        return ticket
+
+    def first(
+        self,
+        router: Router,
+        key: Callable[[Ticket], float],
+    ) -> Ticket:
+        """Return the first waiting request by a baseline's key."""
+        heads = (
+            next(ticket for ticket in queue.tickets if ticket.is_waiting)
+            for queue in router.queue.customers.values()
+            if queue.waiting
+        )
+        return min(heads, key=key)
+
+    def age(self, ticket: Ticket) -> float:
+        """Return the key of FIFO."""
+        return ticket.enqueued_at
+
+    def turn(self, ticket: Ticket) -> float:
+        """Return the key of round robin by customer over the fleet."""
+        return self.order[ticket.customer]
+
+    def take(self, router: Router, ticket: Ticket) -> Ticket:
+        """Take a given request out of a queue."""
+        queue = router.queue.customers[ticket.customer]
+        queue.tickets.remove(ticket)
+        queue.waiting -= 1
+        router.queue.backlog -= 1
+        queue.in_flight += 1
+        return ticket
+
+    def lag(self) -> float:
+        """Return the age in seconds of the oldest view of any router."""
+        return max(
+            self.view_age(router, customer)
+            for router in self.routers.values()
+            for customer in self.service
+        )
+
+    def view_age(self, router: Router, customer: str) -> float:
+        """Return how old a router's view of one customer's service is."""
+        total = router.queue.counters.total(customer) + ROUNDING_UNITS
+        for at, service in reversed(self.history):
+            if service.get(customer, 0) <= total:
+                return self.time.now - at
+        return math.inf
+
+    def excess(self) -> float:
+        """Return by how much any router's view exceeds the true service."""
+        return max(
+            router.queue.counters.total(customer) - service
+            for router in self.routers.values()
+            for customer, service in self.service.items()
+        )
+
+    def gap(self) -> float:
+        """Return the largest less the smallest weighted service.
+
+        Customers that had no router for a while are left out.
+        """
+        judged = [
+            self.service[load.customer]
+            for load in self.settings.loads
+            if load.is_judged and not self.stopped.issuperset(load.routers)
+        ]
+        return max(judged) - min(judged)
--- /dev/null
+++ b/tools/measure_fairness.py
@@ -0,0 +1,165 @@
+"""Measure the gap in service and the waits against their bounds.
+
+Example::
+
+    python -m tools.measure_fairness --seconds 600 --seeds 1 2 3
+"""
+
+import argparse
+import json
+import statistics
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from tools.fairness_model import Fleet, Load, Settings
+
+ZONES = (('a-1', 'a-2'), ('b-1', 'b-2'), ('c-1', 'c-2'), ('d-1',))
+ROUTERS = tuple(router for zone in ZONES for router in zone)
+BACKLOGGED = 16
+ON_EVERY_ROUTER = 3
+FLOOD_FACTOR = 100
+POLITE_SHARE = 0.3
+SAMPLE_SECONDS = 10
+FAULT_SECONDS = 60
+
+_MEAN_COSTS = (100, 200, 400, 1500)
+
+
+def make_loads(settings: dict[str, Any]) -> list[Load]:
+    """Return the customers: backlogged ones, a flooding one, polite ones."""
+    loads = []
+    for number in range(BACKLOGGED):
+        routers = ROUTERS
+        if number >= ON_EVERY_ROUTER:
+            routers = (ROUTERS[number % len(ROUTERS)],)
+        cost = _MEAN_COSTS[number % len(_MEAN_COSTS)]
+        loads.append(Load(f'customer-{number}', routers, cost))
+    mean = 200
+    capacity = settings['slots'] * settings['slot_rate']
+    share = capacity / (BACKLOGGED + 3) / mean
+    flood = FLOOD_FACTOR * share / len(ROUTERS)
+    polite = POLITE_SHARE * share
+    loads.extend(
+        (
+            Load('flood', ROUTERS, mean, flood),
+            Load('polite-0', ('d-1',), mean, polite, is_judged=False),
+            Load('polite-1', ROUTERS, mean, polite / 7, is_judged=False),
+        ),
+    )
+    return loads
+
+
+def make_settings(policy: str, seed: int, **changes: Any) -> Settings:
+    """Return the settings of one run."""
+    size = {'slots': 45, 'slot_rate': 100.0} | changes
+    return Settings(
+        loads=make_loads(size),
+        zones=ZONES,
+        seed=seed,
+        policy=policy,
+        weights={'customer-1': 2.0, 'customer-4': 2.0},
+        **size,
+    )
+
+
+def restart_router(fleet: Fleet) -> None:
+    """Replace a router by one with no memory."""
+    fleet.stop_router('b-1')
+    fleet.start_router('b-1')
+
+
+def cut_zone(fleet: Fleet) -> None:
+    """Cut a zone off for a minute."""
+    fleet.cut_zone = 'zone-3'
+    fleet.time.after(FAULT_SECONDS, lambda: rejoin(fleet))
+
+
+def rejoin(fleet: Fleet) -> None:
+    """End the cut."""
+    fleet.cut_zone = None
+
+
+def restart_delegate(fleet: Fleet) -> None:
+    """Replace the delegate of a zone by a router with no memory."""
+    pool = fleet.routers['a-1'].exchange.pools['p']
+    delegate = pool.delegate
+    assert delegate is not None
+    fleet.stop_router(delegate.router_id)
+    fleet.stopped.add(delegate.router_id)
+    fleet.time.after(
+        FAULT_SECONDS,
+        lambda: fleet.start_router(delegate.router_id),
+    )
+
+
+FAULTS: dict[str, Callable[[Fleet], None] | None] = {
+    'none': None,
+    'restart': restart_router,
+    'cut': cut_zone,
+    'delegate': restart_delegate,
+}
+
+
+def run_one(settings: Settings, seconds: int, fault: str) -> dict[str, Any]:
+    """Run the model once and return what was seen."""
+    fleet = Fleet(settings)
+    inject = FAULTS[fault]
+    if inject is not None:
+        fleet.time.after(seconds / 3, lambda: inject(fleet))
+    gaps = []
+    lags = []
+    excesses = []
+    for _ in range(seconds // SAMPLE_SECONDS):
+        fleet.time.run(SAMPLE_SECONDS)
+        gaps.append(round(fleet.gap()))
+        excesses.append(fleet.excess())
+        if settings.policy == 'fair' and fault == 'none':
+            lags.append(fleet.lag())
+    limits = settings.limits()
+    polite = fleet.waits.get('polite-0', []) + fleet.waits.get('polite-1', [])
+    sent = [router.exchange.sent_bytes for router in fleet.routers.values()]
+    return {
+        'policy': settings.policy,
+        'fault': fault,
+        'seed': settings.seed,
+        'staleness_stated': limits.staleness,
+        'staleness_seen': round(max(lags, default=0), 1),
+        'excess': round(max(excesses), 3),
+        'gap_bound': limits.gap_bound,
+        'gap_max': max(gaps),
+        'gap_last': gaps[-1],
+        'gap_first_half': max(gaps[: len(gaps) // 2]),
+        'gap_second_half': max(gaps[len(gaps) // 2 :]),
+        'gaps': gaps,
+        'wait_bound': limits.wait_bound(BACKLOGGED + 3, 0),
+        'wait_max': round(max(polite, default=0), 1),
+        'wait_median': round(statistics.median(polite or [0]), 2),
+        'polite_served': len(polite),
+        'bytes_per_second_max': round(max(sent) / seconds),
+        'service': {name: round(sum_) for name, sum_ in fleet.service.items()},
+    }
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run all policies and faults and print one JSON line for each run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=int, default=600)
+    parser.add_argument('--seeds', type=int, nargs='+', default=[1, 2, 3])
+    parser.add_argument('--faults', nargs='+', default=list(FAULTS))
+    parser.add_argument(
+        '--policies',
+        nargs='+',
+        default=['fair', 'no-exchange', 'round-robin', 'fifo'],
+    )
+    options = parser.parse_args(arguments)
+    for seed in options.seeds:
+        for policy in options.policies:
+            faults = options.faults if policy == 'fair' else ['none']
+            for fault in faults:
+                settings = make_settings(policy, seed)
+                seen = run_one(settings, options.seconds, fault)
+                print(json.dumps(seen), flush=True)
+
+
+if __name__ == '__main__':
+    main()
