Measure slopes of messages, state and work on the real code

Change: python -m tools.measure fits a line through three or more sizes for each kind and writes JSON and a plot.

--- /dev/null
+++ b/tools/measure/stand_ins.py
@@ -0,0 +1,97 @@
+"""Members, senders and tables of a given size, for the slopes."""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import Any
+
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.state.rows import PoolRow, RouteRow, UpstreamRow
+from hickorymux._internal.state.tables import (
+    Pool,
+    PoolKind,
+    Tables,
+    Upstream,
+)
+
+POOL = 'pool-1'
+ZONE = 'zone-1'
+
+
+@dataclasses.dataclass(slots=True)
+class FixedMembers:
+    """A membership that does not change; the first member is this router."""
+
+    members: tuple[Member, ...]
+
+    @property
+    def myself(self) -> Member:
+        """Return this router."""
+        return self.members[0]
+
+    def live(self) -> Sequence[Member]:
+        """Return all routers."""
+        return self.members
+
+    def live_in_zone(self, zone: str) -> Sequence[Member]:
+        """Return the routers of a zone."""
+        return [member for member in self.members if member.zone == zone]
+
+
+@dataclasses.dataclass(slots=True)
+class CountingSender:
+    """Keeps the messages that were sent."""
+
+    sent: list[Any] = dataclasses.field(default_factory=list)
+
+    def send(self, router_id: str, message: Any) -> bool:
+        """Take a message."""
+        self.sent.append(message)
+        return True
+
+
+def members_of_zone(count: int, zone: str = ZONE) -> FixedMembers:
+    """Return a zone with a number of routers."""
+    return FixedMembers(
+        tuple(
+            Member(f'{zone}-r{number}', 1, zone, '10.0.0.1', 8082)
+            for number in range(count)
+        ),
+    )
+
+
+def upstreams(count: int, zone: str = ZONE) -> tuple[Upstream, ...]:
+    """Return a number of upstreams of one zone."""
+    return tuple(
+        Upstream(f'engine-{number:05}', zone, f'10.0.0.1:{number}', 8)
+        for number in range(count)
+    )
+
+
+def tables_of(count: int) -> Tables:
+    """Return tables with one pool of a number of upstreams."""
+    pool = Pool(POOL, PoolKind.model, upstreams(count))
+    return Tables(version=1, pools={POOL: pool})
+
+
+def rows_of(count: int) -> list[PoolRow | RouteRow | UpstreamRow]:
+    """Return the rows of a route, a pool and a number of upstreams."""
+    engines = [
+        UpstreamRow(
+            pool=POOL,
+            name=f'engine-{number:05}',
+            zone=ZONE,
+            address=f'10.0.0.1:{number % 60000 + 1}',
+            slots=8,
+        )
+        for number in range(count)
+    ]
+    return [
+        PoolRow(name=POOL, kind='model'),
+        RouteRow(name='route-1', pool=POOL, model='draft'),
+        *engines,
+    ]
+
+
+def customers(count: int) -> list[str]:
+    """Return the names of a number of customers."""
+    return [f'customer-{number:04}' for number in range(count)]
--- /dev/null
+++ b/tools/measure/state.py
@@ -0,0 +1,260 @@
+"""Slopes of state: memory of each kind of row, and the time to work on it."""
+
+import datetime as dt
+import io
+import itertools
+import logging
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.coordination.fair_queue import FairQueue, Ticket
+from hickorymux._internal.coordination.membership import Membership
+from hickorymux._internal.coordination.membership_messages import Heartbeat
+from hickorymux._internal.coordination.slot_home import SlotHome
+from hickorymux._internal.state.claim_fold import ClaimFold
+from hickorymux._internal.state.config_fold import ConfigFold
+from hickorymux._internal.state.service_counters import ServiceCounters
+from hickorymux._internal.state.tables import Tables
+from hickorymux._internal.state.upstream_state import LoadReport, UpstreamBook
+from hickorymux._internal.utils.clock import SystemClock
+from hickorymux._internal.utils.json_logging import JsonFormatter, JsonHandler
+from tools.measure import messages, stand_ins
+from tools.measure.slopes import Slope, processor_us, retained_octets
+
+CUSTOMER_SIZES = (16, 360, 3600)
+UPSTREAM_SIZES = (30, 120, 430)
+TABLE_SIZES = (100, 1000, 12000)
+CLAIM_SIZES = (1000, 10_000, 50_000)
+TICKETS_PER_CUSTOMER = 2
+DEADLINE_SECONDS = 1e12
+
+CLOCK = SystemClock()
+
+
+def memory_slopes() -> Iterator[Slope]:
+    """Yield the memory of each kind of state by its number of rows."""
+    kinds: tuple[tuple[str, str, tuple[int, ...], Callable[[int], Any]], ...]
+    kinds = (
+        ('customer with a queue', 'customers', CUSTOMER_SIZES, queue_of),
+        ('table row of an upstream', 'upstreams', TABLE_SIZES, fold_of),
+        ('upstream at its home', 'upstreams', UPSTREAM_SIZES, home_of),
+        ('retained claim', 'claims', CLAIM_SIZES, claims_of),
+    )
+    for name, size_unit, sizes, build in kinds:
+        build(sizes[0])
+        points = [
+            (size, retained_octets(_builder(build, size))) for size in sizes
+        ]
+        yield Slope.fit(f'{name}: memory', size_unit, 'octets', points)
+
+
+def _builder(build: Callable[[int], Any], size: int) -> Callable[[], Any]:
+    return lambda: build(size)
+
+
+def processing_slopes() -> Iterator[Slope]:
+    """Yield the processor time of the steady work by the size of its state."""
+    yield Slope.fit(
+        'queue: enqueue, pick and settle one request',
+        'customers',
+        'us',
+        [(size, queue_us(size)) for size in CUSTOMER_SIZES],
+    )
+    yield Slope.fit(
+        'queue: charge one token',
+        'customers',
+        'us',
+        [(size, charge_us(size)) for size in CUSTOMER_SIZES],
+    )
+    yield Slope.fit(
+        'home: one tick',
+        'upstreams',
+        'us',
+        [(size, home_tick_us(size)) for size in UPSTREAM_SIZES],
+    )
+    yield Slope.fit(
+        'home: one load report',
+        'upstreams',
+        'us',
+        [(size, report_us(size)) for size in UPSTREAM_SIZES],
+    )
+    yield Slope.fit(
+        'configuration: fold one change of one upstream',
+        'upstreams',
+        'us',
+        [(size, change_us(size)) for size in TABLE_SIZES],
+    )
+    yield Slope.fit(
+        'membership: one tick and a heartbeat of each peer',
+        'routers in the zone',
+        'us',
+        [(size, membership_us(size)) for size in messages.ZONE_SIZES],
+    )
+    yield Slope.fit(
+        'decision log: one line',
+        'lines kept',
+        'us',
+        [(size, log_line_us(size)) for size in (10, 100, 1000)],
+    )
+
+
+def queue_of(customers: int) -> FairQueue:
+    """Return a queue in which each of the customers waits."""
+    pool = stand_ins.tables_of(1).pools[stand_ins.POOL]
+    counters = ServiceCounters.from_config(pool)
+    queue = FairQueue.from_config(pool, counters, CLOCK)
+    for _ in range(TICKETS_PER_CUSTOMER):
+        for customer in stand_ins.customers(customers):
+            queue.enqueue(customer, 100, DEADLINE_SECONDS)
+    return queue
+
+
+def fold_of(upstreams: int) -> tuple[Any, Any]:
+    """Return the fold of a configuration and its tables."""
+    fold = messages.config_fold(upstreams)
+    return fold, fold.tables
+
+
+def home_of(upstreams: int) -> SlotHome:
+    """Return a home that is alone in its zone and knows all load."""
+    tables = stand_ins.tables_of(upstreams)
+    home = SlotHome(
+        stand_ins.members_of_zone(1),
+        stand_ins.CountingSender(),
+        CLOCK,
+        UpstreamBook(),
+        lambda: tables,
+    )
+    home.tick()
+    for upstream in home.upstreams():
+        home.on_load_report(upstream.name, _report(1))
+    return home
+
+
+def claims_of(claims: int) -> ClaimFold:
+    """Return the fold of claims, a batch of 16 a record."""
+    fold = ClaimFold()
+    wall = dt.datetime(2026, 1, 1, tzinfo=dt.UTC)
+    for offset in range(claims // 16):
+        entries = tuple(
+            messages.ClaimEntry(
+                (offset * 16 + number).to_bytes(16, 'big'),
+                bytes(16),
+                bytes(16),
+            )
+            for number in range(16)
+        )
+        fold.apply(offset, wall, messages.encode_entries(entries))
+    return fold
+
+
+def queue_us(customers: int) -> float:
+    """Return the time of one request in the queue."""
+    queue = queue_of(customers)
+    names = itertools.cycle(stand_ins.customers(customers))
+
+    def work() -> None:  # noqa: WPS430 (the work that is timed)
+        queue.enqueue(next(names), 100, DEADLINE_SECONDS)
+        ticket = queue.pop()
+        if ticket is not None:
+            queue.settle(ticket, 120)
+
+    return processor_us(work)
+
+
+def charge_us(customers: int) -> float:
+    """Return the time to count one token."""
+    queue = queue_of(customers)
+    ticket: Ticket | None = queue.pop()
+    if ticket is None:
+        return 0
+    return processor_us(lambda: queue.charge(ticket, 1))
+
+
+def home_tick_us(upstreams: int) -> float:
+    """Return the time of one tick of a home."""
+    return processor_us(home_of(upstreams).tick)
+
+
+def report_us(upstreams: int) -> float:
+    """Return the time to take one load report."""
+    home = home_of(upstreams)
+    moments = iter(range(2, 100_000_000))
+    return processor_us(
+        lambda: home.on_load_report('engine-00000', _report(next(moments))),
+    )
+
+
+def read_tables(fold: ConfigFold) -> Tables:
+    """Return the tables, which are built when they are asked for."""
+    return fold.tables
+
+
+def change_us(upstreams: int) -> float:
+    """Return the time to fold a change and to have its tables."""
+    fold = messages.config_fold(upstreams)
+    row = stand_ins.rows_of(1)[-1]
+    payloads = iter(
+        messages.encode_change([messages.put(row)], number)
+        for number in range(1_000_000, 2_000_000)
+    )
+
+    def work() -> None:  # noqa: WPS430 (the work that is timed)
+        fold.apply_record(fold.next_offset, next(payloads))
+        read_tables(fold)
+
+    return processor_us(work)
+
+
+def membership_us(routers: int) -> float:
+    """Return the time of a tick and of a heartbeat from each peer."""
+    rows = messages.heartbeats(routers)
+    members = stand_ins.members_of_zone(routers).members
+    membership = Membership(members[0], CLOCK, lambda *_sent: None)
+    beats = [
+        Heartbeat(row.router_id, row.incarnation, stand_ins.ZONE, row.host, 1)
+        for row in rows[1:]
+    ]
+
+    def work() -> None:  # noqa: WPS430 (the work that is timed)
+        for beat in beats:
+            membership.on_message(beat, beat.router_id)
+        membership.tick()
+
+    return processor_us(work)
+
+
+def log_line_us(lines: int) -> float:
+    """Return the time of one decision with its log line."""
+    logger = logging.getLogger('hickorymux')
+    handler = JsonHandler(io.StringIO(), JsonFormatter())
+    logger.addHandler(handler)
+    logger.setLevel('INFO')
+    logger.propagate = False
+    decisions = DecisionLog('router-1', CLOCK)
+    numbers = iter(range(100_000_000))
+    for _ in range(lines):
+        decisions.record(str(next(numbers)), 'dispatch', 'reason')
+    spent = processor_us(
+        lambda: decisions.record(
+            f'{next(numbers):032}',
+            'dispatch',
+            'route by model; least served customer took a free slot',
+            customer='customer-0001',
+            route='route-1',
+            pool='pool-1',
+            upstream='engine-00001',
+            zone='zone-1',
+            lease='zone-1-r1/77',
+            attempt=1,
+            waited_ms=0.2,
+        ),
+    )
+    logger.removeHandler(handler)
+    logger.propagate = True
+    return spent
+
+
+def _report(moment: int) -> LoadReport:
+    return LoadReport('instance', 'warm', 8, 1, 3, 0, (), moment)
