Keep homes while all routers are leaving

Cause: when all routers were stopped at once, home_of() passed over every one of them, so no upstream had a home and what was still queued got no slot. The router with the queue went on until the requests' queue timeout; the demo gave up on it after 15 s. Found by the demo at its graceful stop.

Ruled out: stopping the routers of the demo one after the other, which would hide the fault; lending without a home, which would lend slots twice.

Change: routers that are leaving stay homes when nobody else is left. The demo sends twice as many last streams as run at once, so that there is a queue.

--- a/demo/traffic.py
+++ b/demo/traffic.py
@@ -18,6 +18,7 @@
 _RETRY_SECONDS: Final = 0.25
 _TOKEN_COUNTS: Final = (5, 10, 20, 40, 80)
 _LAST_TOKENS: Final = 200
+_LAST_STREAMS: Final = 2
 _NS_PER_MS: Final = 1_000_000
 _VERSION_7: Final = 0x70
 _VARIANT: Final = 0x80
@@ -73,13 +74,14 @@
         self.is_stopping = True
 
     async def send_last(self, sent: asyncio.Event) -> None:
-        """Send one long stream for each customer and router at once.
+        """Send long streams for each customer and router, more than run.
 
         ``sent`` is set when all requests are on their way.
         """
-        pairs = itertools.product(self.callers, self.entries)
+        numbers = range(_LAST_STREAMS)
+        each = itertools.product(numbers, self.callers, self.entries)
         async with asyncio.TaskGroup() as group:
-            for (caller, _), entry in pairs:
+            for _, (caller, _), entry in each:
                 outcome = _outcome(caller, WorkKind.stream, entry)
                 self.outcomes.append(outcome)
                 group.create_task(caller.send(outcome, entry.url, _LAST_TOKENS))
--- a/src/hickorymux/_internal/coordination/slot_placement.py
+++ b/src/hickorymux/_internal/coordination/slot_placement.py
@@ -12,13 +12,16 @@
 def home_of(upstream: Upstream, members: MemberView) -> str:
     """Return the id of an upstream's home, by rendezvous hash in its zone.
 
-    Routers that are leaving are passed over. When the zone has no router
-    left, the routers of the other zones adopt its upstreams. The id is empty
-    when there is no router at all.
+    Routers that are leaving are passed over while any other is there. When
+    the zone has no router left, the routers of the other zones adopt its
+    upstreams. When all routers are leaving, they stay homes until they are
+    gone, so that what is queued still gets slots. The id is empty when there
+    is no router at all.
     """
-    candidates = _staying(members.live_in_zone(upstream.zone))
-    if not candidates:
-        candidates = _staying(members.live())
+    in_zone = members.live_in_zone(upstream.zone)
+    everywhere = members.live()
+    choices = _staying(in_zone), _staying(everywhere), in_zone, everywhere
+    candidates = next(filter(None, choices), ())
     if not candidates:
         return ''
     home = max(candidates, key=lambda member: _score(member, upstream))
