--- a/demo/show.py
+++ b/demo/show.py
@@ -47,7 +47,7 @@
         _print_started(fleet)
         print(_indented(await fleet.apply()))
         await fleet.wait_ready(session)
-        traffic = _traffic(fleet, session)
+        traffic = new_traffic(fleet, session)
         return cls(fleet, session, traffic, phase_seconds)
 
     async def run(self, *, keep: bool) -> tuple[Verdict, ...]:
@@ -125,7 +125,8 @@
         return list(router.lines_with('request_id', outcome.request_id))
 
 
-def _traffic(fleet: Fleet, session: aiohttp.ClientSession) -> Traffic:
+def new_traffic(fleet: Fleet, session: aiohttp.ClientSession) -> Traffic:
+    """Return the callers of all customers of a fleet."""
     deployment = fleet.deployment
     entries = [Entry(name, url) for name, url in fleet.urls().items()]
     callers = [
--- a/demo/summary.py
+++ b/demo/summary.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime as dt
+import itertools
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, Final
 
@@ -40,13 +41,14 @@
     for line in dispatches:
         moment = dt.datetime.fromisoformat(line['time'])
         counts[phases.name_of(moment), line['entry'], line['zone']] += 1
-    print("\nWhere each zone's work went")
-    row = '  {:<18}{:<14}{:<14}{:>8}'
-    print(row.format('phase', 'entry zone', 'served in', 'sent'))
-    for phase in phases.names:
-        for (shown, entry, zone), count in sorted(counts.items()):
-            if shown == phase:
-                print(row.format(phase, entry, zone, count))
+    zones = sorted({zone for _, _, zone in counts})
+    print("\nWhere each zone's work went, by the zone that served it")
+    row = '  {:<18}{:<14}' + '{:>12}' * len(zones)
+    print(row.format('phase', 'entry zone', *zones))
+    entries = sorted({entry for _, entry, _ in counts})
+    for phase, entry in itertools.product(phases.names, entries):
+        cells = (counts[phase, entry, zone] for zone in zones)
+        print(row.format(phase, entry, *cells))
 
 
 def print_decisions(request_id: str, lines: Iterable[Any]) -> None:
--- /dev/null
+++ b/tests/functional/test_router_killed.py
@@ -0,0 +1,147 @@
+"""A router is killed while it serves; every caller is told the truth."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from lib.small_fleet import open_fleet
+
+from demo.fleet import Fleet
+from demo.outcomes import Outcome, Result, WorkKind
+from demo.phases import Phases, now
+from demo.promises import judge
+from demo.requests import Caller
+from demo.show import new_traffic
+from demo.traffic import Entry, Traffic, uuid7
+
+pytestmark = pytest.mark.processes
+
+VICTIM = 'entry-b1'
+LONG_TOKENS = 300
+ENOUGH = 60
+WRITE_LATENCY_MS = 1000
+SECONDS = 30
+PROMISES = (
+    'a write runs at most once',
+    '"ran: no" is true',
+    'an answered write has run',
+    'a cold engine gets no more than it bears',
+)
+
+
+async def whole_count(traffic: Traffic, wanted: int) -> None:
+    """Return once so many requests were answered whole."""
+    async with asyncio.timeout(SECONDS):
+        while (
+            sum(one.result is Result.whole for one in traffic.outcomes) < wanted
+        ):
+            await asyncio.sleep(0.05)
+
+
+async def executed(fleet: Fleet, session, keys: set[str]) -> None:
+    """Return once the services have executed the writes with these keys."""
+    async with asyncio.timeout(SECONDS):
+        while True:
+            records = await fleet.platform.records(session, fleet.deployment)
+            entries = sum(records.executions.values(), [])
+            if keys <= {entry['idempotency_key'] for entry in entries}:
+                return
+            await asyncio.sleep(0.05)
+
+
+async def slow_down_services(fleet: Fleet, session) -> None:
+    for name, program in fleet.platform.upstreams.items():
+        if name.startswith('orders'):
+            change = {'latency_ms': WRITE_LATENCY_MS}
+            await session.post(f'{program.url}/control', json=change)
+
+
+def under_way(caller: Caller, number: int) -> Outcome:
+    """Return a request that is under way at the victim when it dies."""
+    kind = WorkKind.write if number % 2 else WorkKind.stream
+    key = uuid7() if kind is WorkKind.write else ''
+    name = f'under-way-{caller.customer}-{number}'
+    return Outcome(name, caller.customer, kind, VICTIM, key=key)
+
+
+async def kill_while_serving(
+    fleet: Fleet, session, traffic: Traffic
+) -> list[tuple[Caller, Outcome]]:
+    """Kill the victim; return the requests that were under way there."""
+    caught = [
+        (caller, under_way(caller, number))
+        for caller, _ in traffic.callers
+        for number in range(2)
+    ]
+    await slow_down_services(fleet, session)
+    url = fleet.urls()[VICTIM]
+    sending = [
+        asyncio.create_task(caller.send(outcome, url, LONG_TOKENS))
+        for caller, outcome in caught
+    ]
+    keys = {outcome.key for _, outcome in caught} - {''}
+    await executed(fleet, session, keys)
+    fleet.routers[VICTIM].kill()
+    traffic.entries = [
+        entry for entry in traffic.entries if entry.router != VICTIM
+    ]
+    await asyncio.gather(*sending)
+    return caught
+
+
+async def resend(
+    caught: list[tuple[Caller, Outcome]], entry: Entry
+) -> list[Outcome]:
+    """Send each request again, as a caller does that got no answer."""
+    again = [
+        Outcome(
+            one.request_id, one.customer, one.kind, entry.router, key=one.key
+        )
+        for _, one in caught
+    ]
+    callers = [caller for caller, _ in caught]
+    await asyncio.gather(
+        *(
+            caller.send(one, entry.url, LONG_TOKENS)
+            for caller, one in zip(callers, again, strict=True)
+        )
+    )
+    return again
+
+
+async def test_killed_router_leaves_no_caller_with_a_false_answer() -> None:
+    async with (
+        aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session,
+        open_fleet(session) as fleet,
+    ):
+        traffic = new_traffic(fleet, session)
+        serving = asyncio.create_task(traffic.run())
+        await whole_count(traffic, ENOUGH)
+        caught = await kill_while_serving(fleet, session, traffic)
+        served = sum(one.result is Result.whole for one in traffic.outcomes)
+        await whole_count(traffic, served + ENOUGH)
+        again = await resend(caught, traffic.entries[-1])
+        traffic.stop()
+        await serving
+        records = await fleet.platform.records(session, fleet.deployment)
+
+    first = [outcome for _, outcome in caught]
+    everything = [*traffic.outcomes, *first, *again]
+    lost = [one for one in everything if one.result is Result.lost]
+    assert {one.router for one in lost} == {VICTIM}
+    assert all(one.result is Result.lost for one in first)
+
+    streams = [one for one in again if one.kind is WorkKind.stream]
+    assert [one.result for one in streams] == [Result.whole] * len(streams)
+    writes = [one for one in again if one.kind is WorkKind.write]
+    assert {(one.code, one.ran == 'no') for one in writes} == {
+        ('duplicate_request', False)
+    }
+
+    verdicts = judge(everything, records, Phases('', now(), now()), {})
+    faults = {one.promise: one.faults for one in verdicts}
+    assert {promise: faults[promise] for promise in PROMISES} == dict.fromkeys(
+        PROMISES, ()
+    )
