--- /dev/null
+++ b/tests/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of the core protocols, checked exhaustively."""
--- /dev/null
+++ b/tests/unit/test_cold_permit_model.py
@@ -0,0 +1,50 @@
+"""The rules of cold permits hold in the model, and broken ones do not.
+
+A search that is not exhaustive reports neither, so ``True`` is a proof for
+the size of the model and ``False`` a counterexample.
+"""
+
+import minicheck
+import pytest
+from models.cold_permits import Variant, model
+
+MAX_STATES = 60_000
+
+
+def holds(variant: Variant) -> bool | None:
+    report = minicheck.check_safety(model(variant), max_states=MAX_STATES)
+    return report['properties']['cold limit']['holds']
+
+
+@pytest.mark.parametrize(
+    'variant',
+    [
+        Variant(max_crashes=0),
+        Variant(max_crashes=0, max_trims=1, may_be_called_gone=False),
+        Variant(may_be_called_gone=False),
+        Variant(
+            max_crashes=0, may_be_called_gone=False, has_quarantine=False
+        ),
+    ],
+    ids=['frozen and called gone', 'trimmed', 'crashed', 'no succession'],
+)
+def test_cold_limit_holds(variant: Variant) -> None:
+    assert holds(variant) is True
+
+
+@pytest.mark.parametrize(
+    'variant',
+    [
+        Variant(max_crashes=0, has_quarantine=False),
+        Variant(max_crashes=0, has_freshness=False),
+        Variant(
+            max_crashes=0,
+            may_be_called_gone=False,
+            has_quarantine=False,
+            first_claim_wins=False,
+        ),
+    ],
+    ids=['no quarantine', 'timed out only', 'last claim wins'],
+)
+def test_broken_rules_are_refuted(variant: Variant) -> None:
+    assert holds(variant) is False
--- a/tests/unit/test_cold_starts.py
+++ b/tests/unit/test_cold_starts.py
@@ -188,6 +188,25 @@
     assert engine.peak_cold == 1
 
 
+async def test_permit_taken_over_waits_for_the_work_left_behind() -> None:
+    network = make_network()
+    engine = network.engines['engine']
+    engine.crash('i1')
+    for router in network.routers.values():
+        router.work_seconds = 60
+    flood(network)
+    await network.run(6)
+    (name,) = holder_ids(network)
+    network.routers[name].paused = True
+    network.gone.add((name, 1))
+    network.cut([name], [one for one in network.routers if one != name])
+    await network.run(25)
+    assert engine.peak_cold == 1
+    engine.running = 0
+    await network.run(4)
+    assert engine.running == 1
+
+
 async def test_drained_cold_upstream_gets_nothing() -> None:
     network = make_network()
     engine = network.engines['engine']
--- a/tests/unit/test_slot_failures.py
+++ b/tests/unit/test_slot_failures.py
@@ -101,6 +101,21 @@
     assert running(network) == LIMIT
 
 
+async def test_home_with_no_memory_waits_for_a_lease_it_cannot_see() -> None:
+    network = make_network('a', 3, 1)
+    for router in network.routers.values():
+        router.work_seconds = 0.5
+    flood(network)
+    await network.run(6)
+    home_id = home_id_of(network, network.routers['router-a0'], 'engine-a0')
+    for name in network.routers:
+        network.hidden_cuts(name, home_id)
+    network.crash(home_id)
+    network.add(home_id, 'a', incarnation=2).demand(MANY)
+    await network.run(8)
+    assert peak(network) == LIMIT
+
+
 async def test_router_cut_from_its_home_stops_within_a_lease() -> None:
     network = make_network('a', 3, 1)
     flood(network)
@@ -108,8 +123,10 @@
     names = sorted(network.routers)
     home_id = home_id_of(network, network.routers[names[0]], 'engine-a0')
     others = [name for name in names if name != home_id]
+    lost = network.routers[others[0]].holder.holdings['engine-a0'].held
     network.hidden_cuts(others[0], home_id)
     await network.run(LEASE_SECONDS)
+    assert running(network) >= LIMIT - lost
     started = network.routers[others[0]].started
     await network.run(4)
     assert network.routers[others[0]].started == started
