--- a/src/hickorymux/_internal/coordination/config_follower.py
+++ b/src/hickorymux/_internal/coordination/config_follower.py
@@ -124,10 +124,19 @@
         Raises ``SnapshotError`` when the snapshot is malformed.
         """
         fold = ConfigFold.from_snapshot(snapshot)
-        if fold.version <= self.version:
+        if fold.version < self.version:
             return False
-        self._replace_fold(fold)
         self.is_loaded = True
+        if fold.version == self.version:
+            return False
+        self._replace_fold(fold)
+        return True
+
+    def take_fold(self, fold: ConfigFold) -> bool:
+        """Go on from a snapshot on the log if it holds more records."""
+        if fold.next_offset <= self.fold.next_offset:
+            return False
+        self._replace_fold(fold)
         return True
 
     async def run(self) -> None:
@@ -186,8 +195,7 @@
         if fold is None:
             return
         self.turn.note(fold.next_offset)
-        if fold.next_offset > self.fold.next_offset:
-            self._replace_fold(fold)
+        self.take_fold(fold)
 
     async def _recover(self) -> None:
         """Go on from a snapshot after the next record was trimmed."""
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/config_relay.py
@@ -0,0 +1,83 @@
+"""Gets the configuration from peers that are ahead of the log's answers.
+
+A router may be cut off from the log and not know it yet, as when its read
+hangs. So it asks a peer whenever one stays ahead of it, and at once while it
+has no configuration.
+"""
+
+from typing import Any, Final, final
+
+from hickorymux._internal.coordination.config_follower import ConfigFollower
+from hickorymux._internal.coordination.config_messages import (
+    ConfigOffer,
+    ConfigRequest,
+)
+from hickorymux._internal.coordination.ports import (
+    Member,
+    MemberView,
+    PeerSender,
+)
+from hickorymux._internal.utils.clock import Clock
+
+ASK_SECONDS: Final = 0.5
+
+# Ticks for which a peer is ahead before it is asked, as the log mostly
+# brings the same change at the same time.
+PATIENCE_TICKS: Final = 2
+
+
+@final
+class ConfigRelay:
+    """Asks the live router with the highest version, and answers others."""
+
+    __slots__ = ('behind_ticks', 'clock', 'follower', 'members', 'sender')
+
+    def __init__(
+        self,
+        follower: ConfigFollower,
+        members: MemberView,
+        sender: PeerSender,
+        clock: Clock,
+    ) -> None:
+        self.follower = follower
+        self.members = members
+        self.sender = sender
+        self.clock = clock
+        self.behind_ticks = 0
+
+    async def run(self) -> None:
+        """Ask whenever a peer is ahead, until cancelled."""
+        while True:
+            self.tick()
+            await self.clock.sleep(ASK_SECONDS)
+
+    def tick(self) -> None:
+        """Ask the peer that is furthest ahead, if one has been for a while."""
+        is_loaded = self.follower.is_loaded
+        known = self.follower.version if is_loaded else -1
+        ahead = self._highest_peer()
+        if ahead is None or ahead.config_version <= known:
+            self.behind_ticks = 0
+            return
+        self.behind_ticks += 1
+        if is_loaded and self.behind_ticks < PATIENCE_TICKS:
+            return
+        request = ConfigRequest(known_version=known)
+        self.sender.send(ahead.router_id, request)
+
+    def _highest_peer(self) -> Member | None:
+        own_id = self.members.myself.router_id
+        return max(
+            (one for one in self.members.live() if one.router_id != own_id),
+            key=lambda member: member.config_version,
+            default=None,
+        )
+
+    def on_message(self, sender_id: str, message: Any) -> None:
+        """Answer a request, or take an offer if it is newer."""
+        if isinstance(message, ConfigRequest):
+            offer = self.follower.answer(message)
+            if offer is not None:
+                self.sender.send(sender_id, offer)
+        elif isinstance(message, ConfigOffer):
+            self.follower.take_offer(message)
