--- a/tests/unit/test_examples.py
+++ b/tests/unit/test_examples.py
@@ -3,11 +3,15 @@
 import tomllib
 from pathlib import Path
 
+import defopt
 import pytest
 
+from hickorymux._internal.cli.environment import environment_flags
+from hickorymux._internal.commands.router import RouterCommand
 from hickorymux._internal.state.customers import CustomerKeys, key_digest
 from hickorymux._internal.state.rows import RowKind
 from hickorymux._internal.state.table_files import TableFiles
+from hickorymux._internal.transport.router_settings import RouterSettings
 from hickorymux._internal.utils.durations import parse_duration
 
 EXAMPLES = Path(__file__).parent.parent.parent / 'examples'
@@ -64,3 +68,19 @@
 def test_writes_that_may_not_be_repeated_need_a_key(name: str) -> None:
     for route in load(name).rows.all_routes():
         assert route.requires_key == bool(route.path_prefix)
+
+
+@pytest.mark.parametrize('name', ALL)
+def test_router_settings_are_valid(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.chdir(EXAMPLES.parent)
+    lines = (EXAMPLES / name / 'router.env').read_text().splitlines()
+    pairs = [line.split('=', 1) for line in lines if line[0] != '#']
+    flags = environment_flags(RouterCommand, dict(pairs))
+    assert len(flags) == len(pairs)
+    command = defopt.bind(RouterCommand, argv=list(flags), short={})()
+    settings = RouterSettings.from_config(command)
+    network = tomllib.loads((EXAMPLES / name / 'network.toml').read_text())
+    hosts = {host['name']: host['zone'] for host in network['entry_host']}
+    assert hosts[settings.router_id] == settings.zone
--- a/tools/measure_config.py
+++ b/tools/measure/config.py
@@ -1,6 +1,6 @@
 """Measures the cost of the configuration at the planned size.
 
-Run as ``python -m tools.measure_config``. It folds 12,000 upstreams in 24
+Run as ``python -m tools.measure.config``. It folds 12,000 upstreams in 24
 pools and then 25,000 changes of one row each, a day of them.
 """
 
