Start the configuration anew after retention took it, by a reset

Cause: when all routers are gone for longer than the log keeps records, no router and no operator could get a configuration in force again.

Change: a reset replaces all rows, is accepted only at the offset that it names, and clears the history. A router that lacks history looks for one and keeps the tables that it has meanwhile.

--- a/src/hickorymux/_internal/commands/apply.py
+++ b/src/hickorymux/_internal/commands/apply.py
@@ -4,8 +4,15 @@
 from pathlib import Path
 from typing import final
 
-from hickorymux._internal.commands.publishing import open_publisher, publish
+from hickorymux._internal.commands.publishing import (
+    default_author,
+    open_publisher,
+    publish,
+    report_outcome,
+)
 from hickorymux._internal.coordination.config_publisher import ConfigPublisher
+from hickorymux._internal.coordination.config_reset import ConfigReset
+from hickorymux._internal.exceptions import LogTrimmed, UsageError
 from hickorymux._internal.state.config_changes import Operation
 from hickorymux._internal.state.config_delta import (
     is_in_force,
@@ -30,6 +37,8 @@
     :param log: URL of the log service, as in http://10.0.0.5:7000
     :param base: version that the files were edited from; when it is left
         out, the version in force, so that the files replace all rows
+    :param reset: start anew on a stream whose history was trimmed before a
+        snapshot was written; the files replace all rows and drains
     :param author: who makes the change; user@host when left out
     :param timeout: how long to look after a lost answer, as in 30s
     """
@@ -38,6 +47,7 @@
     pools: Path
     log: str
     base: int | None = None
+    reset: bool = False
     author: str = ''
     timeout: str = '30s'
 
@@ -46,7 +56,10 @@
         wanted = TableFiles.load(self.routes, self.pools).rows
         timeout = parse_duration(self.timeout)
         async with open_publisher(self.log, timeout) as publisher:
-            await self._publish(publisher, wanted)
+            if self.reset:
+                await self._reset(publisher, wanted)
+            else:
+                await self._publish(publisher, wanted)
 
     async def _publish(
         self, publisher: ConfigPublisher, wanted: ConfigRows
@@ -63,6 +76,22 @@
             publisher, base=base, author=self.author, operations=operations
         )
 
+    async def _reset(
+        self, publisher: ConfigPublisher, wanted: ConfigRows
+    ) -> None:
+        if await _has_history(publisher):
+            raise UsageError(
+                'the log holds the configuration',
+                where='--reset',
+                hint='leave it out',
+            )
+        reset = ConfigReset(publisher.log, publisher.clock, publisher.timeout)
+        outcome = await reset.publish(
+            author=self.author or default_author(),
+            operations=table_delta(ConfigRows(), wanted),
+        )
+        report_outcome(outcome, publisher.fold.version)
+
     async def _read_base(self, publisher: ConfigPublisher) -> int:
         """Fold up to the base and return it."""
         if self.base is not None:
@@ -73,6 +102,14 @@
         return publisher.fold.next_offset
 
 
+async def _has_history(publisher: ConfigPublisher) -> bool:
+    try:
+        await publisher.read_to_end()
+    except LogTrimmed:
+        return False
+    return True
+
+
 def _still_needed(
     delta: tuple[Operation, ...], rows: ConfigRows
 ) -> tuple[Operation, ...]:
--- a/src/hickorymux/_internal/coordination/config_follower.py
+++ b/src/hickorymux/_internal/coordination/config_follower.py
@@ -68,6 +68,7 @@
         self.is_log_reachable = False
         self.is_history_missing = False
         self.has_read_snapshot = False
+        self.pending: ConfigFold | None = None
 
     @property
     def tables(self) -> Tables:
@@ -154,8 +155,8 @@
             await self._load_snapshot()
         try:
             await self._read_page()
-        except LogTrimmed:
-            await self._recover()
+        except LogTrimmed as error:
+            await self._recover(error.first_offset)
         if not self.turn.seconds_left(self.fold.next_offset):
             await self._take_turn()
 
@@ -197,16 +198,33 @@
         self.turn.note(fold.next_offset)
         self.take_fold(fold)
 
-    async def _recover(self) -> None:
+    async def _recover(self, first_offset: int) -> None:
         """Go on from a snapshot after the next record was trimmed."""
         offset = self.fold.next_offset
         await self._load_snapshot()
         self.is_history_missing = self.fold.next_offset <= offset
         if self.is_history_missing:
+            await self._search_reset(first_offset)
+
+    async def _search_reset(self, first_offset: int) -> None:
+        """Go on from a reset of the tables if there is one on the log."""
+        pending = self.pending
+        if pending is None or pending.next_offset < first_offset:
+            pending = ConfigFold.from_offset(first_offset)
+        self.pending = pending
+        page = await self.log.read(
+            CONFIG_STREAM, pending.next_offset, limit=PAGE_RECORDS
+        )
+        for record in page.records:
+            pending.apply_record(record.offset, record.payload)
+        if not pending.is_complete:
             raise LogTrimmed(
-                f'no snapshot holds the records from {offset} on',
+                'no snapshot holds the records before the first retained one',
+                first_offset=first_offset,
                 where=CONFIG_STREAM,
             )
+        self.pending = None
+        self._replace_fold(pending)
 
     async def _take_turn(self) -> None:
         """Write a snapshot unless another router did."""
--- a/src/hickorymux/_internal/coordination/config_publisher.py
+++ b/src/hickorymux/_internal/coordination/config_publisher.py
@@ -47,15 +47,36 @@
 _TIMEOUT = dt.timedelta(seconds=30)
 
 
+@final
 @dataclasses.dataclass(slots=True)
-class _Progress:
-    """What is known of the append of one change."""
+class AppendProgress:
+    """What is known of the append of one record.
+
+    ``deadline`` is in monotonic seconds.
+    """
 
     change_id: str
     payload: bytes
     deadline: float
     may_be_on_log: bool = False
 
+    def note_failure(self, error: LogError, now: float) -> None:
+        """Take in a failure; raise when it is the end of the attempts.
+
+        Raises the error itself when the record is certainly not on the log,
+        and ``OutcomeUnknown`` when it may be and time is up.
+        """
+        if isinstance(error, LogAppendUnknown):
+            self.may_be_on_log = True
+        if not self.may_be_on_log:
+            raise error
+        if now >= self.deadline:
+            raise OutcomeUnknown(
+                f'change {self.change_id} may have been published: {error}',
+                where='log',
+                hint='give the command again when the log answers',
+            ) from error
+
 
 @final
 class ConfigPublisher:
@@ -92,6 +113,7 @@
                     where='--base',
                     hint=f'the version in force is {self.fold.version}',
                 )
+        self._check_complete()
 
     async def read_to_end(self) -> None:
         """Fold all records that the log holds."""
@@ -100,6 +122,7 @@
         has_more = True
         while has_more:
             has_more = await self._read_page(PAGE_RECORDS)
+        self._check_complete()
 
     async def publish(
         self, *, base: int, author: str, operations: tuple[Operation, ...]
@@ -110,7 +133,7 @@
         ``OutcomeUnknown`` when that could not be learnt in time.
         """
         change_id = new_request_id()
-        progress = _Progress(
+        progress = AppendProgress(
             change_id,
             encode_change(ConfigChange(change_id, base, author, operations)),
             self.clock.monotonic() + self.timeout.total_seconds(),
@@ -119,10 +142,11 @@
             try:
                 await self._attempt(progress)
             except (LogAppendUnknown, LogUnavailable) as error:
-                await self._wait_after(error, progress)
+                progress.note_failure(error, self.clock.monotonic())
+                await self.clock.sleep(RETRY_SECONDS)
         return self.outcomes[change_id]
 
-    async def _attempt(self, progress: _Progress) -> None:
+    async def _attempt(self, progress: AppendProgress) -> None:
         """Append unless the record is there, then read the stream back."""
         if progress.may_be_on_log:
             await self.read_to_end()
@@ -132,35 +156,21 @@
         progress.may_be_on_log = True
         await self.read_to_end()
 
-    async def _wait_after(self, error: LogError, progress: _Progress) -> None:
-        if isinstance(error, LogAppendUnknown):
-            progress.may_be_on_log = True
-        if not progress.may_be_on_log:
-            raise error
-        if self.clock.monotonic() >= progress.deadline:
-            raise OutcomeUnknown(
-                f'change {progress.change_id} may have been published: {error}',
-                where='log',
-                hint='give the command again when the log answers',
-            ) from error
-        await self.clock.sleep(RETRY_SECONDS)
-
     async def _start(self, version: int | None) -> None:
         """Take the first records, or a snapshot if they are trimmed."""
         try:
             await self.log.read(CONFIG_STREAM, 0, limit=1)
-        except LogTrimmed:
-            self.fold = await self._snapshot(version)
+        except LogTrimmed as error:
+            snapshot = await SnapshotStore(self.log).newest(version)
+            self.fold = snapshot or ConfigFold.from_offset(error.first_offset)
 
-    async def _snapshot(self, version: int | None) -> ConfigFold:
-        fold = await SnapshotStore(self.log).newest(version)
-        if fold is None:
+    def _check_complete(self) -> None:
+        if not self.fold.is_complete:
             raise LogTrimmed(
-                'no snapshot holds the trimmed records',
+                'neither a snapshot nor a reset replaces the trimmed records',
                 where=CONFIG_STREAM,
-                hint='take a newer version as the base',
+                hint='take a newer --base, or start anew with apply --reset',
             )
-        return fold
 
     async def _read_page(self, limit: int) -> bool:
         """Fold one page and return whether it held records."""
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/config_reset.py
@@ -0,0 +1,115 @@
+"""Starts the configuration anew on a stream whose history was trimmed.
+
+A reset takes effect only as the record at the offset that it names. So of two
+racing resets one takes effect, and one that lands late takes none.
+
+Example::
+
+    reset = ConfigReset(log, SystemClock())
+    outcome = await reset.publish(author='ops', operations=operations)
+"""
+
+import datetime as dt
+from typing import Final, final
+
+from hickorymux._internal.coordination.config_publisher import (
+    RETRY_SECONDS,
+    AppendProgress,
+)
+from hickorymux._internal.coordination.ports import LogClient
+from hickorymux._internal.exceptions import (
+    LogAppendUnknown,
+    LogTrimmed,
+    LogUnavailable,
+)
+from hickorymux._internal.state.config_changes import (
+    CONFIG_STREAM,
+    ConfigChange,
+    Operation,
+    ResetTables,
+    encode_change,
+)
+from hickorymux._internal.state.config_fold import (
+    ConfigFold,
+    Outcome,
+    Rejected,
+    RejectCode,
+)
+from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.ids import new_request_id
+
+_TIMEOUT: Final = dt.timedelta(seconds=30)
+
+
+@final
+class ConfigReset:
+    """Publishes a reset; ``timeout`` bounds the search for a lost answer."""
+
+    __slots__ = ('clock', 'log', 'timeout')
+
+    def __init__(
+        self, log: LogClient, clock: Clock, timeout: dt.timedelta = _TIMEOUT
+    ) -> None:
+        self.log = log
+        self.clock = clock
+        self.timeout = timeout
+
+    async def publish(
+        self, *, author: str, operations: tuple[Operation, ...]
+    ) -> Outcome:
+        """Append the reset at the end of the stream; return what it became.
+
+        It is rejected when another record got the offset first. Raises
+        ``LogUnavailable`` and ``OutcomeUnknown`` as ``ConfigPublisher`` does.
+        """
+        base = await self._end_offset()
+        change = ConfigChange(
+            new_request_id(), base, author, (ResetTables(), *operations)
+        )
+        progress = AppendProgress(
+            change.id,
+            encode_change(change),
+            self.clock.monotonic() + self.timeout.total_seconds(),
+        )
+        outcome: Outcome | None = None
+        while outcome is None:
+            try:
+                outcome = await self._attempt(base, progress)
+            except (LogAppendUnknown, LogUnavailable) as error:
+                progress.note_failure(error, self.clock.monotonic())
+                await self.clock.sleep(RETRY_SECONDS)
+        return outcome
+
+    async def _attempt(
+        self, base: int, progress: AppendProgress
+    ) -> Outcome | None:
+        """Append unless the offset is taken, then look who has it."""
+        if not await self._is_taken(base):
+            await self.log.append(CONFIG_STREAM, progress.payload)
+            progress.may_be_on_log = True
+        page = await self.log.read(CONFIG_STREAM, base, limit=1)
+        if not page.records:
+            return None
+        record = page.records[0]
+        if record.payload == progress.payload:
+            return ConfigFold.from_offset(base).apply_record(
+                base, record.payload
+            )
+        return Rejected(
+            RejectCode.reset_moved,
+            'another record came first',
+            progress.change_id,
+        )
+
+    async def _is_taken(self, offset: int) -> bool:
+        page = await self.log.read(CONFIG_STREAM, offset, limit=1)
+        return bool(page.records)
+
+    async def _end_offset(self) -> int:
+        try:
+            page = await self.log.read(CONFIG_STREAM, 0, limit=1)
+        except LogTrimmed as error:
+            page = await self.log.read(
+                CONFIG_STREAM, error.first_offset, limit=1
+            )
+        return page.end_offset
--- a/src/hickorymux/_internal/state/config_changes.py
+++ b/src/hickorymux/_internal/state/config_changes.py
@@ -106,8 +106,19 @@
     name: str
 
 
+@final
+class ResetTables(_Operation, frozen=True, tag='reset_tables'):
+    """Delete all rows that the same change does not put.
+
+    The change then takes effect only as the record at the offset that is its
+    base, and needs no history. So operators can start anew on a stream whose
+    history was trimmed.
+    """
+
+
 Operation: TypeAlias = (
-    PutRoute
+    ResetTables
+    | PutRoute
     | DeleteRoute
     | PutPool
     | DeletePool
@@ -129,6 +140,11 @@
     author: str
     operations: tuple[Operation, ...]
 
+    @property
+    def is_reset(self) -> bool:
+        """Return whether the change replaces all rows."""
+        return any(isinstance(each, ResetTables) for each in self.operations)
+
 
 class MalformedChange(ConfigError):
     """A record of the configuration stream is not a change."""
@@ -169,6 +185,13 @@
     raise NotImplementedError(type(operation))
 
 
+@row_updates.register
+def _reset_tables(
+    operation: ResetTables,
+) -> Iterator[tuple[RowKey, Row | None]]:
+    return iter(())
+
+
 @row_updates.register
 def _put_route(operation: PutRoute) -> Iterator[tuple[RowKey, Row | None]]:
     yield RowKey(RowKind.route, operation.route.name), operation.route
--- a/src/hickorymux/_internal/state/config_fold.py
+++ b/src/hickorymux/_internal/state/config_fold.py
@@ -57,6 +57,8 @@
     row_invalid = 'row_invalid'
     base_unknown = 'base_unknown'
     base_too_old = 'base_too_old'
+    reset_moved = 'reset_moved'
+    history_missing = 'history_missing'
     conflict = 'change_conflict'
     not_joined = 'tables_not_joined'
     duplicate = 'change_duplicate'
@@ -91,17 +93,40 @@
 
     The cost of a record follows the rows that it touches. ``tables`` is built
     when it is asked for, from the pools that changed since it was last built.
+
+    A fold that starts in the middle of the stream is not complete: it accepts
+    nothing but a reset of the tables, which makes it complete.
     """
 
-    __slots__ = ('builder', 'history', 'next_offset', 'rows', 'version')
+    __slots__ = (
+        'builder',
+        'history',
+        'is_complete',
+        'next_offset',
+        'reset_version',
+        'rows',
+        'version',
+    )
 
     def __init__(self, *, horizon: int = HORIZON_RECORDS) -> None:
         self.version = 0
         self.next_offset = 0
+        self.reset_version = 0
+        self.is_complete = True
         self.rows = ConfigRows()
         self.builder = TableBuilder(self.rows)
         self.history = ChangeHistory(horizon)
 
+    @classmethod
+    def from_offset(
+        cls, offset: int, *, horizon: int = HORIZON_RECORDS
+    ) -> 'ConfigFold':
+        """Return a fold that lacks the records below an offset."""
+        fold = cls(horizon=horizon)
+        fold.next_offset = offset
+        fold.is_complete = not offset
+        return fold
+
     @classmethod
     def from_snapshot(
         cls, encoded: bytes, *, horizon: int = HORIZON_RECORDS
@@ -111,6 +136,7 @@
         fold = cls(horizon=horizon)
         fold.version = snapshot.version
         fold.next_offset = snapshot.next_offset
+        fold.reset_version = snapshot.reset_version
         rows = _snapshot_rows(snapshot)
         problem = _row_problem(rows)
         if problem is None:
@@ -172,6 +198,7 @@
             ConfigSnapshot(
                 version=self.version,
                 next_offset=self.next_offset,
+                reset_version=self.reset_version,
                 routes=tuple(rows.all_routes()),
                 pools=tuple(rows.all_pools()),
                 upstreams=tuple(rows.all_upstreams()),
@@ -192,11 +219,16 @@
 
     def _decide(self, offset: int, change: ConfigChange) -> Outcome:
         """Accept or reject a change; an id is decided once."""
+        if change.is_reset:
+            return self._decide_reset(offset, change)
+        if not self.is_complete:
+            reason = 'the records before it are missing'
+            return _rejected(change, RejectCode.history_missing, reason)
         if change.id in self.history.decided:
             return _rejected(
                 change, RejectCode.duplicate, 'the id was decided before'
             )
-        if change.base < min(self.version, self.history.oldest_base(offset)):
+        if change.base < self._oldest_base(offset):
             reason = f'base {change.base} is too old'
             return _rejected(change, RejectCode.base_too_old, reason)
         self.history.decide(change.id, offset)
@@ -205,16 +237,30 @@
             return _rejected(change, RejectCode.base_unknown, reason)
         return self._decide_rows(offset, change)
 
+    def _oldest_base(self, offset: int) -> int:
+        oldest = min(self.version, self.history.oldest_base(offset))
+        return max(oldest, self.reset_version)
+
+    def _decide_reset(self, offset: int, change: ConfigChange) -> Outcome:
+        """Replace all rows, by a rule that needs none of the history."""
+        if change.base != offset:
+            reason = f'the reset was made for offset {change.base}'
+            return _rejected(change, RejectCode.reset_moved, reason)
+        updates = _row_updates(change)
+        fold = ConfigFold(horizon=self.history.horizon)
+        outcome = fold.put_change(offset, change, updates)
+        if isinstance(outcome, Rejected):
+            return outcome
+        gone = dict.fromkeys(self.rows.rows.keys() - updates.keys())
+        self.history.clear()
+        self.put_rows({**gone, **updates})
+        self.is_complete = True
+        self.reset_version = offset + 1
+        self.history.decide(change.id, offset)
+        return self._accept(offset, change, updates)
+
     def _decide_rows(self, offset: int, change: ConfigChange) -> Outcome:
-        pairs = [
-            pair
-            for operation in change.operations
-            for pair in row_updates(operation)
-        ]
-        updates = dict(pairs)
-        if len(updates) < len(pairs):
-            reason = 'a row is changed twice'
-            return _rejected(change, RejectCode.malformed, reason)
+        updates = _row_updates(change)
         conflicts = self.history.conflicts(change.base, updates)
         if conflicts:
             return Rejected(
@@ -223,14 +269,18 @@
                 change.id,
                 conflicts,
             )
-        return self._put_change(offset, change, updates)
+        return self.put_change(offset, change, updates)
 
-    def _put_change(
+    def put_change(
         self,
         offset: int,
         change: ConfigChange,
         updates: Mapping[RowKey, Row | None],
     ) -> Outcome:
+        """Put the rows of a change if they are right and fit the others."""
+        if len(updates) < _count_updates(change):
+            reason = 'a row is changed twice'
+            return _rejected(change, RejectCode.malformed, reason)
         problem = _row_problem(updates)
         if problem is not None:
             return _rejected(change, problem.code, problem.reason)
@@ -239,12 +289,34 @@
         if problem is not None:
             self.put_rows(old_rows)
             return _rejected(change, problem.code, problem.reason)
+        return self._accept(offset, change, updates)
+
+    def _accept(
+        self,
+        offset: int,
+        change: ConfigChange,
+        updates: Mapping[RowKey, Row | None],
+    ) -> Accepted:
         self.version = offset + 1
         for key in updates:
             self.history.touch(key, RowTouch(self.version, change.author))
         return Accepted(self.version, change.id, change.author, tuple(updates))
 
 
+def _row_updates(change: ConfigChange) -> dict[RowKey, Row | None]:
+    """Return what a change does to each row."""
+    updates: dict[RowKey, Row | None] = {}
+    for operation in change.operations:
+        updates.update(row_updates(operation))
+    return updates
+
+
+def _count_updates(change: ConfigChange) -> int:
+    return sum(
+        len(tuple(row_updates(operation))) for operation in change.operations
+    )
+
+
 def _row_problem(updates: Mapping[RowKey, Row | None]) -> Rejected | None:
     """Return what is wrong with the form of the rows, if anything is."""
     for key, row in updates.items():
--- a/src/hickorymux/_internal/state/config_history.py
+++ b/src/hickorymux/_internal/state/config_history.py
@@ -66,6 +66,11 @@
                 break
             self.decided.pop(change_id)
 
+    def clear(self) -> None:
+        """Forget all changes."""
+        self.touches.clear()
+        self.decided.clear()
+
     def touch(self, key: RowKey, touch: RowTouch) -> None:
         """Remember the last change of a row."""
         self.touches[key] = touch
--- a/src/hickorymux/_internal/state/config_snapshot.py
+++ b/src/hickorymux/_internal/state/config_snapshot.py
@@ -47,6 +47,7 @@
 
     version: int
     next_offset: int
+    reset_version: int = 0
     routes: tuple[RouteRow, ...]
     pools: tuple[PoolRow, ...]
     upstreams: tuple[UpstreamRow, ...]
--- a/tests/functional/test_config_fleet.py
+++ b/tests/functional/test_config_fleet.py
@@ -193,7 +193,11 @@
     assert [each['drained'] for each in upstreams] == [True, True]
 
 
-def test_after_retention_without_a_snapshot_it_says_so(fleet: Fleet) -> None:
+def test_after_retention_without_a_snapshot_operators_start_anew(
+    fleet: Fleet,
+) -> None:
+    with pytest.raises(AssertionError, match='leave it out'):
+        fleet.apply('--reset')
     fleet.apply()
     fleet.command('drain', '--zone=a')
     control_log(fleet.log, retain_records=1)
@@ -201,3 +205,10 @@
     router.wait_event('config_read_failed')
     assert not status(router)['ready']
     assert 'trimmed the configuration' in readiness(router)[0]
+    with pytest.raises(AssertionError, match='apply --reset'):
+        fleet.apply()
+    fleet.apply('--reset')
+    wait_for(has_version(router, 3), IN_FORCE_SECONDS)
+    wait_for(lambda: status(router)['ready'], IN_FORCE_SECONDS)
+    fleet.command('drain', '--zone=b')
+    wait_for(has_version(router, 4), IN_FORCE_SECONDS)
--- a/tests/unit/test_config_properties.py
+++ b/tests/unit/test_config_properties.py
@@ -18,7 +18,11 @@
 
 from hickorymux._internal.coordination.config_messages import ConfigOffer
 from hickorymux._internal.exceptions import SnapshotError
-from hickorymux._internal.state.config_changes import DrainUpstream, DrainZone
+from hickorymux._internal.state.config_changes import (
+    DrainUpstream,
+    DrainZone,
+    ResetTables,
+)
 from hickorymux._internal.state.config_fold import (
     Accepted,
     ConfigFold,
@@ -124,6 +128,32 @@
             assert fold.rows.rows == rows
 
 
+@derandomized
+@given(
+    st.lists(CHANGES, max_size=5),
+    st.lists(CHANGES, max_size=8),
+    st.integers(0, 5),
+)
+def test_a_reset_needs_no_history(
+    before: list[bytes], after: list[bytes], first: int
+) -> None:
+    whole = started_fold()
+    for payload in before:
+        whole.apply_record(whole.next_offset, payload)
+    late = ConfigFold.from_offset(min(first, len(before)) + 1)
+    for payload in before[late.next_offset - 1 :]:
+        outcome = late.apply_record(late.next_offset, payload)
+        assert isinstance(outcome, Rejected)
+    reset = change(
+        whole.next_offset, ResetTables(), *base_operations(), id='reset'
+    )
+    for payload in [reset, *after, reset]:
+        outcome = late.apply_record(late.next_offset, payload)
+        assert whole.apply_record(whole.next_offset, payload) == outcome
+        assert whole.snapshot() == late.snapshot()
+        assert whole.tables == late.tables
+
+
 @derandomized
 @given(st.binary(max_size=200))
 def test_bytes_are_no_change(payload: bytes) -> None:
