--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -11,8 +11,6 @@
     (1, 'membership', 'Heartbeat'),
     (2, 'membership', 'ZoneDigest'),
     (3, 'membership', 'DigestRequest'),
-    (40, 'claim', 'ClaimAsk'),
-    (41, 'claim', 'ClaimAnswer'),
     (10, 'config', 'ConfigRequest'),
     (11, 'config', 'ConfigOffer'),
     (20, 'slot', 'SlotRequest'),
@@ -22,6 +20,12 @@
     (24, 'slot', 'SlotHandover'),
     (25, 'slot', 'UpstreamSign'),
     (26, 'slot', 'ColdOffer'),
+    (30, 'service', 'ServiceReport'),
+    (31, 'service', 'ZoneService'),
+    (32, 'service', 'FleetService'),
+    (33, 'service', 'ServiceRequest'),
+    (40, 'claim', 'ClaimAsk'),
+    (41, 'claim', 'ClaimAnswer'),
 )
 
 
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -15,8 +15,10 @@
 from aiohttp import ClientSession, web
 
 from hickorymux._internal.coordination import (
+    claim_messages,
     config_messages,
     membership_messages,
+    service_messages,
     slot_messages,
 )
 from hickorymux._internal.coordination.claims import Claimer
@@ -24,6 +26,7 @@
 from hickorymux._internal.coordination.config_follower import ConfigFollower
 from hickorymux._internal.coordination.config_relay import ConfigRelay
 from hickorymux._internal.coordination.config_snapshots import SnapshotPolicy
+from hickorymux._internal.coordination.counter_exchange import CounterExchange
 from hickorymux._internal.coordination.decisions import DecisionLog
 from hickorymux._internal.coordination.gone_routers import GoneRouters
 from hickorymux._internal.coordination.membership import Membership
@@ -140,6 +143,7 @@
             (drained, second_signal),
             return_when=asyncio.FIRST_COMPLETED,
         )
+        self.exchange.flush()
         cut = len(self.callers.running)
         _logger.info(
             'shut down',
@@ -263,6 +267,11 @@
             self.clock,
             settings.max_waiting,
         )
+        self.exchange = CounterExchange.from_config(
+            self.membership,
+            self.network,
+            self.clock,
+        )
         self.follower.subscribe(self._use_tables)
         self.assumed_load = AssumedLoad(
             self.clock,
@@ -282,6 +291,8 @@
             self.log,
             self.clock,
             settings.claims,
+            self.membership,
+            self.network,
         )
         self.callers = CallerServer(
             dispatcher,
@@ -306,6 +317,10 @@
             handlers[message_class] = self._on_membership
         for message_class in _messages_of(config_messages):
             handlers[message_class] = self.relay.on_message
+        for message_class in _messages_of(claim_messages):
+            handlers[message_class] = self.claimer.on_message
+        for message_class in _messages_of(service_messages):
+            handlers[message_class] = self.exchange.on_message
         for message_class in _messages_of(slot_messages):
             handlers[message_class] = self.home.on_message
         handlers[slot_messages.SlotGrant] = self.holder.on_message
@@ -319,7 +334,9 @@
             self.relay.run(),
             self.home.run(),
             self.holder.run(),
+            self.exchange.run(),
             self.assumed_load.run(),
+            self.claimer.run(),
             self.cold_starts.run(),
             self._follow_upstreams(),
             self._follow_host_list(),
@@ -339,6 +356,11 @@
 
     def _use_tables(self, tables: Tables) -> None:
         self.scheduler.use_tables(tables)
+        queues = self.scheduler.queues
+        for added in queues.keys() - self.exchange.pools.keys():
+            self.exchange.add_pool(queues[added])
+        for gone in self.exchange.pools.keys() - queues.keys():
+            self.exchange.remove_pool(gone)
         self.membership.update_myself(config_version=tables.version)
 
     def _on_slots(self, pool: str) -> None:
