--- a/src/hickorymux/_internal/state/rows.py
+++ b/src/hickorymux/_internal/state/rows.py
@@ -33,7 +33,7 @@
 
     def __str__(self) -> str:
         """Return the key as an operator reads it."""
-        return f'{self.kind} "{self.name}"'
+        return f'{self.kind.replace("_", " ")} "{self.name}"'
 
 
 @final
--- a/src/hickorymux/_internal/transport/router_settings.py
+++ b/src/hickorymux/_internal/transport/router_settings.py
@@ -14,14 +14,13 @@
 from hickorymux._internal.exceptions import ConfigError
 from hickorymux._internal.transport.caller_server import CallerLimits
 from hickorymux._internal.transport.upstream_client import UpstreamTimeouts
+from hickorymux._internal.utils import durations
 
 MIN_FLEET_KEY_CHARACTERS: Final = 16
 MAX_PORT: Final = 65535
 
 _NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
-_DURATION = re.compile('([0-9]+(?:[.][0-9]+)?)(ms|s|m|h)')
 _PEER = re.compile('([^@=]+)@([^@=]+)=(.+)')
-_UNIT_SECONDS: Final = {'ms': 0.001, 's': 1, 'm': 60, 'h': 3600}
 
 
 @final
@@ -165,13 +164,10 @@
 
 def parse_duration(text: str) -> dt.timedelta:
     """Return a duration written as ``500ms``, ``30s``, ``2m`` or ``1h``."""
-    match = _DURATION.fullmatch(text)
-    if match is None:
-        raise ValueError(
-            f'"{text}" is not a duration, as in 500ms, 30s, 2m or 1h'
-        )
-    number, unit = match.groups()
-    return dt.timedelta(seconds=float(number) * _UNIT_SECONDS[unit])
+    try:
+        return durations.parse_duration(text)
+    except ConfigError as error:
+        raise ValueError(f'{error.detail}; {error.hint}') from error
 
 
 def parse_positive(number: int) -> int:
