--- a/src/hickorymux/_internal/transport/calls.py
+++ b/src/hickorymux/_internal/transport/calls.py
@@ -98,14 +98,20 @@
     return max(found, key=_specificity)
 
 
+def _is_below(path: str, prefix: str) -> bool:
+    """Return whether a path is the prefix itself or lies below it."""
+    if not prefix or not path.startswith(prefix):
+        return False
+    rest = path[len(prefix) :]
+    return not rest or prefix.endswith('/') or rest.startswith('/')
+
+
 def match_path(tables: Tables, customer: str, path: str) -> Route:
     """Return the route with the longest matching path prefix."""
     found = [
         route
         for route in tables.routes.values()
-        if route.path_prefix
-        and path.startswith(route.path_prefix)
-        and _may_use(route, customer)
+        if _is_below(path, route.path_prefix) and _may_use(route, customer)
     ]
     if not found:
         raise RouteNotFound(f'no route for path "{path}"', where='path')
