Count octets by kind of message and measure a fleet of real routers

Cause: the capacity page has to be checked against reality. Change: the metrics page tells octets by kind of message; python -m tools.measure.fleet starts a fleet and reads each node.

--- a/src/hickorymux/_internal/transport/admin_server.py
+++ b/src/hickorymux/_internal/transport/admin_server.py
@@ -22,6 +22,7 @@
     RouterStatus,
     UpstreamStatus,
 )
+from hickorymux._internal.protocol.peer_messages import MESSAGE_REGISTRY
 from hickorymux._internal.state.tables import Pool, Upstream
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.peer_network import TrafficMeter
@@ -86,6 +87,10 @@
 
     async def show_metrics(self, request: web.Request) -> web.Response:
         """Return all metrics."""
+        by_code = self.meter.octets_out_by_code
+        self.metrics.peer_octets = {
+            name: by_code[code] for code, _, name in MESSAGE_REGISTRY
+        }
         self.metrics.gauges['peer_octets_out'] = self.meter.octets_out
         self.metrics.gauges['peer_octets_in'] = self.meter.octets_in
         self.metrics.gauges['peer_frames_out'] = self.meter.frames_out
--- a/src/hickorymux/_internal/transport/metrics.py
+++ b/src/hickorymux/_internal/transport/metrics.py
@@ -45,6 +45,7 @@
             collections.Counter()
         )
         self.gauges: dict[str, float] = {}
+        self.peer_octets: dict[str, int] = {}
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -88,6 +89,14 @@
         for labels, cost in self.service.items():
             service.add_metric(labels, cost)
         yield service
+        peer_octets = CounterMetricFamily(
+            'hickorymux_peer_message_octets',
+            'Octets sent to other routers by kind of message',
+            labels=('message',),
+        )
+        for message, octets in self.peer_octets.items():
+            peer_octets.add_metric((message,), octets)
+        yield peer_octets
         for name, reading in self.gauges.items():
             yield GaugeMetricFamily(f'hickorymux_{name}', name, value=reading)
 
--- a/src/hickorymux/_internal/transport/peer_network.py
+++ b/src/hickorymux/_internal/transport/peer_network.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import datetime as dt
 import logging
@@ -51,6 +52,7 @@
         'frames_out',
         'octets_in',
         'octets_out',
+        'octets_out_by_code',
         'refused',
     )
 
@@ -59,12 +61,16 @@
         self.frames_out = 0
         self.octets_in = 0
         self.octets_out = 0
+        self.octets_out_by_code: collections.Counter[int] = (
+            collections.Counter()
+        )
         self.refused = 0
 
-    def sent(self, octets: int) -> None:
+    def sent(self, type_code: int, octets: int) -> None:
         """Count one frame that was sent."""
         self.frames_out += 1
         self.octets_out += octets
+        self.octets_out_by_code[type_code] += octets
 
     def received(self, octets: int) -> None:
         """Count one frame that was accepted."""
@@ -190,7 +196,7 @@
         if len(frame) > MAX_DATAGRAM_BYTES:
             self.send(member.router_id, message)
             return
-        self.meter.sent(len(frame))
+        self.meter.sent(code, len(frame))
         self.datagrams.sendto(frame, (member.host, member.port))
 
     def take_datagram(self, frame: bytes) -> None:
@@ -281,7 +287,7 @@
             except TimeoutError:
                 return
             frame = self.sealer.seal(self._envelope(code, body, 0), challenge)
-            self.meter.sent(len(frame) + LENGTH_PREFIX.size)
+            self.meter.sent(code, len(frame) + LENGTH_PREFIX.size)
             writer.write(LENGTH_PREFIX.pack(len(frame)) + frame)
             await writer.drain()
 
--- /dev/null
+++ b/tools/measure/fleet.py
@@ -0,0 +1,330 @@
+"""A fleet of real routers on this machine: predicted against measured.
+
+Usage::
+
+    python -m tools.measure.fleet --zones 4 --routers-in-zone 6
+
+Each router is a process of its own. Octets are read from its metrics page,
+processor time and memory from the operating system. The prediction takes the
+slopes of ``docs/measurements/slopes.json`` and the intervals of the code.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import hashlib
+import json
+import re
+import statistics
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+import psutil
+
+from hickorymux_emulator.programs import Program, ProgramGroup
+
+KEY: Final = 'key-fleet'
+SETTLE_SECONDS: Final = 12
+WINDOW_SECONDS: Final = 30
+HEARTBEATS_PER_SECOND: Final = 2
+DIGESTS_PER_SECOND: Final = 0.5
+RENEWALS_PER_SECOND: Final = 1
+ENGINE_SLOTS: Final = 4
+OCTETS_PER_MB: Final = 1_000_000
+PERCENT: Final = 100
+STREAM_TOKENS: Final = 20
+START_BATCH: Final = 8
+
+_MESSAGE_OCTETS: Final = re.compile(
+    r'hickorymux_peer_message_octets_total\{message="(\w+)"\} (\S+)',
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Shape:
+    """The size of the fleet; ``callers`` send streams one after another."""
+
+    zones: int
+    routers_in_zone: int
+    engines_in_zone: int
+    callers: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeReading:
+    """What one router has used so far."""
+
+    octets_out: float
+    frames_out: float
+    processor_seconds: float
+    resident_mb: float
+    by_message: dict[str, str]
+
+
+class MeasuredFleet:
+    """The processes of the fleet."""
+
+    def __init__(self, programs: ProgramGroup, shape: Shape) -> None:
+        self.programs = programs
+        self.shape = shape
+        self.routers: list[Program] = []
+        self.engines: dict[str, tuple[str, Program]] = {}
+
+    def start(self, directory: Path) -> None:
+        """Start the stand-ins and the routers, and publish the tables."""
+        log = self.programs.start_emulator('log-service')
+        hosts = self.programs.start_emulator('host-list', '--lag-seconds=0')
+        for zone in self.zones():
+            for number in range(self.shape.engines_in_zone):
+                engine = self.programs.start_emulator(
+                    'engine',
+                    '--model=draft',
+                    f'--slots={ENGINE_SLOTS}',
+                    '--token-ms=40',
+                )
+                self.engines[f'engine-{zone}-{number}'] = zone, engine
+        self._publish(directory, log)
+        for zone in self.zones():
+            for number in range(self.shape.routers_in_zone):
+                self._start_router(directory, zone, number, (log, hosts))
+                if len(self.routers) % START_BATCH == 0:
+                    self._wait_listening()
+        self._wait_listening()
+
+    def zones(self) -> list[str]:
+        """Return the names of the zones."""
+        return [f'zone-{number}' for number in range(self.shape.zones)]
+
+    async def list_hosts(self, session: aiohttp.ClientSession) -> None:
+        """Tell the host list of all routers."""
+        hosts = self.programs.programs[1]
+        for router in self.routers:
+            line = router.wait_event('listening')
+            host, _, port = line['peers'].rpartition(':')
+            zone = router.name.rpartition('-r')[0]
+            body = {'zone': zone, 'host': host, 'port': int(port)}
+            url = f'{hosts.url}/hosts/{router.name}'
+            async with session.put(url, json=body) as response:
+                response.raise_for_status()
+
+    async def read(
+        self,
+        session: aiohttp.ClientSession,
+    ) -> list[NodeReading]:
+        """Return what each router has used so far."""
+        return [await _read_node(session, router) for router in self.routers]
+
+    def _start_router(
+        self,
+        directory: Path,
+        zone: str,
+        number: int,
+        platform: tuple[Program, Program],
+    ) -> None:
+        log, hosts = platform
+        name = f'{zone}-r{number}'
+        self.routers.append(
+            self.programs.start(
+                name,
+                'hickorymux',
+                [
+                    'router',
+                    f'--router-id={name}',
+                    f'--zone={zone}',
+                    f'--log={log.url}',
+                    f'--host-list={hosts.url}',
+                    f'--customers={directory / "customers.toml"}',
+                    '--fleet-key=measure-measure-measure',
+                    '--listen=127.0.0.1:0',
+                    '--admin-listen=127.0.0.1:0',
+                    '--peer-listen=127.0.0.1:0',
+                    '--drain-notice=0s',
+                    '--log-level=warning',
+                ],
+            ),
+        )
+
+    def _wait_listening(self) -> None:
+        for router in self.routers:
+            if not router.address:
+                router.wait_listening()
+
+    def _publish(self, directory: Path, log: Program) -> None:
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        (directory / 'customers.toml').write_text(
+            f'[[customer]]\nname = "measure"\nkey_sha256 = "{digest}"\n',
+        )
+        routes = directory / 'routes.toml'
+        routes.write_text(
+            '[[route]]\nname = "draft"\npool = "engines"\nmodel = "draft"\n',
+        )
+        pools = directory / 'pools.toml'
+        rows = [
+            f'[[pool.upstream]]\nname = "{name}"\nzone = "{zone}"\n'
+            f'address = "{engine.address}"\nslots = {ENGINE_SLOTS}\n'
+            for name, (zone, engine) in self.engines.items()
+        ]
+        head = '[[pool]]\nname = "engines"\nkind = "model"\n'
+        pools.write_text(head + ''.join(rows))
+        flags = [f'--routes={routes}', f'--pools={pools}', f'--log={log.url}']
+        Program.start('apply', 'hickorymux', ['apply', *flags]).wait()
+
+
+async def _read_node(
+    session: aiohttp.ClientSession,
+    router: Program,
+) -> NodeReading:
+    admin = router.wait_event('listening')['admin']
+    async with session.get(f'http://{admin}/metrics') as response:
+        text = await response.text()
+    process = psutil.Process(router.process.pid)
+    times = process.cpu_times()
+    return NodeReading(
+        octets_out=_metric(text, 'hickorymux_peer_octets_out'),
+        frames_out=_metric(text, 'hickorymux_peer_frames_out'),
+        processor_seconds=times.user + times.system,
+        resident_mb=process.memory_info().rss / OCTETS_PER_MB,
+        by_message=dict(_MESSAGE_OCTETS.findall(text)),
+    )
+
+
+def _metric(text: str, name: str) -> float:
+    for line in text.splitlines():
+        if line.startswith(f'{name} '):
+            return float(line.split()[1])
+    raise ValueError(f'the metrics page has no {name}')
+
+
+async def measure_fleet(shape: Shape) -> dict[str, Any]:
+    """Measure one idle and one busy window and return the figures."""
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        ProgramGroup() as programs,
+    ):
+        fleet = MeasuredFleet(programs, shape)
+        await asyncio.to_thread(fleet.start, Path(directory))
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            await fleet.list_hosts(session)
+            await asyncio.sleep(SETTLE_SECONDS)
+            idle = await _window(fleet, session)
+            load = [
+                asyncio.create_task(_call_forever(session, router.url))
+                for router in fleet.routers
+                for _ in range(shape.callers)
+            ]
+            await asyncio.sleep(SETTLE_SECONDS)
+            busy = await _window(fleet, session)
+            for task in load:
+                task.cancel()
+            await asyncio.gather(*load, return_exceptions=True)
+        return {
+            'shape': dataclasses.asdict(shape),
+            'idle': idle,
+            'busy': busy,
+        }
+
+
+async def _call_forever(session: aiohttp.ClientSession, url: str) -> None:
+    body = {
+        'model': 'draft',
+        'stream': True,
+        'max_tokens': STREAM_TOKENS,
+        'messages': [{'role': 'user', 'content': 'measure'}],
+    }
+    headers = {'Authorization': f'Bearer {KEY}'}
+    while True:
+        async with session.post(
+            f'{url}/v1/chat/completions',
+            json=body,
+            headers=headers,
+        ) as response:
+            await response.read()
+
+
+async def _window(
+    fleet: MeasuredFleet,
+    session: aiohttp.ClientSession,
+) -> dict[str, Any]:
+    before = await fleet.read(session)
+    await asyncio.sleep(WINDOW_SECONDS)
+    after = await fleet.read(session)
+    pairs = list(zip(before, after, strict=True))
+    return {
+        'octets_per_second': _spread(
+            [
+                (late.octets_out - early.octets_out) / WINDOW_SECONDS
+                for early, late in pairs
+            ]
+        ),
+        'frames_per_second': _spread(
+            [
+                (late.frames_out - early.frames_out) / WINDOW_SECONDS
+                for early, late in pairs
+            ]
+        ),
+        'core_percent': _spread(
+            [
+                (late.processor_seconds - early.processor_seconds)
+                / WINDOW_SECONDS
+                * PERCENT
+                for early, late in pairs
+            ]
+        ),
+        'octets_per_second_by_message': {
+            kind: _spread(
+                [
+                    (
+                        float(late.by_message[kind])
+                        - float(early.by_message[kind])
+                    )
+                    / WINDOW_SECONDS
+                    for early, late in pairs
+                ]
+            )
+            for kind in pairs[0][1].by_message
+        },
+        'resident_mb': _spread([late.resident_mb for late in after]),
+    }
+
+
+def _spread(readings: Sequence[float]) -> dict[str, float]:
+    return {
+        'least': min(readings),
+        'median': statistics.median(readings),
+        'most': max(readings),
+    }
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Measure a fleet and write the figures."""
+    parser = argparse.ArgumentParser(prog='tools.measure.fleet')
+    parser.add_argument('--zones', type=int, default=4)
+    parser.add_argument('--routers-in-zone', type=int, default=6)
+    parser.add_argument('--engines-in-zone', type=int, default=4)
+    parser.add_argument('--callers', type=int, default=2)
+    parser.add_argument(
+        '--out',
+        type=Path,
+        default=Path('docs/measurements/fleet.json'),
+    )
+    options = parser.parse_args(arguments)
+    shape = Shape(
+        options.zones,
+        options.routers_in_zone,
+        options.engines_in_zone,
+        options.callers,
+    )
+    figures = asyncio.run(measure_fleet(shape))
+    text = json.dumps(figures, indent=1)
+    print(text)
+    options.out.write_text(f'{text}\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
