--- a/src/hickorymux/_internal/transport/router_settings.py
+++ b/src/hickorymux/_internal/transport/router_settings.py
@@ -9,7 +9,9 @@
 from typing import Any, Final, Self, final
 from urllib.parse import urlsplit
 
-from hickorymux._internal.coordination.claim_lane import ClaimSettings
+from hickorymux._internal.coordination.claim_settings import (
+    ClaimSettings,
+)
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import ConfigError
 from hickorymux._internal.transport.caller_server import CallerLimits
--- /dev/null
+++ b/tests/lib/claim_model.py
@@ -0,0 +1,379 @@
+"""The claim protocol for one key as a finite model.
+
+Time moves in ticks. Routers, attempts, appends in flight and the log are the
+state; every step of every actor may come at any time, or never. The verdicts
+come from the code's own fold and window, not from a second copy of the rules.
+"""
+
+import dataclasses
+import datetime as dt
+import functools
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+import minicheck
+
+from hickorymux._internal.state.claim_fold import (
+    ClaimEntry,
+    ClaimFold,
+    Entry,
+    KeyState,
+    OutcomeEntry,
+    ProtectedWindow,
+    ReleaseEntry,
+    Standing,
+    encode_entries,
+)
+
+KEY = b'key'
+BODY = b'body'
+START = dt.datetime(2026, 1, 1, tzinfo=dt.UTC)
+TICK = dt.timedelta(seconds=1)
+DECISION_TICKS = 1
+NEVER_RAN = -1
+
+
+@dataclasses.dataclass(frozen=True)
+class Faults:
+    """What the model leaves out of the protocol, to be refuted."""
+
+    claim_lapses: bool = False
+    guesses_after_lost_answer: bool = False
+    releases_after_send: bool = False
+    sends_without_window_check: bool = False
+    trusts_future_keys: bool = False
+    ignores_expiry: bool = False
+    decides_without_time_limit: bool = False
+    stranger_releases: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Scope:
+    """How far the model is searched.
+
+    ``created`` is the tick in the key, ``None`` for a key without a time.
+    ``routers`` names the router of each attempt.
+    """
+
+    routers: tuple[int, ...] = (0, 1)
+    last_tick: int = 0
+    retention: int = 3
+    created: int | None = None
+    copies: int = 2
+    can_crash: bool = True
+    pauses_before_send: bool = False
+    faults: Faults = Faults()
+
+    @property
+    def window(self) -> ProtectedWindow:
+        """Return the window with a retention of so many ticks."""
+        return ProtectedWindow(
+            self.retention * TICK,
+            skew=TICK,
+            decision=DECISION_TICKS * TICK,
+        )
+
+    @property
+    def length(self) -> int:
+        """Return how many ticks a key is protected."""
+        return self.window.length // TICK
+
+
+class FoldView(NamedTuple):
+    """A frozen ``ClaimFold`` of one key."""
+
+    next_offset: int = 0
+    has_gap: bool = False
+    trimmed_until: dt.datetime = ClaimFold().trimmed_until
+    retained: tuple[tuple[int, dt.datetime, bytes], ...] = ()
+    key_state: tuple[Any, ...] = ()
+
+
+class Attempt(NamedTuple):
+    """One attempt: where it stands, when it started, what its caller knows."""
+
+    step: str = 'idle'
+    started: int = 0
+    appends: int = 0
+    ran_at: int = NEVER_RAN
+    told_not_run: bool = False
+
+
+class State(NamedTuple):
+    """The whole system."""
+
+    now: int
+    first: int
+    log: tuple[tuple[str, int, int], ...]
+    flight: tuple[tuple[str, int], ...]
+    views: tuple[FoldView, ...]
+    attempts: tuple[Attempt, ...]
+
+
+def attempt_id(number: int) -> bytes:
+    return bytes([number])
+
+
+@functools.cache
+def payload_of(kind: str, number: int) -> bytes:
+    """Return the record of an entry, as the code encodes it."""
+    entry: Entry
+    if kind == 'claim':
+        entry = ClaimEntry(KEY, attempt_id(number), BODY)
+    elif kind == 'release':
+        entry = ReleaseEntry(KEY, attempt_id(number))
+    else:
+        entry = OutcomeEntry(KEY, attempt_id(number), 200)
+    return encode_entries([entry])
+
+
+def thaw(view: FoldView) -> ClaimFold:
+    fold = ClaimFold()
+    fold.next_offset = view.next_offset
+    fold.has_gap = view.has_gap
+    fold.trimmed_until = view.trimmed_until
+    fold.retained.extend(view.retained)
+    if view.key_state:
+        fold.keys[KEY] = KeyState(*view.key_state)
+    return fold
+
+
+def freeze(fold: ClaimFold) -> FoldView:
+    state = fold.keys.get(KEY)
+    fields = () if state is None else dataclasses.astuple(state)
+    return FoldView(
+        fold.next_offset,
+        fold.has_gap,
+        fold.trimmed_until,
+        tuple(fold.retained),
+        fields,
+    )
+
+
+@functools.cache
+def read(
+    view: FoldView,
+    first: int,
+    log: tuple[tuple[str, int, int], ...],
+) -> FoldView:
+    """Return what a router knows after it has read to the end."""
+    fold = thaw(view)
+    fold.trim(first)
+    for offset in range(fold.next_offset, len(log)):
+        kind, number, tick = log[offset]
+        fold.apply(offset, START + tick * TICK, payload_of(kind, number))
+    return freeze(fold)
+
+
+def replace(items: tuple[Any, ...], index: int, item: Any) -> tuple[Any, ...]:
+    return items[:index] + (item,) + items[index + 1 :]
+
+
+class ClaimModel:
+    """Builds the transitions of the protocol within a scope."""
+
+    def __init__(self, scope: Scope) -> None:
+        self.scope = scope
+
+    def protocol(self) -> Any:
+        """Return the model in the form that the checker takes."""
+        count = len(self.scope.routers)
+        views = tuple(FoldView() for _ in range(max(self.scope.routers) + 1))
+        initial = State(0, 0, (), (), views, (Attempt(),) * count)
+        return minicheck.Protocol(
+            name='claims',
+            candidate=False,
+            fields=State._fields,
+            initial=initial,
+            transitions=lambda state: list(self.transitions(State(*state))),
+            invariants={
+                'at_most_once': self.runs_at_most_once,
+                'not_run_is_true': not_run_is_true,
+            },
+        )
+
+    def transitions(self, state: State) -> Iterator[tuple[str, State]]:
+        yield from self.environment(state)
+        for number, attempt in enumerate(state.attempts):
+            step = getattr(self, f'from_{attempt.step}', None)
+            if step is not None:
+                yield from step(state, number, attempt)
+
+    def environment(self, state: State) -> Iterator[tuple[str, State]]:
+        """The clock, the log and crashes."""
+        if state.now < self.scope.last_tick:
+            yield 'tick', state._replace(now=state.now + 1)
+        for entry in dict.fromkeys(state.flight):
+            flight = list(state.flight)
+            flight.remove(entry)
+            yield (
+                f'land {entry}',
+                state._replace(
+                    flight=tuple(flight),
+                    log=(*state.log, (*entry, state.now)),
+                ),
+            )
+        if state.first < len(state.log):
+            age = state.now - state.log[state.first][2]
+            if age >= self.scope.retention:
+                yield 'trim', state._replace(first=state.first + 1)
+        if self.scope.can_crash:
+            yield from self.crashes(state)
+
+    def crashes(self, state: State) -> Iterator[tuple[str, State]]:
+        for router, view in enumerate(state.views):
+            attempts = tuple(
+                attempt._replace(step='crashed')
+                if owner == router and attempt.step != 'idle'
+                else attempt
+                for owner, attempt in zip(self.scope.routers, state.attempts)
+            )
+            if attempts != state.attempts or view != FoldView():
+                yield (
+                    f'crash {router}',
+                    state._replace(
+                        views=replace(state.views, router, FoldView()),
+                        attempts=attempts,
+                    ),
+                )
+
+    def from_idle(self, state: State, number: int, attempt: Attempt) -> Any:
+        moved = Attempt(step='waiting', started=state.now, appends=1)
+        yield f'ask {number}', send(state, 'claim', number, moved)
+
+    def from_waiting(self, state: State, number: int, attempt: Attempt) -> Any:
+        if attempt.appends < self.scope.copies:
+            again = attempt._replace(appends=attempt.appends + 1)
+            yield f'ask again {number}', send(state, 'claim', number, again)
+        yield f'give up {number}', give_up(state, number, attempt)
+        if self.scope.faults.guesses_after_lost_answer:
+            guess = attempt._replace(step='won')
+            yield f'guess {number}', self.move(state, number, guess)
+        is_stranger = self.scope.faults.stranger_releases
+        if is_stranger and not was_appended(state, 'release', number):
+            flight = add(state.flight, 'release', number)
+            yield f'stranger {number}', state._replace(flight=flight)
+        yield from self.reading(state, number, attempt)
+
+    def reading(self, state: State, number: int, attempt: Attempt) -> Any:
+        router = self.scope.routers[number]
+        view = read(state.views[router], state.first, state.log)
+        seen = state._replace(views=replace(state.views, router, view))
+        verdict = thaw(view).verdict(KEY, attempt_id(number))
+        if verdict.standing is Standing.lost:
+            lost = attempt._replace(step='lost')
+            yield f'lose {number}', self.move(seen, number, lost)
+        if verdict.standing is not Standing.won:
+            return
+        if self.is_key_acceptable(verdict.claimed_at, verdict.trimmed_until):
+            won = attempt._replace(step='verdict')
+            yield f'win {number}', self.move(seen, number, won)
+        else:
+            yield f'expire {number}', give_up(seen, number, attempt)
+
+    def is_key_acceptable(
+        self, claimed_at: dt.datetime, trimmed_until: dt.datetime
+    ) -> bool:
+        if self.scope.created is None:
+            return True
+        created = START + self.scope.created * TICK
+        faults = self.scope.faults
+        is_ahead = self.scope.window.is_ahead(created, claimed_at)
+        if is_ahead and not faults.trusts_future_keys:
+            return False
+        is_expired = self.scope.window.is_expired(created, trimmed_until)
+        return faults.ignores_expiry or not is_expired
+
+    def from_verdict(self, state: State, number: int, attempt: Attempt) -> Any:
+        is_late = state.now > attempt.started + DECISION_TICKS
+        if is_late and not self.scope.faults.decides_without_time_limit:
+            yield f'too late {number}', give_up(state, number, attempt)
+        else:
+            won = attempt._replace(step='won')
+            yield f'decide {number}', self.move(state, number, won)
+
+    def from_won(self, state: State, number: int, attempt: Attempt) -> Any:
+        yield f'release {number}', give_up(state, number, attempt)
+        is_valid = state.now < attempt.started + self.scope.length
+        if is_valid or self.scope.faults.sends_without_window_check:
+            checked = attempt._replace(step='checked')
+            if not self.scope.pauses_before_send:
+                checked = attempt._replace(step='sent', ran_at=state.now)
+            yield f'check {number}', self.move(state, number, checked)
+
+    def from_checked(self, state: State, number: int, attempt: Attempt) -> Any:
+        sent = attempt._replace(step='sent', ran_at=state.now)
+        yield f'send {number}', self.move(state, number, sent)
+
+    def from_sent(self, state: State, number: int, attempt: Attempt) -> Any:
+        done = attempt._replace(step='done')
+        yield f'outcome {number}', send(state, 'outcome', number, done)
+        if self.scope.faults.releases_after_send:
+            yield f'release {number}', send(state, 'release', number, done)
+
+    def move(self, state: State, number: int, attempt: Attempt) -> State:
+        attempts = replace(state.attempts, number, attempt)
+        moved = state._replace(attempts=attempts)
+        if not self.scope.faults.claim_lapses or attempt.step != 'won':
+            return moved
+        # A claim that lapses is a claim that anyone may release by waiting.
+        return moved._replace(flight=add(moved.flight, 'release', number))
+
+    def runs_at_most_once(self, fields: dict[str, Any]) -> bool:
+        """Return whether no two attempts ran that should not have.
+
+        A key without a time may run again only for an attempt that started
+        after the protected window, and then the earlier run is over.
+        """
+        ran = [attempt for attempt in fields['attempts'] if did_run(attempt)]
+        if len(ran) < 2:
+            return True
+        if self.scope.created is not None:
+            return False
+        ran.sort(key=lambda attempt: attempt.started)
+        is_after = ran[1].started >= ran[0].started + self.scope.length
+        return is_after and ran[0].ran_at <= ran[1].started
+
+
+def did_run(attempt: Attempt) -> bool:
+    return attempt.ran_at != NEVER_RAN
+
+
+def add(
+    flight: tuple[tuple[str, int], ...], kind: str, number: int
+) -> tuple[tuple[str, int], ...]:
+    """Return the appends in flight with one more, in a fixed order."""
+    return tuple(sorted((*flight, (kind, number))))
+
+
+def was_appended(state: State, kind: str, number: int) -> bool:
+    entry = (kind, number)
+    return entry in state.flight or entry in {row[:2] for row in state.log}
+
+
+def send(state: State, kind: str, number: int, attempt: Attempt) -> State:
+    return state._replace(
+        flight=add(state.flight, kind, number),
+        attempts=replace(state.attempts, number, attempt),
+    )
+
+
+def give_up(state: State, number: int, attempt: Attempt) -> State:
+    """Refuse with "not run" and release the key."""
+    refused = attempt._replace(step='refused', told_not_run=True)
+    return send(state, 'release', number, refused)
+
+
+def not_run_is_true(fields: dict[str, Any]) -> bool:
+    return not any(
+        did_run(attempt) and attempt.told_not_run
+        for attempt in fields['attempts']
+    )
+
+
+def check(scope: Scope, max_states: int = 400_000) -> dict[str, Any]:
+    """Search the whole scope and return the checker's result."""
+    result: dict[str, Any] = minicheck.check_safety(
+        ClaimModel(scope).protocol(), max_states=max_states
+    )
+    return result
