--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -23,6 +23,7 @@
 from hickorymux._internal.coordination.cold_starts import ColdStarts
 from hickorymux._internal.coordination.config_follower import ConfigFollower
 from hickorymux._internal.coordination.config_relay import ConfigRelay
+from hickorymux._internal.coordination.config_snapshots import SnapshotPolicy
 from hickorymux._internal.coordination.decisions import DecisionLog
 from hickorymux._internal.coordination.gone_routers import GoneRouters
 from hickorymux._internal.coordination.membership import Membership
@@ -211,6 +212,7 @@
             self.log,
             self.clock,
             router_id=settings.router_id,
+            policy=SnapshotPolicy.from_retention(settings.claims.retention),
         )
         self.relay = ConfigRelay(
             self.follower,
