--- a/src/hickorymux/_internal/coordination/claim_lane.py
+++ b/src/hickorymux/_internal/coordination/claim_lane.py
@@ -247,6 +247,7 @@
             await self.clock.sleep(_RETRY_PAUSE_SECONDS)
             with contextlib.suppress(LogError):
                 return await self.stream.append(payload)
+            self._note_outage()
         raise LogAppendUnknown('no answer in time', where=self.stream.name)
 
     async def _fail(self, batch: list[Pending], error: LogError) -> None:
@@ -258,12 +259,16 @@
                 'reason': str(error),
             },
         )
+        self._note_outage()
+        for pending in batch:
+            self._fail_one(pending)
+        await self.clock.sleep(self.settings.retry_after.total_seconds())
+
+    def _note_outage(self) -> None:
+        """Refuse new claims at once, but for one in a while as a probe."""
         pause = self.settings.retry_after.total_seconds()
         self.is_down = True
         self.probe_at = self.clock.monotonic() + pause
-        for pending in batch:
-            self._fail_one(pending)
-        await self.clock.sleep(pause)
 
     def _fail_one(self, pending: Pending) -> None:
         if not isinstance(pending.entry, ClaimEntry):
--- a/src/hickorymux/_internal/transport/caller_server.py
+++ b/src/hickorymux/_internal/transport/caller_server.py
@@ -231,10 +231,9 @@
                 ran=Ran.unknown,
                 retry_after=OVERLOAD_RETRY_SECONDS,
             ) from None
-        except RequestError as error:
-            if error.ran is Ran.not_run:
-                claim.release()
-            raise
+        finally:
+            # Does nothing once the request was sent.
+            claim.release()
 
     def _authenticate(self, request: web.Request) -> str:
         key = http.bearer_key(request.headers)
--- a/src/hickorymux/_internal/transport/claiming.py
+++ b/src/hickorymux/_internal/transport/claiming.py
@@ -10,7 +10,7 @@
         """Raise when the request may no longer be sent."""
 
     def release(self) -> None:
-        """Give the key up; the request was not sent and never will be."""
+        """Give the key up, unless the request was sent."""
 
     def record_outcome(self, status: int) -> None:
         """Note that the request ran and how it ended."""
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -15,6 +15,7 @@
 from aiohttp import ClientSession, web
 
 from hickorymux._internal.coordination import (
+    claim_messages,
     config_messages,
     membership_messages,
     slot_messages,
@@ -282,6 +283,8 @@
             self.log,
             self.clock,
             settings.claims,
+            self.membership,
+            self.network,
         )
         self.callers = CallerServer(
             dispatcher,
@@ -306,6 +309,8 @@
             handlers[message_class] = self._on_membership
         for message_class in _messages_of(config_messages):
             handlers[message_class] = self.relay.on_message
+        for message_class in _messages_of(claim_messages):
+            handlers[message_class] = self.claimer.on_message
         for message_class in _messages_of(slot_messages):
             handlers[message_class] = self.home.on_message
         handlers[slot_messages.SlotGrant] = self.holder.on_message
@@ -321,6 +326,7 @@
             self.holder.run(),
             self.assumed_load.run(),
             self.cold_starts.run(),
+            self.claimer.run(),
             self._follow_upstreams(),
             self._follow_host_list(),
         ]
--- a/tests/lib/claim_fleet.py
+++ b/tests/lib/claim_fleet.py
@@ -12,8 +12,8 @@
 from hickorymux._internal.coordination.claim_settings import ClaimSettings
 from hickorymux._internal.coordination.claims import Claimer
 from hickorymux._internal.coordination.ports import Member
-from lib.fake_clock import FakeClock
 from lib.fake_log import FakeLog
+from lib.manual_clock import ManualClock
 
 SETTINGS = ClaimSettings(
     decision=dt.timedelta(seconds=5),
@@ -29,6 +29,14 @@
     return str(uuid.UUID(int=number))
 
 
+class YieldingClock(ManualClock):
+    """A manual clock whose sleep lets other tasks run."""
+
+    async def sleep(self, seconds: float) -> None:
+        await super().sleep(seconds)
+        await asyncio.sleep(0)
+
+
 @dataclasses.dataclass
 class View:
     """The membership as one router sees it."""
@@ -51,7 +59,7 @@
 
     def __init__(self, size: int, *, has_peers: bool = False) -> None:
         self.log = FakeLog()
-        self.clock = FakeClock()
+        self.clock = YieldingClock()
         self.members = [
             Member(f'r{number}', 1, 'msasani', '127.0.0.1', number)
             for number in range(size)
--- /dev/null
+++ b/tests/lib/write_fleet.py
@@ -0,0 +1,187 @@
+"""Real routers before a plain service that counts what it executes."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from hickorymux._internal.state.customers import key_digest
+from lib.command_line import run_command
+from lib.processes import Program, ProgramGroup
+
+PATH = '/stock/orders'
+CUSTOMER_KEY = 'key-one'
+READY_SECONDS = 15
+CUSTOMERS_TOML = f"""
+[[customer]]
+name = "one"
+key_sha256 = "{key_digest(CUSTOMER_KEY)}"
+"""
+ROUTES_TOML = """
+[[route]]
+name = "ledger"
+pool = "ledger"
+path_prefix = "/stock"
+requires_key = true
+"""
+POOLS_TOML = """
+[[pool]]
+name = "ledger"
+kind = "service"
+
+[[pool.upstream]]
+name = "ledger-1"
+zone = "msasani"
+address = "{address}"
+slots = 16
+"""
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller was told; ``status`` is 0 when the connection was cut."""
+
+    status: int
+    code: str = ''
+    ran: str = ''
+    seconds: float = 0
+
+
+class WriteFleet:
+    """The log, one plain service and routers of one zone."""
+
+    def __init__(self, programs: ProgramGroup, path: Path, size: int) -> None:
+        self.programs = programs
+        self.path = path
+        self.log = programs.start_emulator('log-service')
+        self.service = programs.start_emulator('service')
+        (path / 'customers.toml').write_text(CUSTOMERS_TOML)
+        (path / 'routes.toml').write_text(ROUTES_TOML)
+        pools = POOLS_TOML.format(address=self.service.address)
+        (path / 'pools.toml').write_text(pools)
+        ended = run_command(
+            'apply',
+            f'--routes={path}/routes.toml',
+            f'--pools={path}/pools.toml',
+            f'--log={self.log.url}',
+        )
+        assert ended.returncode == 0, ended.stderr
+        self.seeds: dict[str, str] = {}
+        self.callers: dict[str, str] = {}
+        self.admins: dict[str, str] = {}
+        self.routers: dict[str, Program] = {}
+        for number in range(size):
+            self.start(f'r{number}')
+
+    def start(self, name: str) -> Program:
+        """Start a router, also in the place of one that was killed."""
+        flags = [
+            f'--router-id={name}',
+            '--zone=msasani',
+            f'--log={self.log.url}',
+            f'--customers={self.path}/customers.toml',
+            '--fleet-key=a-key-for-tests-only',
+            '--listen=127.0.0.1:0',
+            '--admin-listen=127.0.0.1:0',
+            '--peer-listen=127.0.0.1:0',
+            '--log-level=warning',
+            *(
+                word
+                for seed in self.seeds.values()
+                for word in ('--peer', seed)
+            ),
+        ]
+        router = self.programs.start(name, 'hickorymux', ['router', *flags])
+        line = router.wait_event('listening')
+        self.callers[name] = f'http://{line["address"]}'
+        self.admins[name] = f'http://{line["admin"]}'
+        self.seeds[name] = f'{name}@msasani={line["peers"]}'
+        self.routers[name] = router
+        return router
+
+
+@dataclasses.dataclass
+class Caller:
+    """Sends keyed orders to routers of a fleet."""
+
+    fleet: WriteFleet
+    session: aiohttp.ClientSession
+
+    async def wait_ready(self) -> None:
+        """Wait until each router takes requests."""
+        until = time.monotonic() + READY_SECONDS
+        for url in self.fleet.admins.values():
+            while not await self._is_ready(url):
+                assert time.monotonic() < until
+                await asyncio.sleep(0.05)
+
+    async def order(
+        self, router: str, key: str, body: bytes = b'fish'
+    ) -> Answer:
+        """Send an order once."""
+        started = time.monotonic()
+        headers = {
+            'Authorization': f'Bearer {CUSTOMER_KEY}',
+            'Idempotency-Key': key,
+        }
+        url = f'{self.fleet.callers[router]}{PATH}'
+        try:
+            async with self.session.post(
+                url, data=body, headers=headers
+            ) as response:
+                told = await response.json(content_type=None)
+                seconds = time.monotonic() - started
+                code, ran = told.get('code', ''), told.get('ran', '')
+                return Answer(response.status, code, ran, seconds)
+        except (aiohttp.ClientError, TimeoutError):
+            return Answer(0, seconds=time.monotonic() - started)
+
+    async def order_until_settled(self, router: str, key: str) -> Answer:
+        """Resend an order for as long as the answer is "come back later"."""
+        until = time.monotonic() + READY_SECONDS
+        while True:
+            answer = await self.order(router, key)
+            if answer.status != 503 or time.monotonic() > until:
+                return answer
+            await asyncio.sleep(0.2)
+
+    async def order_until_known(self, router: str, key: str) -> Answer:
+        """Resend an order that ran until the router has heard that it did."""
+        until = time.monotonic() + READY_SECONDS
+        while True:
+            answer = await self.order(router, key)
+            if answer.ran != 'unknown' or time.monotonic() > until:
+                return answer
+            await asyncio.sleep(0.1)
+
+    async def executions(self, key: str) -> int:
+        """Return how often the service executed the order of a key."""
+        url = f'{self.fleet.service.url}/executions'
+        async with self.session.get(url) as response:
+            rows: list[dict[str, Any]] = await response.json()
+        return sum(row['idempotency_key'] == key for row in rows)
+
+    async def control(self, program: Program, **change: object) -> None:
+        """Change the behaviour of a stand-in."""
+        url = f'{program.url}/control'
+        async with self.session.post(url, json=change) as response:
+            response.raise_for_status()
+
+    async def _is_ready(self, url: str) -> bool:
+        try:
+            async with self.session.get(f'{url}/readyz') as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+
+@contextmanager
+def write_fleet(path: Path, size: int) -> Iterator[WriteFleet]:
+    """Run a fleet; its processes end with the block."""
+    with ProgramGroup() as programs:
+        yield WriteFleet(programs, path, size)
--- a/tests/unit/coordination/test_claim_relay.py
+++ b/tests/unit/coordination/test_claim_relay.py
@@ -64,7 +64,7 @@
     async with claim_fleet(7, has_peers=True) as fleet:
         first, second = others(fleet)[:2]
         won = await claim(first)
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
         won.record_outcome(201)
         await fleet.settle()
         with pytest.raises(DuplicateRequest) as caught:
@@ -87,7 +87,7 @@
         fleet.lost_verdicts = 1
         first, second = others(fleet)[:2]
         won = await claim(first)
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
         with pytest.raises(DuplicateRequest):
             await claim(second)
 
@@ -98,7 +98,7 @@
         writer = fleet.by_id[ranked(fleet)[0]]
         lane = writer.lane_of('jiko', 'ledger', KEY)
         won = await claim(first)
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
         # A late copy of the ask, whose appends land and are never answered.
         fleet.log.lost_answers = 500
         entry = ClaimEntry(won.key, won.attempt, b'body')
--- a/tests/unit/coordination/test_claims.py
+++ b/tests/unit/coordination/test_claims.py
@@ -34,7 +34,7 @@
 async def test_duplicate_is_told_the_outcome_also_after_a_restart() -> None:
     async with claim_fleet(1) as fleet:
         won = await claim(fleet.routers[0])
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
         won.record_outcome(201)
         await fleet.settle()
         fleet.start(fleet.members[0])
@@ -56,32 +56,32 @@
         first = await claim(fleet.routers[0])
         first.release()
         with pytest.raises(ClaimSpent):
-            first.check(fleet.clock.seconds)
+            first.check(fleet.clock.now)
         await fleet.settle()
         second = await claim(fleet.routers[1])
-        second.check(fleet.clock.seconds)
+        second.check(fleet.clock.now)
 
 
 async def test_claim_allows_one_send_and_no_release_after_it() -> None:
     async with claim_fleet() as fleet:
         won = await claim(fleet.routers[0])
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
         with pytest.raises(ClaimSpent):
-            won.check(fleet.clock.seconds)
+            won.check(fleet.clock.now)
         won.release()
         await fleet.settle()
         with pytest.raises(DuplicateRequest):
             await claim(fleet.routers[1])
         won.mark_unsent()
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
 
 
 async def test_paused_winner_may_not_send_after_the_window() -> None:
     async with claim_fleet() as fleet:
         won = await claim(fleet.routers[0])
-        fleet.clock.seconds += SETTINGS.window.length.total_seconds()
+        fleet.clock.now += SETTINGS.window.length.total_seconds()
         with pytest.raises(ClaimSpent) as caught:
-            won.check(fleet.clock.seconds)
+            won.check(fleet.clock.now)
         assert caught.value.ran is Ran.not_run
 
 
@@ -90,7 +90,7 @@
     async with claim_fleet() as fleet:
         setattr(fleet.log, fault, 1)
         won = await claim(fleet.routers[0])
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
         with pytest.raises(DuplicateRequest):
             await claim(fleet.routers[1])
 
@@ -104,18 +104,18 @@
         fleet.log.lost_answers = 0
         await fleet.settle()
         won = await claim(fleet.routers[1])
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
 
 
 async def test_log_outage_refuses_at_once_and_says_when_to_return() -> None:
     async with claim_fleet() as fleet:
         fleet.log.is_down = True
-        started = fleet.clock.seconds
+        started = fleet.clock.now
         with pytest.raises(ClaimUnavailable) as caught:
             await claim(fleet.routers[0])
         assert caught.value.ran is Ran.not_run
         assert caught.value.retry_after
-        assert fleet.clock.seconds - started < 0.1
+        assert fleet.clock.now - started < 0.1
         fleet.log.is_down = False
         await fleet.settle()
         await claim(fleet.routers[0])
@@ -125,7 +125,7 @@
     async with claim_fleet() as fleet:
         attempt = asyncio.create_task(claim(fleet.routers[0]))
         await asyncio.sleep(0)
-        fleet.clock.seconds += SETTINGS.decision.total_seconds() + 1
+        fleet.clock.now += SETTINGS.decision.total_seconds() + 1
         with pytest.raises(ClaimUnavailable):
             await attempt
         await fleet.settle()
@@ -148,7 +148,7 @@
     async with claim_fleet() as fleet:
         key = uuid7_at(fleet.log.now)
         won = await claim(fleet.routers[0], key)
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
         fleet.pass_time(SETTINGS.retention + dt.timedelta(seconds=1))
         fleet.start(fleet.members[0])
         for router in fleet.routers:
@@ -204,14 +204,14 @@
             fleet.pass_time(SETTINGS.mark_interval)
         late = fleet.start(fleet.members[1])
         won = await claim(late, uuid7_at(fleet.log.now))
-        won.check(fleet.clock.seconds)
+        won.check(fleet.clock.now)
 
 
 async def test_known_outage_is_refused_without_asking_the_log() -> None:
     async with claim_fleet(1) as fleet:
         for lane in fleet.routers[0].lanes:
             lane.is_down = True
-            lane.probe_at = fleet.clock.seconds + 1
+            lane.probe_at = fleet.clock.now + 1
         with pytest.raises(ClaimUnavailable):
             await claim(fleet.routers[0])
         assert not fleet.log.append_count
