--- /dev/null
+++ b/src/hickorymux/_internal/coordination/crash_suspects.py
@@ -0,0 +1,252 @@
+"""Keeps one request from taking down upstream after upstream.
+
+A request that was in flight on an upstream that crashed is a suspect by its
+fingerprint, on whichever router it comes next. Suspects run one at a time in
+the fleet. A fingerprint that was in flight at two crashes is refused until
+the suspicion expires.
+
+Example::
+
+    admission = await suspects.admit(call.fingerprint, seconds=30)
+    try:
+        await send()
+    except UpstreamCut:
+        await suspects.on_crash(upstream, instance, [call.fingerprint])
+        raise
+    finally:
+        suspects.end(admission)
+"""
+
+import dataclasses
+import datetime as dt
+import itertools
+import logging
+from collections.abc import Iterable, Sequence
+from typing import Any, final
+
+from hickorymux._internal.coordination.ports import MemberView, PeerSender
+from hickorymux._internal.coordination.suspect_messages import (
+    CrashReceipt,
+    CrashReport,
+    SuspectCleared,
+    TurnEnd,
+    TurnGrant,
+    TurnRequest,
+)
+from hickorymux._internal.coordination.suspect_turns import SuspectTurns
+from hickorymux._internal.exceptions import CrashSuspect, NoCapacity
+from hickorymux._internal.state.suspects import SuspectTable, Suspicion
+from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.ids import new_incarnation
+
+logger = logging.getLogger(__name__)
+
+MAX_REPORTED_FINGERPRINTS = 512
+DELEGATES_PER_ZONE = 2
+RETRY_AFTER_SECONDS = 5.0
+_UNSIGNED_BITS = 64
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SuspectSettings:
+    """How long suspicion lasts, how much is kept, how long sharing may take.
+
+    ``share_timeout`` bounds how long the answer to a caller waits until the
+    routers of the zone know of a crash.
+    """
+
+    lifetime: dt.timedelta = dt.timedelta(minutes=10)
+    max_entries: int = 4096
+    share_timeout: dt.timedelta = dt.timedelta(milliseconds=200)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Admission:
+    """The permission to run; ``alone`` asks for an upstream without others."""
+
+    fingerprint: int
+    alone: bool = False
+    turn: int = 0
+
+
+def _to_signed(fingerprint: int) -> int:
+    if fingerprint >> (_UNSIGNED_BITS - 1):
+        return fingerprint - (1 << _UNSIGNED_BITS)
+    return fingerprint
+
+
+def _to_unsigned(number: int) -> int:
+    return number % (1 << _UNSIGNED_BITS)
+
+
+@final
+class CrashSuspects:
+    """What this router knows of suspects, shared with the others."""
+
+    __slots__ = (
+        'clock',
+        'members',
+        'numbers',
+        'receipts',
+        'sender',
+        'settings',
+        'table',
+        'turns',
+    )
+
+    def __init__(
+        self,
+        members: MemberView,
+        sender: PeerSender,
+        clock: Clock,
+        settings: SuspectSettings,
+    ) -> None:
+        self.members = members
+        self.sender = sender
+        self.clock = clock
+        self.settings = settings
+        self.numbers = itertools.count(new_incarnation())
+        self.receipts: dict[int, set[str]] = {}
+        self.turns = SuspectTurns(members, sender, clock)
+        self.table = SuspectTable(
+            settings.lifetime.total_seconds(),
+            settings.max_entries,
+        )
+
+    @classmethod
+    def from_config(
+        cls,
+        members: MemberView,
+        sender: PeerSender,
+        clock: Clock,
+        settings: SuspectSettings | None = None,
+    ) -> 'CrashSuspects':
+        """Return an empty table of suspects."""
+        return cls(members, sender, clock, settings or SuspectSettings())
+
+    async def admit(self, fingerprint: int, seconds: float) -> Admission:
+        """Let a request run, a suspect when its turn comes.
+
+        Raises ``CrashSuspect`` for a request that was in flight at two
+        crashes, and ``NoCapacity`` when the turn does not come in time.
+        """
+        if self._standing(fingerprint) is Suspicion.clear:
+            return Admission(fingerprint)
+        self._refuse(fingerprint)
+        try:
+            turn = await self.turns.take(seconds)
+        except TimeoutError as error:
+            raise NoCapacity(
+                'other suspects of a crash run first',
+                retry_after=RETRY_AFTER_SECONDS,
+            ) from error
+        admission = Admission(fingerprint, alone=True, turn=turn)
+        try:
+            self._refuse(fingerprint)
+        except CrashSuspect:
+            self.end(admission)
+            raise
+        return admission
+
+    def end(self, admission: Admission) -> None:
+        """End what ``admit`` began, however the request ended."""
+        if admission.turn:
+            self.turns.end(admission.turn)
+
+    def on_finished(self, admission: Admission) -> None:
+        """Clear a suspect whose answer came whole."""
+        if not admission.alone:
+            return
+        self.table.clear(admission.fingerprint)
+        cleared = SuspectCleared(_to_signed(admission.fingerprint))
+        for member in self.members.live():
+            if member.router_id != self.members.myself.router_id:
+                self.sender.send(member.router_id, cleared)
+
+    async def on_crash(
+        self,
+        upstream: str,
+        instance: str,
+        fingerprints: Sequence[int],
+    ) -> None:
+        """Note a crash, and return once the routers of the zone know.
+
+        Await it before the caller hears of the failure, so that a resend to
+        another router is known there. It takes ``share_timeout`` at most.
+        """
+        crash = f'{upstream}#{instance}'
+        self._add(crash, fingerprints)
+        number = next(self.numbers)
+        rows = [_to_signed(each) for each in fingerprints]
+        report = CrashReport(number, crash, rows[:MAX_REPORTED_FINGERPRINTS])
+        self._tell_other_zones(report)
+        await self._tell_zone(report)
+
+    def on_message(self, sender_id: str, message: Any) -> None:
+        """Take a message of another router."""
+        if isinstance(message, TurnRequest | TurnGrant | TurnEnd):
+            self.turns.on_message(sender_id, message)
+        elif isinstance(message, CrashReport):
+            self._on_report(sender_id, message)
+        elif isinstance(message, CrashReceipt):
+            self.receipts.get(message.number, set()).discard(sender_id)
+        elif isinstance(message, SuspectCleared):
+            self.table.clear(_to_unsigned(message.fingerprint))
+
+    def _standing(self, fingerprint: int) -> Suspicion:
+        return self.table.standing(fingerprint, self.clock.monotonic())
+
+    def _refuse(self, fingerprint: int) -> None:
+        if self._standing(fingerprint) is Suspicion.refused:
+            raise CrashSuspect(
+                'the request was in flight when two upstreams crashed',
+                hint='change the request before you send it again',
+            )
+
+    def _add(self, crash: str, fingerprints: Iterable[int]) -> None:
+        now = self.clock.monotonic()
+        for fingerprint in fingerprints:
+            self.table.add_crash(fingerprint, crash, now)
+            logger.info(
+                'suspect of a crash',
+                extra={
+                    'event': 'crash_suspect',
+                    'fingerprint': f'{fingerprint:016x}',
+                    'crash': crash,
+                    'reason': 'in flight when the upstream crashed',
+                },
+            )
+
+    def _on_report(self, sender_id: str, report: CrashReport) -> None:
+        self._add(report.crash, map(_to_unsigned, report.fingerprints))
+        self.sender.send(sender_id, CrashReceipt(report.number))
+        if report.for_zone:
+            passed_on = dataclasses.replace(report, for_zone=False)
+            for router_id in self._neighbours():
+                self.sender.send(router_id, passed_on)
+
+    def _neighbours(self) -> list[str]:
+        me = self.members.myself
+        zone = self.members.live_in_zone(me.zone)
+        ids = [member.router_id for member in zone]
+        return [each for each in ids if each != me.router_id]
+
+    def _tell_other_zones(self, report: CrashReport) -> None:
+        told: dict[str, int] = {self.members.myself.zone: DELEGATES_PER_ZONE}
+        for_zone = dataclasses.replace(report, for_zone=True)
+        for member in self.members.live():
+            if told.setdefault(member.zone, 0) < DELEGATES_PER_ZONE:
+                told[member.zone] += 1
+                self.sender.send(member.router_id, for_zone)
+
+    async def _tell_zone(self, report: CrashReport) -> None:
+        missing = set(self._neighbours())
+        self.receipts[report.number] = missing
+        give_up_at = self.clock.monotonic()
+        give_up_at += self.settings.share_timeout.total_seconds()
+        for router_id in tuple(missing):
+            self.sender.send(router_id, report)
+        pause = self.settings.share_timeout.total_seconds() / 100
+        while missing and self.clock.monotonic() < give_up_at:
+            await self.clock.sleep(pause)
+        self.receipts.pop(report.number)
--- /dev/null
+++ b/src/hickorymux/_internal/protocol/idl/suspect.thrift
@@ -0,0 +1,28 @@
+// Messages of coordination/suspect_messages.py, by the same names.
+
+struct CrashReport {
+  1: optional i64 number = 0,
+  2: optional string crash = "",
+  3: optional list<i64> fingerprints,
+  4: optional bool for_zone = 0
+}
+
+struct CrashReceipt {
+  1: optional i64 number = 0
+}
+
+struct SuspectCleared {
+  1: optional i64 fingerprint = 0
+}
+
+struct TurnRequest {
+  1: optional i64 number = 0
+}
+
+struct TurnGrant {
+  1: optional i64 number = 0
+}
+
+struct TurnEnd {
+  1: optional i64 number = 0
+}
--- /dev/null
+++ b/src/hickorymux/_internal/state/suspects.py
@@ -0,0 +1,88 @@
+"""Fingerprints of requests that were in flight when an upstream crashed.
+
+A fingerprint that was seen at one crash is a suspect; no two suspects run at
+once, so that a second crash tells the cause from its neighbours. One that was
+seen at two crashes is refused. Running to an end clears a suspect.
+
+Example::
+
+    table = SuspectTable(lifetime_seconds=600, max_entries=4096)
+    table.add_crash(fingerprint, 'engine-1#i7', now=0)
+    assert table.standing(fingerprint, now=1) is Suspicion.suspect
+"""
+
+import collections
+import dataclasses
+import enum
+from typing import final
+
+CRASHES_UNTIL_REFUSED = 2
+
+
+class Suspicion(enum.Enum):
+    """How a fingerprint may run."""
+
+    clear = 'clear'
+    suspect = 'suspect'
+    refused = 'refused'
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """The crashes that a fingerprint was in flight at.
+
+    ``crashes`` names each crash by upstream and instance, so that routers
+    that report the same crash count it once. ``expires_at`` is monotonic
+    seconds of this router.
+    """
+
+    expires_at: float
+    crashes: frozenset[str] = frozenset()
+
+    @property
+    def standing(self) -> Suspicion:
+        """Return what follows from the crashes."""
+        if len(self.crashes) >= CRASHES_UNTIL_REFUSED:
+            return Suspicion.refused
+        return Suspicion.suspect
+
+
+@final
+class SuspectTable:
+    """The suspects that one router knows of; the oldest make room."""
+
+    __slots__ = ('entries', 'lifetime_seconds', 'max_entries')
+
+    def __init__(self, lifetime_seconds: float, max_entries: int) -> None:
+        self.lifetime_seconds = lifetime_seconds
+        self.max_entries = max_entries
+        self.entries: collections.OrderedDict[int, Suspect]
+        self.entries = collections.OrderedDict()
+
+    def standing(self, fingerprint: int, now: float) -> Suspicion:
+        """Return how a fingerprint may run at a monotonic time."""
+        known = self._live(fingerprint, now)
+        return known.standing if known is not None else Suspicion.clear
+
+    def add_crash(self, fingerprint: int, crash: str, now: float) -> None:
+        """Note that the fingerprint was in flight at a crash."""
+        known = self._live(fingerprint, now) or Suspect(0)
+        known.crashes |= {crash}
+        known.expires_at = now + self.lifetime_seconds
+        self.entries[fingerprint] = known
+        self.entries.move_to_end(fingerprint)
+        while len(self.entries) > self.max_entries:
+            self.entries.popitem(last=False)
+
+    def clear(self, fingerprint: int) -> None:
+        """Forget a suspect that ran to its end, unless refused."""
+        known = self.entries.get(fingerprint)
+        if known is not None and known.standing is not Suspicion.refused:
+            self.entries.pop(fingerprint)
+
+    def _live(self, fingerprint: int, now: float) -> Suspect | None:
+        known = self.entries.get(fingerprint)
+        if known is None or known.expires_at > now:
+            return known
+        self.entries.pop(fingerprint)
+        return None
--- a/tests/lib/claim_fleet.py
+++ b/tests/lib/claim_fleet.py
@@ -48,7 +48,7 @@
         return self.members
 
     def live_in_zone(self, zone: str) -> Sequence[Member]:
-        return self.members
+        return [each for each in self.members if each.zone == zone]
 
 
 class ClaimFleet:
@@ -108,7 +108,7 @@
 class Link:
     """Delivers messages on the next turn of the loop."""
 
-    def __init__(self, fleet: ClaimFleet, router_id: str) -> None:
+    def __init__(self, fleet: Any, router_id: str) -> None:
         self.fleet = fleet
         self.router_id = router_id
 
--- a/tests/lib/write_fleet.py
+++ b/tests/lib/write_fleet.py
@@ -12,7 +12,7 @@
 
 from hickorymux._internal.state.customers import key_digest
 from lib.command_line import run_command
-from lib.processes import Program, ProgramGroup
+from lib.processes import Program, ProgramGroup, free_port
 
 PATH = '/stock/orders'
 CUSTOMER_KEY = 'key-one'
@@ -72,6 +72,7 @@
         )
         assert ended.returncode == 0, ended.stderr
         self.seeds: dict[str, str] = {}
+        self.ports: dict[str, int] = {}
         self.callers: dict[str, str] = {}
         self.admins: dict[str, str] = {}
         self.routers: dict[str, Program] = {}
@@ -88,7 +89,7 @@
             '--fleet-key=a-key-for-tests-only',
             '--listen=127.0.0.1:0',
             '--admin-listen=127.0.0.1:0',
-            '--peer-listen=127.0.0.1:0',
+            f'--peer-listen=127.0.0.1:{self.ports.setdefault(name, free_port())}',
             '--log-level=warning',
             *(
                 word
