--- /dev/null
+++ b/tools/measure_claims.py
@@ -0,0 +1,280 @@
+"""Measure claims: latency, appends a second, bytes and memory for each.
+
+Routers run in this process and claim fresh keys over the HTTP client of the
+log against the stand-in of the log service. Their messages to writers go
+through the codec, but over no network. The result is printed as JSON.
+
+Example::
+
+    PYTHONPATH=src python -m tools.measure_claims --routers 7 --rate 100
+"""
+
+import asyncio
+import dataclasses
+import datetime as dt
+import json
+import resource
+import sys
+import time
+import tracemalloc
+from collections.abc import Sequence
+from typing import Any, final
+
+import aiohttp
+import defopt
+
+from hickorymux._internal.coordination.claim_settings import ClaimSettings
+from hickorymux._internal.coordination.claims import Claimer
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.exceptions import RequestError
+from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.state.claim_fold import (
+    ClaimEntry,
+    ClaimFold,
+    digest,
+    encode_entries,
+)
+from hickorymux._internal.transport.log_client import HttpLogClient
+from hickorymux._internal.utils.clock import SystemClock
+from hickorymux_emulator.programs import ProgramGroup
+
+_MS_PER_SECOND = 1000
+_MEMORY_KEYS = 100_000
+_BATCH_ENTRIES = 8
+_BODY = digest(b'body')
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """A membership that does not change."""
+
+    myself: Member
+    members: list[Member]
+
+    def live(self) -> Sequence[Member]:
+        """Return all routers."""
+        return self.members
+
+    def live_in_zone(self, zone: str) -> Sequence[Member]:
+        """Return all routers; there is one availability zone."""
+        return self.members
+
+
+@final
+class Fleet:
+    """Routers that pass encoded messages on the next turn of the loop."""
+
+    def __init__(self) -> None:
+        self.routers: dict[str, Claimer] = {}
+        self.message_bytes = 0
+        self.messages = 0
+
+    def deliver(self, sender_id: str, router_id: str, message: Any) -> None:
+        """Encode, count, decode and deliver a message."""
+        code, body = default_codec().encode(message)
+        self.messages += 1
+        self.message_bytes += len(body)
+        received = default_codec().decode(code, body)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.routers[router_id].on_message, sender_id, received)
+
+
+@final
+@dataclasses.dataclass(slots=True, frozen=True)
+class Link:
+    """The sender of one router."""
+
+    fleet: Fleet
+    router_id: str
+
+    def send(self, router_id: str, message: Any) -> bool:
+        """Deliver a message."""
+        self.fleet.deliver(self.router_id, router_id, message)
+        return True
+
+
+@final
+class CountingLog:
+    """The log client, counting what is appended."""
+
+    def __init__(self, client: HttpLogClient) -> None:
+        self.client = client
+        self.appends = 0
+        self.octets = 0
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Append and count."""
+        self.appends += 1
+        self.octets += len(payload)
+        return await self.client.append(stream, payload)
+
+    async def read(self, stream: str, from_offset: int, **options: Any) -> Any:
+        """Read as the client does."""
+        return await self.client.read(stream, from_offset, **options)
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What the claims of one run came to."""
+
+    latencies_ms: list[float] = dataclasses.field(default_factory=list)
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    async def claim(self, router: Claimer, key: str) -> None:
+        """Claim one key, and record that its request ran."""
+        started = time.perf_counter()
+        try:
+            claim = await router.claim('customer', 'route', key, _BODY)
+        except RequestError as error:
+            self.refused[error.code] = self.refused.get(error.code, 0) + 1
+            return
+        spent = time.perf_counter() - started
+        self.latencies_ms.append(spent * _MS_PER_SECOND)
+        claim.check(router.clock.monotonic())
+        claim.record_outcome(200)
+
+    def percentile(self, share: float) -> float:
+        """Return a percentile of the latencies in milliseconds."""
+        ordered = sorted(self.latencies_ms)
+        if not ordered:
+            return 0
+        return round(ordered[int(share * (len(ordered) - 1))], 2)
+
+
+def _start_routers(
+    fleet: Fleet,
+    count: int,
+    log: CountingLog,
+    settings: ClaimSettings,
+) -> None:
+    members = [
+        Member(f'r{number}', 1, 'zone', '127.0.0.1', number)
+        for number in range(count)
+    ]
+    for member in members:
+        fleet.routers[member.router_id] = Claimer.from_config(
+            log,
+            SystemClock(),
+            settings,
+            View(member, members),
+            Link(fleet, member.router_id),
+        )
+
+
+async def _offer(fleet: Fleet, tally: Tally, rate: float, span: float) -> None:
+    """Claim fresh keys at an even rate, on one router after the other."""
+    routers = list(fleet.routers.values())
+    started = time.perf_counter()
+    claims: list[asyncio.Task[None]] = []
+    for number in range(int(rate * span)):
+        delay = started + number / rate - time.perf_counter()
+        if delay > 0:
+            await asyncio.sleep(delay)
+        router = routers[number % len(routers)]
+        work = tally.claim(router, f'{started}-{number}')
+        claims.append(asyncio.create_task(work))
+    await asyncio.gather(*claims)
+
+
+def _memory() -> dict[str, float]:
+    """Return octets of memory and microseconds of folding for each key."""
+    payloads = []
+    for first in range(0, _MEMORY_KEYS, _BATCH_ENTRIES):
+        numbers = range(first, first + _BATCH_ENTRIES)
+        names = [digest(str(number).encode()) for number in numbers]
+        payloads.append(
+            encode_entries(ClaimEntry(name, name, _BODY) for name in names),
+        )
+    wall = dt.datetime.now(dt.UTC)
+    tracemalloc.start()
+    fold = ClaimFold()
+    for offset, payload in enumerate(payloads):
+        fold.apply(offset, wall, payload)
+    octets = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    started = time.perf_counter()
+    again = ClaimFold()
+    for offset, payload in enumerate(payloads):
+        again.apply(offset, wall, payload)
+    spent = time.perf_counter() - started
+    return {
+        'octets_per_key': round(octets / _MEMORY_KEYS, 1),
+        'fold_us_per_key': round(spent / _MEMORY_KEYS * 1e6, 2),
+    }
+
+
+async def _measure(
+    log_url: str,
+    count: int,
+    rate: float,
+    span: float,
+    settings: ClaimSettings,
+) -> dict[str, Any]:
+    fleet = Fleet()
+    tally = Tally()
+    async with aiohttp.ClientSession() as session:
+        log = CountingLog(HttpLogClient.from_config(log_url, session))
+        _start_routers(fleet, count, log, settings)
+        cpu = time.process_time()
+        await _offer(fleet, tally, rate, span)
+        cpu = time.process_time() - cpu
+        await asyncio.sleep(1)
+        for router in fleet.routers.values():
+            await router.close()
+    claims = max(len(tally.latencies_ms), 1)
+    return {
+        'routers': count,
+        'partitions': settings.partitions,
+        'append_interval_ms': settings.append_interval.total_seconds() * 1e3,
+        'offered_per_second': rate,
+        'seconds': span,
+        'claims': len(tally.latencies_ms),
+        'refused': tally.refused,
+        'p50_ms': tally.percentile(0.5),
+        'p99_ms': tally.percentile(0.99),
+        'max_ms': tally.percentile(1),
+        'appends_per_second': round(log.appends / span, 1),
+        'log_octets_per_claim': round(log.octets / claims, 1),
+        'messages_per_claim': round(fleet.messages / claims, 2),
+        'message_octets_per_claim': round(fleet.message_bytes / claims, 1),
+        'cpu_ms_per_claim': round(cpu / claims * _MS_PER_SECOND, 3),
+        'peak_rss_mib': resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        // 1024,
+        'memory': _memory(),
+    }
+
+
+def measure(
+    *,
+    routers: int = 7,
+    rate: float = 100,
+    seconds: float = 10,
+    partitions: int = 4,
+    append_interval_ms: float = 20,
+    append_rate: float = 300,
+) -> None:
+    """Measure claims on fresh keys and the outcomes of their requests.
+
+    :param routers: routers that claim, all in this process
+    :param rate: claims a second over all routers
+    :param seconds: length of the run
+    :param partitions: claim streams
+    :param append_interval_ms: least time between appends of one writer
+    :param append_rate: appends a second that the log takes
+    """
+    settings = ClaimSettings(
+        partitions=partitions,
+        append_interval=dt.timedelta(milliseconds=append_interval_ms),
+    )
+    with ProgramGroup() as programs:
+        limit = ('--append-rate', str(append_rate))
+        log = programs.start_emulator('log-service', *limit)
+        result = asyncio.run(
+            _measure(log.url, routers, rate, seconds, settings),
+        )
+    json.dump(result, sys.stdout, indent=2)
+    sys.stdout.write('\n')
+
+
+if __name__ == '__main__':
+    defopt.run(measure, no_negated_flags=True)
