Call suspects and the retry budget from the dispatcher

Cause: the parts stood unused.

Ruled out: taking every cut connection for a crash (a truncated answer is none); the instance in the load report (it lags).

Change: an attempt that was cut is a crash only if the connection on which the upstream's instance is known is gone too. It is told to the routers before the caller hears of the failure. The next attempt of the call is admitted as a suspect. Attempts that sent nothing do not use the retry budget, of which a pool now has a fifth of its requests, and at least 10, in 10 s.

Conclusion: a request that crashes engines stops at the second one, also when it is sent through other routers, and its neighbours are answered.

--- a/src/hickorymux/_internal/coordination/retry_budget.py
+++ b/src/hickorymux/_internal/coordination/retry_budget.py
@@ -26,8 +26,8 @@
     ``floor`` retries are allowed in any window, so that a quiet pool has some.
     """
 
-    share: float = 0.1
-    floor: int = 3
+    share: float = 0.2
+    floor: int = 10
     window: dt.timedelta = dt.timedelta(seconds=10)
 
 
--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -5,6 +5,7 @@
 again within limits until the answer has begun.
 """
 
+import asyncio
 import dataclasses
 import functools
 import logging
@@ -13,7 +14,12 @@
 
 from multidict import CIMultiDict
 
+from hickorymux._internal.coordination.crash_suspects import (
+    Admission,
+    CrashSuspects,
+)
 from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.coordination.retry_budget import RetryBudget
 from hickorymux._internal.coordination.scheduler import (
     Demand,
     Placement,
@@ -37,6 +43,7 @@
     AttemptTimeout,
     UpstreamAnswer,
     UpstreamClient,
+    UpstreamCut,
 )
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.ids import new_request_id
@@ -86,6 +93,7 @@
     attempt: Attempt
     placement: Placement
     number: int
+    admission: Admission
     cost: float = 0
     status: int = 0
 
@@ -107,8 +115,9 @@
         'clock',
         'decisions',
         'metrics',
+        'retries',
         'scheduler',
-        'take_retry',
+        'suspects',
         'verify',
     )
 
@@ -119,7 +128,8 @@
         decisions: DecisionLog,
         metrics: RouterMetrics,
         clock: Clock,
-        take_retry: Callable[[str], bool],
+        retries: RetryBudget,
+        suspects: CrashSuspects,
         verify: VerifyConnection,
     ) -> None:
         self.scheduler = scheduler
@@ -127,7 +137,8 @@
         self.decisions = decisions
         self.metrics = metrics
         self.clock = clock
-        self.take_retry = take_retry
+        self.retries = retries
+        self.suspects = suspects
         self.verify = verify
 
     async def run(self, call: Call, reply: Reply, claim: ClaimLike) -> None:
@@ -136,21 +147,81 @@
         Raises ``RequestError`` when there is none; its ``ran`` is true.
         """
         history = _History()
-        while True:
-            exchange = await self._place(call, claim, history)
+        self.retries.count_request(call.pool.name)
+        is_answered = False
+        while not is_answered:
+            admission = await self._admit(call, history)
             try:
-                await self._exchange(exchange, reply, claim)
-            except AttemptError as error:
-                history.was_sent |= exchange.attempt.sent
-                self._judge(exchange, reply, error, history)
-            else:
-                return
+                is_answered = await self._try(
+                    call, reply, claim, history, admission
+                )
+            finally:
+                self.suspects.end(admission)
+
+    async def _admit(self, call: Call, history: '_History') -> Admission:
+        """Wait until a suspect of a crash may run; others run at once."""
+        seconds = call.queue_deadline() - self.clock.monotonic()
+        try:
+            return await self.suspects.admit(call.fingerprint, seconds)
+        except RequestError as error:
+            if history.was_sent:
+                error.ran = Ran.unknown
+            raise
+
+    async def _try(
+        self,
+        call: Call,
+        reply: Reply,
+        claim: ClaimLike,
+        history: '_History',
+        admission: Admission,
+    ) -> bool:
+        """Run one attempt; return whether it brought the answer."""
+        exchange = await self._place(call, claim, history, admission)
+        try:
+            await self._exchange(exchange, reply, claim)
+        except AttemptError as error:
+            history.was_sent |= exchange.attempt.sent
+            await self._report_crash(exchange, error)
+            self._judge(exchange, reply, error, history)
+            return False
+        self.suspects.on_finished(admission)
+        return True
+
+    async def _report_crash(
+        self,
+        exchange: Exchange,
+        error: AttemptError,
+    ) -> None:
+        """Let the routers know of a crash before the caller hears of it."""
+        attempt = exchange.attempt
+        if not attempt.sent or not isinstance(error, UpstreamCut):
+            return
+        instance = exchange.placement.slot.instance
+        if await self._is_alive(attempt.upstream, instance):
+            return
+        await self.suspects.on_crash(
+            attempt.upstream.name,
+            instance,
+            [exchange.call.fingerprint],
+        )
+
+    async def _is_alive(self, upstream: Upstream, instance: str) -> bool:
+        """Return whether the upstream still is the instance it was."""
+        if not upstream.reports_load:
+            return False
+        try:
+            await self.verify(upstream, instance, asyncio.Event())
+        except AttemptError:
+            return False
+        return True
 
     async def _place(
         self,
         call: Call,
         claim: ClaimLike,
         history: '_History',
+        admission: Admission,
     ) -> Exchange:
         history.attempts += 1
         try:
@@ -195,7 +266,7 @@
             attempt=history.attempts,
             waited_ms=round(waited * _MS_PER_SECOND, 1),
         )
-        return Exchange(call, attempt, placement, history.attempts)
+        return Exchange(call, attempt, placement, history.attempts, admission)
 
     def _check_before_send(
         self,
@@ -378,7 +449,7 @@
             return AnswerCut(error.detail, ran=Ran.unknown)
         may_repeat = call.is_repeatable or not exchange.attempt.sent
         is_last = exchange.number >= MAX_ATTEMPTS
-        if may_repeat and not is_last and self.take_retry(call.pool.name):
+        if may_repeat and not is_last and self._may_retry(exchange):
             return None
         ran = Ran.unknown if history.was_sent else Ran.not_run
         error_class = (
@@ -392,6 +463,12 @@
             retry_after=RETRY_AFTER_SECONDS,
         )
 
+    def _may_retry(self, exchange: Exchange) -> bool:
+        """Return whether the budget allows to send a request again."""
+        if not exchange.attempt.sent:
+            return True
+        return self.retries.take(exchange.call.pool.name)
+
 
 def _demand_of(call: Call) -> Demand:
     return Demand(
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -20,6 +20,7 @@
     membership_messages,
     service_messages,
     slot_messages,
+    suspect_messages,
 )
 from hickorymux._internal.coordination.claims import Claimer
 from hickorymux._internal.coordination.cold_starts import ColdStarts
@@ -27,10 +28,12 @@
 from hickorymux._internal.coordination.config_relay import ConfigRelay
 from hickorymux._internal.coordination.config_snapshots import SnapshotPolicy
 from hickorymux._internal.coordination.counter_exchange import CounterExchange
+from hickorymux._internal.coordination.crash_suspects import CrashSuspects
 from hickorymux._internal.coordination.decisions import DecisionLog
 from hickorymux._internal.coordination.gone_routers import GoneRouters
 from hickorymux._internal.coordination.membership import Membership
 from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.coordination.retry_budget import RetryBudget
 from hickorymux._internal.coordination.scheduler import Scheduler
 from hickorymux._internal.coordination.slot_holder import SlotHolder
 from hickorymux._internal.coordination.slot_home import SlotHome
@@ -278,13 +281,19 @@
             self.home.upstreams,
             self.home.on_load_report,
         )
+        self.suspects = CrashSuspects.from_config(
+            self.membership,
+            self.network,
+            self.clock,
+        )
         dispatcher = Dispatcher(
             self.scheduler,
             self.client,
             self.decisions,
             self.metrics,
             self.clock,
-            _always_retry,
+            RetryBudget.from_config(self.clock),
+            self.suspects,
             self._verify,
         )
         self.claimer = Claimer.from_config(
@@ -321,6 +330,8 @@
             handlers[message_class] = self.claimer.on_message
         for message_class in _messages_of(service_messages):
             handlers[message_class] = self.exchange.on_message
+        for message_class in _messages_of(suspect_messages):
+            handlers[message_class] = self.suspects.on_message
         for message_class in _messages_of(slot_messages):
             handlers[message_class] = self.home.on_message
         handlers[slot_messages.SlotGrant] = self.holder.on_message
@@ -496,7 +507,3 @@
     if task.cancelled() or task.exception() is None:
         return
     _logger.error('a task of the router ended', exc_info=task.exception())
-
-
-def _always_retry(pool: str) -> bool:
-    return bool(pool)
--- /dev/null
+++ b/tests/functional/test_crash_suspects.py
@@ -0,0 +1,59 @@
+"""A request that crashes engines stops at the second one."""
+
+import asyncio
+from pathlib import Path
+
+import aiohttp
+import pytest
+from lib.write_fleet import Caller, write_fleet
+
+pytestmark = pytest.mark.processes
+
+ENGINES = 4
+NEIGHBOURS = 6
+POISON = 'poison menu'
+SETTLE_SECONDS = 2
+
+
+async def draft_until_whole(caller: Caller, router: str, text: str) -> int:
+    """Resend a request that was cut or refused for now."""
+    for _ in range(20):
+        answer = await caller.draft(router, text)
+        assert answer.code != 'crash_suspect'
+        if answer.status == 200:
+            break
+        await asyncio.sleep(0.5)
+    return answer.status
+
+
+async def test_third_engine_is_spared_whoever_resends(tmp_path: Path) -> None:
+    timeout = aiohttp.ClientTimeout(total=20)
+    with write_fleet(tmp_path, 3, ENGINES) as fleet:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            caller = Caller(fleet, session)
+            await caller.wait_ready()
+            for engine in fleet.engines:
+                await caller.control(engine, crash_on_text='poison')
+            for name in fleet.routers:
+                await draft_until_whole(caller, name, 'warm up')
+            before = await caller.instances()
+            neighbours = [
+                asyncio.create_task(
+                    draft_until_whole(caller, name, f'menu {number} {name}')
+                )
+                for number in range(NEIGHBOURS // 3)
+                for name in fleet.routers
+            ]
+            await asyncio.sleep(0.05)
+            answers = []
+            for _ in range(3):
+                for name in fleet.routers:
+                    answers.append(await caller.draft(name, POISON))
+            await asyncio.sleep(SETTLE_SECONDS)
+            after = await caller.instances()
+            crashed = sum(
+                old != new for old, new in zip(before, after, strict=True)
+            )
+            assert crashed == 2, answers
+            assert answers[-1].code == 'crash_suspect'
+            assert set(await asyncio.gather(*neighbours)) == {200}
