--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -26,6 +26,12 @@
     (33, 'service', 'ServiceRequest'),
     (40, 'claim', 'ClaimAsk'),
     (41, 'claim', 'ClaimAnswer'),
+    (50, 'suspect', 'CrashReport'),
+    (51, 'suspect', 'CrashReceipt'),
+    (52, 'suspect', 'SuspectCleared'),
+    (53, 'suspect', 'TurnRequest'),
+    (54, 'suspect', 'TurnGrant'),
+    (55, 'suspect', 'TurnEnd'),
 )
 
 
