Hold back the release of a permit that is still quarantined

Cause: a successor that released an unused permit let the next claimant skip the quarantine; found by tests that poll the report at the permit's holder. Also: slots move for fairness only to a router that confirmed its last grant.

--- a/src/hickorymux/_internal/coordination/slot_holder.py
+++ b/src/hickorymux/_internal/coordination/slot_holder.py
@@ -375,6 +375,9 @@
         if self.cold_starts is None:
             return
         for permit in self.cold_starts.permits.values():
+            if permit.is_quarantined:
+                # A release would let the next holder skip the quarantine.
+                continue
             is_unused = now - permit.used_at >= PERMIT_KEEP_SECONDS
             is_idle = is_unused and not permit.is_busy
             if is_idle or self._is_warm(permit):
@@ -581,10 +584,19 @@
         self._return_recalled(touched, now)
         self._return_idle(now)
         self.offer_idle()
+        if touched and grant.short_pools:
+            self._confirm(session, grant.short_pools, now)
         for pool, backlog in list(self.backlogs.items()):
             if backlog.waiting:
                 self._ask(pool, now, is_widened=True)
 
+    def _confirm(
+        self, session: HomeSession, pools: Iterable[str], now: float
+    ) -> None:
+        """Tell the home that its grant arrived, with the newest counters."""
+        demands = [self._demand(pool, session) for pool in pools]
+        self._request(session, demands, now)
+
     def _holding_for(self, name: str, home_id: str) -> Holding | None:
         holding = self.holdings.get(name)
         if holding is None:
--- a/src/hickorymux/_internal/coordination/slot_home.py
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -57,11 +57,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Borrower:
-    """The session of one router with this home."""
+    """The session of one router with this home.
+
+    ``unconfirmed`` counts the slots lent since the router was heard.
+    """
 
     session: int
     expires_at: float
     sequence: int = 0
+    unconfirmed: int = 0
     version: int = 0
     sent_version: int = 0
     warned_at: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -234,6 +238,7 @@
             return False
         borrower.sequence = max(borrower.sequence, sequence)
         borrower.expires_at = now + self.lease_seconds
+        borrower.unconfirmed = 0
         for ledger in self.ledgers.values():
             ledger.renew(sender_id, session, borrower.expires_at)
         return True
@@ -278,7 +283,7 @@
                 served |= self._serve_upstream(pool, upstream, ledger, now)
                 self._offer_cold(pool, upstream, now)
         self._recall_for_waiting(pool, served, now)
-        for router_id in served:
+        for router_id in sorted(served):
             self._push(router_id)
 
     def limit(self, upstream: Upstream, now: float) -> int:
@@ -381,7 +386,7 @@
             for borrower in self.borrowers.values()
             for pool_name in borrower.demands
         }
-        for pool_name in pools:
+        for pool_name in sorted(pools):
             self.serve(pool_name, now)
         self._recall_excess(now)
 
@@ -454,6 +459,7 @@
             )
         ledger.grant(share.router_id, 1, limit, now)
         borrower.touch(upstream.name)
+        borrower.unconfirmed += 1
         log.info(
             'slot granted',
             extra={
@@ -513,6 +519,9 @@
         ahead = pick_furthest_ahead(shares, waiting)
         if ahead is None or self._is_recalling(pool):
             return
+        if self.borrowers[waiting.router_id].unconfirmed:
+            # It may be cut off; what moves to it might stay idle.
+            return
         self._recall(ahead.router_id, pool, 1, served, now)
 
     def _is_recalling(self, pool: Pool) -> bool:
