Tell of a lost anchor when a check finds it replaced

Found by the new test against the stand-in engine: the library reconnects by itself, so the proof was reset before anyone compared it, and nobody was told.

--- a/src/hickorymux/_internal/transport/connection_gate.py
+++ b/src/hickorymux/_internal/transport/connection_gate.py
@@ -193,8 +193,10 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self._lose(anchor)
             raise _unverified(upstream) from error
-        if anchor.serial != serial or anchor.proof.instance != instance:
-            self._lose(anchor)
+        if anchor.serial != serial:
+            anchor.wakeup.set()
+            self.on_lost(upstream)
+        if anchor.proof.instance != instance:
             raise _unverified(upstream)
         self.verified[connection] = instance
 
