--- a/src/hickorymux/_internal/coordination/slot_holder.py
+++ b/src/hickorymux/_internal/coordination/slot_holder.py
@@ -47,6 +47,8 @@
 CONTENTION_SECONDS = 1.5
 COUNTERS_SECONDS = 0.25
 COUNTERS_SECONDS_PER_HOME = 0.07
+MIN_STOCK_SLOTS = 4
+STOCK_PART = 4
 MAX_HEADS = 4
 MAX_TARGET_SLOTS = 4096
 PERMIT_KEEP_SECONDS = 2.0
@@ -119,6 +121,7 @@
     """
 
     __slots__ = (
+        'asked',
         'backlogs',
         'book',
         'clock',
@@ -160,6 +163,7 @@
         self.backlogs: dict[str, Backlog] = {}
         self.holdings: dict[str, Holding] = {}
         self.sessions: dict[str, HomeSession] = {}
+        self.asked = 0
         self.session_number = members.myself.incarnation
 
     async def run(self) -> None:
@@ -244,6 +248,7 @@
         """Follow the homes, end what lapsed, renew, return what is idle."""
         now = self.clock.monotonic()
         self._follow_homes(now)
+        self._return_surplus()
         self._return_idle(now)
         self._release_permits(now)
         for session in list(self.sessions.values()):
@@ -432,9 +437,16 @@
         )
         if wanted <= 0:
             return
-        for home_id in self._homes_to_ask(pool, is_widened=is_widened):
+        homes = self._homes_to_ask(pool, is_widened=is_widened)
+        if not is_widened and len(homes) > wanted:
+            homes = self._next_homes(homes, wanted)
+            is_partial = True
+        else:
+            is_partial = False
+        for home_id in homes:
             session = self._session(home_id, now)
             demand = self._demand(pool_name, session)
+            demand.is_urgent = not is_partial
             held = self._held_in(pool_name, home_id)
             owed = session.targets.get(pool_name, 0) - held
             is_told = owed > 0 and demand.target - held < 2 * owed
@@ -443,6 +455,12 @@
             if session.is_open:
                 self._request(session, [demand], now)
 
+    def _next_homes(self, homes: list[str], count: int) -> list[str]:
+        """Return some homes, in turns over all calls."""
+        self.asked += 1
+        first = self.asked % len(homes)
+        return (homes[first:] + homes[:first])[:count]
+
     def _is_outdated(
         self, pool_name: str, session: HomeSession, now: float
     ) -> bool:
@@ -481,7 +499,9 @@
         held = self._held_in(pool_name, session.home_id)
         wanted = max(backlog.waiting - idle, 0)
         target = min(held + wanted, MAX_TARGET_SLOTS)
-        return PoolDemand(pool_name, target, list(backlog.heads))
+        return PoolDemand(
+            pool_name, target, wanted > 0, list(backlog.heads)
+        )
 
     def _session(self, home_id: str, now: float) -> HomeSession:
         session = self.sessions.get(home_id)
@@ -620,6 +640,20 @@
                 holding.give_up(holding.idle)
         self._flush_returns(now)
 
+    def _return_surplus(self) -> None:
+        """Keep a stock of idle slots in proportion to the busy ones."""
+        for pool, backlog in self.backlogs.items():
+            if backlog.waiting:
+                continue
+            holdings = self._holdings_of(pool)
+            busy = sum(holding.busy for holding in holdings)
+            idle = sum(holding.idle for holding in holdings)
+            surplus = idle - max(MIN_STOCK_SLOTS, busy // STOCK_PART)
+            for holding in sorted(holdings, key=lambda one: one.home_id):
+                returned = min(holding.idle, max(surplus, 0))
+                holding.give_up(returned)
+                surplus -= returned
+
     def _flush_returns(self, now: float) -> None:
         due: dict[str, list[Holding]] = {}
         for holding in self.holdings.values():
--- a/src/hickorymux/_internal/coordination/slot_home.py
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -112,6 +112,7 @@
         'lease_seconds',
         'ledgers',
         'members',
+        'names_by_pool',
         'read_tables',
         'sender',
     )
@@ -134,6 +135,7 @@
         self.home_map = HomeMap(members)
         self.ledgers: dict[str, SlotLedger] = {}
         self.borrowers: dict[str, Borrower] = {}
+        self.names_by_pool: dict[str, list[str]] = {}
         self.handovers: dict[str, Received] = {}
         self.cold_offers: dict[str, dict[str, float]] = {}
 
@@ -286,6 +288,15 @@
         for router_id in sorted(served):
             self._push(router_id)
 
+    def refuse_if_short(self, router_id: str, demand: PoolDemand) -> None:
+        """Tell a router that asked this home only to ask the others too."""
+        if demand.is_urgent or not demand.target:
+            return
+        held = self._held(router_id, self.names_by_pool.get(demand.pool, ()))
+        if held < demand.target:
+            borrower = self.borrowers[router_id]
+            self._send_loans(router_id, borrower, borrower.sent_version)
+
     def limit(self, upstream: Upstream, now: float) -> int:
         """Return how many slots of an upstream may be lent in all.
 
@@ -342,6 +353,7 @@
     def _follow_homes(self, now: float) -> None:
         self.home_map.refresh(self.read_tables())
         own = self.upstreams()
+        self._sort_by_pool(own)
         names = {upstream.name for upstream in own}
         for name in list(self.ledgers):
             if name not in names:
@@ -350,6 +362,15 @@
             if upstream.name not in self.ledgers:
                 self._become_home(upstream, now)
 
+    def _sort_by_pool(self, own: Iterable[Upstream]) -> None:
+        own_names = {upstream.name for upstream in own}
+        self.names_by_pool = {
+            pool.name: [
+                one.name for one in pool.upstreams if one.name in own_names
+            ]
+            for pool in self.read_tables().pools.values()
+        }
+
     def _become_home(self, upstream: Upstream, now: float) -> None:
         name = upstream.name
         self.book.state_of(upstream).forget()
@@ -476,7 +497,7 @@
         )
 
     def _shares(self, pool: Pool) -> list[Share]:
-        names = [upstream.name for upstream in pool.upstreams]
+        names = self.names_by_pool.get(pool.name, ())
         shares = []
         for router_id, borrower in self.borrowers.items():
             held = self._held(router_id, names)
@@ -508,7 +529,8 @@
         self, pool: Pool, served: set[str], now: float
     ) -> None:
         shares = self._shares(pool)
-        waiting = pick_neediest(self._heard_lately(shares, now))
+        urgent = [share for share in shares if share.is_urgent]
+        waiting = pick_neediest(self._heard_lately(urgent, now))
         if waiting is None:
             return
         for share in shares:
@@ -600,7 +622,10 @@
         short = [
             pool.name
             for pool in self.read_tables().pools.values()
-            if any(share.is_short for share in self._shares(pool))
+            if any(
+                share.is_short and share.is_urgent
+                for share in self._shares(pool)
+            )
         ]
         borrower.warned_at.update(dict.fromkeys(short, now))
         return short
@@ -648,6 +673,7 @@
     home.take_demands(sender_id, message.demands)
     for demand in message.demands:
         home.serve(demand.pool, now)
+        home.refuse_if_short(sender_id, demand)
 
 
 @_handle.register
--- a/src/hickorymux/_internal/coordination/slot_messages.py
+++ b/src/hickorymux/_internal/coordination/slot_messages.py
@@ -24,10 +24,15 @@
 
 @dataclasses.dataclass(slots=True)
 class PoolDemand:
-    """How many slots of a pool a router can use, those it holds included."""
+    """How many slots of a pool a router can use, those it holds included.
+
+    ``is_urgent`` means that the router asked the other homes too, so that
+    idle slots of other routers are needed.
+    """
 
     pool: str = ''
     target: int = 0
+    is_urgent: bool = False
     heads: list[HeadCustomer] = dataclasses.field(default_factory=list)
 
 
--- a/src/hickorymux/_internal/coordination/slot_sharing.py
+++ b/src/hickorymux/_internal/coordination/slot_sharing.py
@@ -20,6 +20,7 @@
     target: int
     held: int
     head: HeadCustomer
+    is_urgent: bool = True
 
     @classmethod
     def from_demand(
@@ -30,7 +31,14 @@
         lowest = min(
             waiting, key=lambda head: head.counter, default=HeadCustomer()
         )
-        return cls(router_id, demand.pool, demand.target, held, lowest)
+        return cls(
+            router_id,
+            demand.pool,
+            demand.target,
+            held,
+            lowest,
+            demand.is_urgent,
+        )
 
     @property
     def is_backlogged(self) -> bool:
--- a/src/hickorymux/_internal/protocol/idl/slot.thrift
+++ b/src/hickorymux/_internal/protocol/idl/slot.thrift
@@ -9,7 +9,8 @@
 struct PoolDemand {
   1: optional string pool = "",
   2: optional i32 target = 0,
-  3: optional list<HeadCustomer> heads
+  3: optional list<HeadCustomer> heads,
+  4: optional bool is_urgent = 0
 }
 
 struct SlotCount {
--- a/tests/lib/slot_fleet.py
+++ b/tests/lib/slot_fleet.py
@@ -114,6 +114,7 @@
         self.counter = 0.0
         self.running: list[tuple[float, Slot, str]] = []
         self.work_seconds = 0.1
+        self.next_work_seconds = lambda: self.work_seconds
         self.started = 0
         view = Members(network, member)
         sender = Sender(network, member.router_id)
@@ -178,7 +179,7 @@
         self.counter += 1
         engine.start(now)
         self.holder.on_answer(slot.upstream, engine.instance, engine.state)
-        until = now + self.work_seconds
+        until = now + self.next_work_seconds()
         self.running.append((until, slot, engine.instance))
         self.tell()
         return True
--- /dev/null
+++ b/tools/measure_slots.py
@@ -0,0 +1,235 @@
+"""Measure slot leases on real homes and holders over an in-memory network.
+
+Time is simulated in steps of 1 ms; every message takes the delay that the
+result names. The result is JSON on the standard output.
+
+Example::
+
+    PYTHONPATH=src python -m tools.measure_slots
+"""
+
+import asyncio
+import dataclasses
+import importlib
+import json
+import random
+import sys
+from pathlib import Path
+from typing import Any
+
+from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.state.tables import Upstream
+
+sys.path.insert(0, str(Path(__file__).parent.parent / 'tests'))
+fleet = importlib.import_module('lib.slot_fleet')
+
+MANY = 10_000_000
+SLOTS = 8
+SETTLE_SECONDS = 10
+MS_PER_SECOND = 1000
+FRAME_OCTETS = 24
+
+
+def make_network(zones: str, routers: int, upstreams: int) -> Any:
+    """Return a network with routers and upstreams in each zone."""
+    network = fleet.Network(
+        [
+            Upstream(f'engine-{zone}{index}', zone, f'{zone}:{index}', SLOTS)
+            for zone in zones
+            for index in range(upstreams)
+        ]
+    )
+    for zone in zones:
+        for index in range(routers):
+            network.add(f'router-{zone}{index}', zone)
+    return network
+
+
+def draw_work(network: Any, seed: int) -> None:
+    """Let requests last 0.05 s to 5 s, most of them short."""
+    drawn = random.Random(seed)
+    for router in network.routers.values():
+        router.next_work_seconds = lambda: min(
+            0.05 / max(drawn.random(), 0.01), 5
+        )
+
+
+def running(network: Any) -> int:
+    """Return the number of requests that run."""
+    return sum(engine.running for engine in network.engines.values())
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile, or zero when there are no values."""
+    if not values:
+        return 0
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def count_octets(network: Any) -> dict[str, int]:
+    """Count what goes between different routers, as the codec writes it."""
+    codec = default_codec()
+    counted = {'messages': 0, 'octets': 0}
+    original = network.send
+
+    def send(source: str, target: str, message: object) -> bool:
+        if source != target:
+            counted['messages'] += 1
+            body = codec.encode(message)[1]
+            counted['octets'] += len(body) + FRAME_OCTETS
+        return bool(original(source, target, message))
+
+    network.send = send
+    return counted
+
+
+async def measure_backlog(seconds: float = 30) -> dict[str, Any]:
+    """Measure use of slots and the time that a freed slot stays free."""
+    network = make_network('abcd', 2, 2)
+    draw_work(network, 1)
+    for router in network.routers.values():
+        router.demand(MANY)
+    await network.run(SETTLE_SECONDS)
+    counted = count_octets(network)
+    total = SLOTS * len(network.engines)
+    busy = 0
+    free_since: dict[str, list[float]] = {}
+    gaps: list[float] = []
+    started = {name: one.started for name, one in network.engines.items()}
+    steps = int(seconds * MS_PER_SECOND)
+    for _ in range(steps):
+        await network.run(1 / MS_PER_SECOND)
+        busy += running(network)
+        for name, engine in network.engines.items():
+            free = free_since.setdefault(name, [])
+            news = engine.started - started[name]
+            started[name] = engine.started
+            wanted = SLOTS - engine.running
+            refilled = max(len(free) - wanted, 0)
+            for _ in range(refilled):
+                gaps.append(network.clock.now - free.pop(0))
+            gaps.extend([0] * max(news - refilled, 0))
+            while len(free) < wanted:
+                free.append(network.clock.now)
+    return {
+        'routers': len(network.routers),
+        'slots': total,
+        'busy_share': busy / steps / total,
+        'requests_per_second': len(gaps) / seconds,
+        'freed_to_work_ms_p50': quantile(gaps, 0.5) * MS_PER_SECOND,
+        'freed_to_work_ms_p99': quantile(gaps, 0.99) * MS_PER_SECOND,
+        'message_delay_ms': network.delay_seconds * MS_PER_SECOND,
+        'octets_per_router_second': 2
+        * counted['octets']
+        / seconds
+        / len(network.routers),
+        'messages_per_request': counted['messages'] / max(len(gaps), 1),
+    }
+
+
+async def measure_cold() -> dict[str, Any]:
+    """Measure a crash, the cold start and the ramp of one upstream."""
+    network = make_network('a', 3, 1)
+    for router in network.routers.values():
+        router.demand(MANY)
+    await network.run(SETTLE_SECONDS)
+    engine = network.engines['engine-a0']
+    engine.crash('i2')
+    crashed_at = network.clock.now
+    while engine.running == 0:
+        await network.run(1 / MS_PER_SECOND)
+    first = network.clock.now - crashed_at
+    busy = 0
+    for _ in range(10 * MS_PER_SECOND):
+        await network.run(1 / MS_PER_SECOND)
+        busy += engine.running
+    engine.state = 'warm'
+    warm_at = network.clock.now
+    while engine.running < SLOTS:
+        await network.run(1 / MS_PER_SECOND)
+    return {
+        'seconds_from_crash_to_first_work': first,
+        'cold_slot_busy_share': busy / (10 * MS_PER_SECOND),
+        'peak_while_cold': engine.peak_cold,
+        'seconds_from_warm_to_full': network.clock.now - warm_at,
+    }
+
+
+async def measure_zone() -> dict[str, Any]:
+    """Measure the service before, during and after a zone is out."""
+    network = make_network('abc', 2, 2)
+    for router in network.routers.values():
+        router.demand(MANY)
+    await network.run(SETTLE_SECONDS)
+    before_tables = network.tables
+    drained = dataclasses.replace(
+        before_tables, version=2, drained_zones=frozenset('a')
+    )
+    rates = {}
+    for name, tables in (
+        ('before', before_tables),
+        ('during', drained),
+        ('after', before_tables),
+    ):
+        changed_at = network.clock.now
+        for router in network.routers.values():
+            router.tables = tables
+        done = sum(one.started for one in network.engines.values())
+        await network.run(10)
+        total = sum(one.started for one in network.engines.values())
+        rates[f'{name}_requests_per_second'] = (total - done) / 10
+        if name == 'during':
+            starts = network.engines['engine-a0'].starts
+            late = [one for one in starts if one > changed_at]
+            rates['last_new_work_seconds'] = max(
+                (one - changed_at for one in late), default=0
+            )
+    return rates
+
+
+async def measure_steady(seconds: float = 10) -> dict[str, Any]:
+    """Measure bytes without a backlog, where slots are held and used again."""
+    network = make_network('a', 6, 24)
+    drawn = random.Random(2)
+    for router in network.routers.values():
+        router.work_seconds = 1.0
+    await network.run(SETTLE_SECONDS)
+    counted: dict[str, int] = {}
+    requests = 0
+    for step in range(int((seconds + 5) * MS_PER_SECOND)):
+        if step == 5 * MS_PER_SECOND:
+            counted = count_octets(network)
+            requests = 0
+        for router in network.routers.values():
+            if drawn.random() < 20 / MS_PER_SECOND:
+                requests += 1
+                router.demand(router.waiting + 1)
+        await network.run(1 / MS_PER_SECOND)
+    return {
+        'routers': len(network.routers),
+        'upstreams': len(network.engines),
+        'requests_per_second': requests / seconds,
+        'waiting_at_end': sum(
+            one.waiting for one in network.routers.values()
+        ),
+        'octets_per_router_second': 2
+        * counted['octets']
+        / seconds
+        / len(network.routers),
+        'messages_per_request': counted['messages'] / max(requests, 1),
+    }
+
+
+async def measure() -> dict[str, Any]:
+    """Run all measurements."""
+    return {
+        'backlog': await measure_backlog(),
+        'steady': await measure_steady(),
+        'cold_start': await measure_cold(),
+        'zone': await measure_zone(),
+    }
+
+
+if __name__ == '__main__':
+    print(json.dumps(asyncio.run(measure()), indent=2))
