--- a/src/hickorymux/_internal/coordination/slot_holder.py
+++ b/src/hickorymux/_internal/coordination/slot_holder.py
@@ -499,9 +499,7 @@
         held = self._held_in(pool_name, session.home_id)
         wanted = max(backlog.waiting - idle, 0)
         target = min(held + wanted, MAX_TARGET_SLOTS)
-        return PoolDemand(
-            pool_name, target, wanted > 0, list(backlog.heads)
-        )
+        return PoolDemand(pool_name, target, wanted > 0, list(backlog.heads))
 
     def _session(self, home_id: str, now: float) -> HomeSession:
         session = self.sessions.get(home_id)
--- a/tools/measure_slots.py
+++ b/tools/measure_slots.py
@@ -210,9 +210,7 @@
         'routers': len(network.routers),
         'upstreams': len(network.engines),
         'requests_per_second': requests / seconds,
-        'waiting_at_end': sum(
-            one.waiting for one in network.routers.values()
-        ),
+        'waiting_at_end': sum(one.waiting for one in network.routers.values()),
         'octets_per_router_second': 2
         * counted['octets']
         / seconds
