Tell engines an id of our own for each attempt

Cause: engines find a run by X-Request-Id, and routers passed on the id that the caller chose. Two customers with the same id on one engine shared it: when one left, its router cancelled the run of the other, whose answer was cut. The id also went unquoted into the path of the cancel call.

Ruled out: quoting the id and adding the customer, which still mixes two attempts of one request.

Change: an engine is told the attempt id, which is random; a plain service is still told the caller's id. Callers get their own id back as before.

Seen to fail: test_request_ids.py without the change (the other customer's stream is cut), run on two routers' engines with one engine in service.

--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -233,9 +233,12 @@
         upstream = placement.slot.upstream
         waited = placement.waited_seconds
         self.metrics.observe('queue_wait', call.pool.name, waited)
+        attempt_id = new_request_id()
+        is_model = call.pool.kind is PoolKind.model
         attempt = Attempt(
-            attempt_id=new_request_id(),
-            request_id=call.request_id,
+            attempt_id=attempt_id,
+            # An engine finds its runs by this id, and callers may share one.
+            request_id=attempt_id if is_model else call.request_id,
             upstream=upstream,
             method=call.method,
             path=call.path,
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -66,7 +66,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One try to run a request on one upstream."""
+    """One try to run a request on one upstream.
+
+    ``request_id`` is the id that the upstream is told. For an engine it is
+    unique, since it names the run to resume or to cancel; a plain service is
+    told the id that the caller knows.
+    """
 
     attempt_id: str
     request_id: str
--- /dev/null
+++ b/tests/functional/test_request_ids.py
@@ -0,0 +1,61 @@
+"""Request ids come from callers, so two customers may use the same one."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from lib.small_fleet import open_fleet
+
+from demo.outcomes import Outcome, Result, WorkKind
+from demo.show import new_traffic
+
+pytestmark = pytest.mark.processes
+
+SAME_ID = 'same-id'
+LONG_TOKENS = 200
+
+
+async def leave_one_engine(fleet) -> None:
+    """Take all engines but one out of service."""
+    log = f'--log={fleet.platform.log.url}'
+    for name in fleet.platform.upstreams:
+        if name.startswith('engine') and name != 'engine-a1':
+            await fleet.operate('drain', f'--upstream={name}', log)
+
+
+async def runs_of(fleet, session) -> list[dict]:
+    url = fleet.platform.upstreams['engine-a1'].url
+    async with session.get(f'{url}/runs') as answer:
+        return await answer.json()
+
+
+async def run_count(fleet, session, wanted: int) -> None:
+    async with asyncio.timeout(30):
+        while len(await runs_of(fleet, session)) < wanted:
+            await asyncio.sleep(0.05)
+
+
+async def test_caller_that_leaves_ends_no_work_of_another() -> None:
+    async with aiohttp.ClientSession() as session, open_fleet(session) as fleet:
+        await leave_one_engine(fleet)
+        callers = [caller for caller, _ in new_traffic(fleet, session).callers]
+        url = next(iter(fleet.urls().values()))
+        sends = []
+        outcomes = []
+        for number, caller in enumerate(callers[:2]):
+            outcome = Outcome(
+                SAME_ID, caller.customer, WorkKind.stream, 'entry-a1'
+            )
+            outcomes.append(outcome)
+            send = caller.send(outcome, url, LONG_TOKENS)
+            sends.append(asyncio.create_task(send))
+            await run_count(fleet, session, number + 1)
+        sends[0].cancel()
+        await sends[1]
+        runs = await runs_of(fleet, session)
+    assert outcomes[1].result is Result.whole, outcomes[1].cause
+    ends = {run['customer_text'].split()[0]: run['end'] for run in runs}
+    assert ends == {
+        callers[0].customer: 'cancelled',
+        callers[1].customer: 'finished',
+    }
