--- a/src/hickorymux/_internal/coordination/counter_exchange.py
+++ b/src/hickorymux/_internal/coordination/counter_exchange.py
@@ -134,8 +134,11 @@
         self.allowance = 0
 
     def on_message(self, sender_id: str, message: Any) -> None:
-        """Take a message from a router; those of unknown pools are dropped."""
-        exchange = self.pools.get(message.pool)
+        """Take a message from a router.
+
+        Messages of other mechanisms or of unknown pools are dropped.
+        """
+        exchange = self.pools.get(getattr(message, 'pool', ''))
         if exchange is not None:
             take_message(message, sender_id, exchange)
 
--- a/src/hickorymux/_internal/coordination/pool_exchange.py
+++ b/src/hickorymux/_internal/coordination/pool_exchange.py
@@ -8,14 +8,10 @@
 stay lower bounds until they have.
 """
 
-import dataclasses
 import logging
-import math
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator
 from typing import final
 
-import xxhash
-
 from hickorymux._internal.coordination.fair_queue import FairQueue
 from hickorymux._internal.coordination.ports import Member, MemberView
 from hickorymux._internal.coordination.service_link import (
@@ -24,6 +20,11 @@
     ServiceLink,
 )
 from hickorymux._internal.coordination.service_messages import ServiceRequest
+from hickorymux._internal.coordination.service_peers import (
+    Request,
+    WaitingPeers,
+    choose_delegate,
+)
 from hickorymux._internal.state.service_counters import AccountUpdate
 from hickorymux._internal.state.zone_columns import Source, ZoneColumns
 from hickorymux._internal.utils.clock import Clock
@@ -38,62 +39,6 @@
 _logger = logging.getLogger(__name__)
 
 
-def choose_delegate(members: Sequence[Member], pool: str) -> Member | None:
-    """Return the member that speaks for its zone, by rendezvous hash."""
-    staying = [member for member in members if not member.is_leaving]
-    return max(
-        staying or members,
-        key=lambda member: xxhash.xxh64_intdigest(
-            f'{member.router_id}|{pool}'.encode(),
-        ),
-        default=None,
-    )
-
-
-@dataclasses.dataclass(slots=True)
-class Request:
-    """What a peer is asked for: everything, or what it has not sent yet."""
-
-    term: int
-    is_full: bool
-    asked_at: float = -math.inf
-
-
-@final
-class WaitingPeers:
-    """Which routers and zones have requests of a customer waiting."""
-
-    __slots__ = ('peers',)
-
-    def __init__(self) -> None:
-        self.peers: dict[int, set[str]] = {}
-
-    def put(self, number: int, peer: str, *, waits: bool) -> None:
-        """Note whether the customer waits at a peer."""
-        if waits:
-            self.peers.setdefault(number, set()).add(peer)
-            return
-        names = self.peers.get(number)
-        if names is not None:
-            names.discard(peer)
-            if not names:
-                self.peers.pop(number)
-
-    def drop(self, peer: str) -> list[int]:
-        """Forget a peer; return the customers that waited there."""
-        numbers = [
-            number for number, names in self.peers.items() if peer in names
-        ]
-        for number in numbers:
-            self.put(number, peer, waits=False)
-        return numbers
-
-    def any_but(self, number: int, left_out: str) -> bool:
-        """Return whether the customer waits at a peer but the one given."""
-        names = self.peers.get(number, ())
-        return any(name != left_out for name in names)
-
-
 @final
 class PoolExchange:
     """Links, sums and synchronisation of one pool."""
@@ -364,6 +309,14 @@
 
     def _mark_synced(self) -> None:
         self.counters.mark_synced()
+        _logger.info(
+            'service counters synced',
+            extra={
+                'event': 'fairness.synced',
+                'pool': self.pool,
+                'is_debt_forgiven': self.is_cut,
+            },
+        )
         if self.is_cut:
             self.is_cut = False
             self.queue.rejoin()
--- a/tools/measure_exchange.py
+++ b/tools/measure_exchange.py
@@ -3,7 +3,7 @@
 Example::
 
     python -m tools.measure_exchange --customers 16 360 3600
-    python -m tools.measure_exchange --customers 15 360 --fleet
+    python -m tools.measure_exchange --what fleet --customers 15 360
 """
 
 import argparse
@@ -12,6 +12,7 @@
 import json
 import statistics
 import time
+import types
 from collections.abc import Mapping, Sequence
 from typing import Any, final
 
@@ -27,6 +28,9 @@
 from tools.fairness_model import CHARGE_SECONDS, Fleet, Load, Settings
 
 REPEATS = 20
+QUEUE_ROUNDS = 20
+CHARGES = 100_000
+US_PER_SECOND = 1_000_000
 ROUTERS = 410
 ZONES = 28
 POOLS = 24
@@ -196,6 +200,41 @@
     }
 
 
+def measure_queue(customers: int) -> dict[str, Any]:
+    """Return microseconds for a pop with its settling and for a charge."""
+    router = make_pair(customers).routers['a-1']
+    queue = router.queue
+    for number in range(customers * QUEUE_ROUNDS):
+        queue.enqueue(f'customer-{number % customers}', 100, 0)
+    started = time.process_time()
+    for served in range(customers * (QUEUE_ROUNDS - 1)):
+        ticket = queue.pop()
+        assert ticket is not None
+        queue.settle(ticket, 50 + served % 100)
+    popped = time.process_time() - started
+    ticket = queue.pop()
+    assert ticket is not None
+    started = time.process_time()
+    for _ in range(CHARGES):
+        queue.charge(ticket, 1)
+    charged = time.process_time() - started
+    pops = customers * (QUEUE_ROUNDS - 1)
+    return {
+        'customers': customers,
+        'pop_and_settle_us': round(popped / pops * US_PER_SECOND, 1),
+        'charge_us': round(charged / CHARGES * US_PER_SECOND, 2),
+    }
+
+
+MEASURES = types.MappingProxyType(
+    {
+        'update': measure_update,
+        'queue': measure_queue,
+        'fleet': measure_fleet,
+    }
+)
+
+
 def main(arguments: Sequence[str] | None = None) -> None:
     """Print one JSON line for each number of customers."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -205,9 +244,9 @@
         nargs='+',
         default=[16, 360, 3600],
     )
-    parser.add_argument('--fleet', action='store_true')
+    parser.add_argument('--what', choices=MEASURES, default='update')
     options = parser.parse_args(arguments)
-    measure = measure_fleet if options.fleet else measure_update
+    measure = MEASURES[options.what]
     for customers in options.customers:
         print(json.dumps(measure(customers)), flush=True)
 
