Never count a zone's earlier total twice, and let requests leave room

Cause: three faults were found by random restarts and cuts in the model. A report addressed to an earlier life of a delegate marked a column as complete. With 20 zones and 500 bytes a second the requests used up the budget and no router was ever synced before the timeout of 60 s.

Ruled out: comparing numbers of terms that begin at 1 in each life.

Change: isolation ends once, at the first message or member of another zone; terms begin at a number of this life and only an answer that was asked for completes a column; requests take a quarter of the budget, oldest first.

Seen to fail when broken (scratch copies): each of the three has a test that fails without its change.

--- a/src/hickorymux/_internal/coordination/counter_exchange.py
+++ b/src/hickorymux/_internal/coordination/counter_exchange.py
@@ -34,7 +34,8 @@
 BUDGET_BURST_SECONDS = 1.0
 # Bounds the processor time of a tick; the budget is spent on fewer links.
 LINKS_A_TICK = 12
-REQUESTS_A_TICK = 3
+# Requests leave the larger part of the budget to their answers.
+REQUEST_SHARE = 0.25
 
 _FIRST_ROW_BYTES = 32
 
@@ -68,6 +69,7 @@
         'members',
         'pools',
         'refilled_at',
+        'request_allowance',
         'sender',
         'sent_bytes',
         'ticks',
@@ -88,6 +90,7 @@
         self.interval = interval
         self.pools: dict[str, PoolExchange] = {}
         self.allowance: float = 0
+        self.request_allowance: float = 0
         self.refilled_at = clock.monotonic()
         self.sent_bytes = 0
         self.ticks = 0
@@ -147,6 +150,10 @@
         gained = (now - self.refilled_at) * self.bytes_per_second
         most = self.bytes_per_second * BUDGET_BURST_SECONDS
         self.allowance = min(self.allowance + gained, most)
+        self.request_allowance = min(
+            self.request_allowance + gained * REQUEST_SHARE,
+            most,
+        )
         self.refilled_at = now
 
     def _send_changes(self) -> None:
@@ -174,10 +181,9 @@
         return [candidate for candidate in found if candidate is not None]
 
     def _send_requests(self, exchange: PoolExchange) -> None:
-        most = REQUESTS_A_TICK
-        if self.allowance < most * MESSAGE_OVERHEAD_BYTES:
-            most = max(int(self.allowance // MESSAGE_OVERHEAD_BYTES), 0)
+        most = max(int(self.request_allowance // MESSAGE_OVERHEAD_BYTES), 0)
         for router_id, request in itertools.islice(exchange.requests(), most):
+            self.request_allowance -= MESSAGE_OVERHEAD_BYTES
             self._spend(MESSAGE_OVERHEAD_BYTES)
             self.sender.send(router_id, request)
 
--- a/src/hickorymux/_internal/coordination/pool_exchange.py
+++ b/src/hickorymux/_internal/coordination/pool_exchange.py
@@ -33,6 +33,7 @@
 SYNC_TIMEOUT_SECONDS = 60
 # A new delegate waits for longer than the membership needs to name all peers.
 LEAST_TERM_SECONDS = 5
+TERM_START_RANGE = 1 << 20
 
 _MS_PER_SECOND = 1000
 
@@ -86,7 +87,8 @@
         self.sync_deadline = clock.monotonic()
         self.sync_due = clock.monotonic()
         self.revision = 0
-        self.term = 0
+        # Terms of an earlier life of this router differ from those of this one.
+        self.term = members.myself.incarnation % TERM_START_RANGE
         self.touched: set[int] = set()
         self.waits_at_routers = WaitingPeers()
         self.waits_in_zones = WaitingPeers()
@@ -116,7 +118,11 @@
             return
         due = self.clock.monotonic() - REQUEST_INTERVAL_SECONDS
         delegates = self._delegates()
-        for peer, request in self.outstanding.items():
+        oldest_first = sorted(
+            self.outstanding.items(),
+            key=lambda pair: pair[1].asked_at,
+        )
+        for peer, request in oldest_first:
             if request.asked_at > due:
                 continue
             request.asked_at = self.clock.monotonic()
@@ -154,12 +160,24 @@
                 waits=self._waits_elsewhere(number),
             )
 
-    def hear_complete(self, peer: str, term: int) -> None:
-        """Note that a peer has sent everything that was asked for."""
+    def hear_complete(self, peer: str, term: int) -> bool:
+        """Note that a peer has sent everything, if that was asked for."""
         request = self.outstanding.get(peer)
-        if request is not None and request.term == term:
-            self.outstanding.pop(peer)
-            self._check_synced()
+        if request is None or request.term != term:
+            return False
+        self.outstanding.pop(peer)
+        return True
+
+    def end_isolation(self, columns: ZoneColumns) -> None:
+        """Take the zone's earlier total from the first other zone heard.
+
+        It happens once in a life: later the others also know service of this
+        life, which must not be added to itself.
+        """
+        if self.is_isolated:
+            self.is_isolated = False
+            columns.reopen()
+            self.sync_due = self.clock.monotonic() + LEAST_TERM_SECONDS
 
     def follow_delegate(self, *, is_complete: bool) -> None:
         """Take the delegate's word on whether the counters are synced."""
@@ -249,15 +267,14 @@
         present = dict.fromkeys(delegates, 0) | routers
         present.pop(myself.zone)
         self._note_departed(present)
-        if self.is_isolated and len(delegates) > 1:
-            self.is_isolated = False
-            columns.reopen()
+        if len(delegates) > 1:
+            self.end_isolation(columns)
         for peer, incarnation in present.items():
             if self.present.get(peer) != incarnation:
                 self._note_arrived(peer, incarnation)
         self.present = present
         columns.fold((Source(*pair) for pair in routers.items()), now)
-        self._check_synced()
+        self.check_synced()
 
     def _note_departed(self, present: dict[str, int]) -> None:
         for peer, incarnation in self.present.items():
@@ -283,7 +300,8 @@
             self.is_cut = True
             self.counters.mark_unsynced()
 
-    def _check_synced(self) -> None:
+    def check_synced(self) -> None:
+        """Settle the sums once all peers that were asked have answered."""
         columns = self.columns
         if columns is None:
             return
--- a/src/hickorymux/_internal/coordination/service_intake.py
+++ b/src/hickorymux/_internal/coordination/service_intake.py
@@ -73,9 +73,9 @@
         columns.add_base(row.number, row.extra - account.served)
         exchange.waits_at_routers.put(row.number, sender, waits=row.waits)
         exchange.counters.merge(AccountUpdate(row.number, lift=row.lift))
-    if message.is_complete and message.term:
+    if message.is_complete and exchange.hear_complete(sender, message.term):
         column.is_complete = True
-        exchange.hear_complete(sender, message.term)
+        exchange.check_synced()
     exchange.take_over([one.number for one in rows])
 
 
@@ -90,6 +90,7 @@
         return
     exchange.counters.raise_floor(message.floor)
     is_own = message.zone == exchange.members.myself.zone
+    exchange.end_isolation(columns)
     rows = list(read_rows(message.rows, []))
     for row in rows:
         account = exchange.counters.account_by_id(row.number)
@@ -103,6 +104,7 @@
         exchange.counters.merge(AccountUpdate(row.number, lift=row.lift))
     if message.is_complete:
         exchange.hear_complete(message.zone, message.term)
+        exchange.check_synced()
     exchange.take_over([one.number for one in rows])
 
 
--- a/tests/unit/test_counter_exchange.py
+++ b/tests/unit/test_counter_exchange.py
@@ -87,6 +87,18 @@
         assert router.exchange.sent_bytes <= 61 * 700
 
 
+def test_many_peers_get_synced_within_a_narrow_budget():
+    names = [f'r-{number}' for number in range(20)]
+    loads = [Load(f'customer-{number}', names, 100) for number in range(3)]
+    zones = [[name] for name in names]
+    fleet = Fleet(Settings(loads, zones, slots=20, bytes_per_second=500))
+    fleet.time.run(50)
+    for router in fleet.routers.values():
+        assert router.queue.counters.is_synced
+        assert router.exchange.sent_bytes <= 51 * 500
+    assert fleet.lag() < 30
+
+
 def test_messages_take_no_more_bytes_than_reckoned():
     fleet = make_fleet()
     codec = default_codec()
@@ -190,6 +202,26 @@
     assert_little_is_lost(fleet, 1 / len(ZONES))
 
 
+def test_late_report_to_an_earlier_life_does_not_complete_a_column():
+    fleet = make_fleet()
+    fleet.time.run(20)
+    delegate = fleet.routers['a-1'].exchange.pools['p'].delegate.router_id
+    late = []
+    for router_id in ('a-1', 'a-2'):
+        if router_id != delegate:
+            fleet.routers[router_id].exchange.sender = type(
+                'Late', (), {'send': lambda to, message: late.append(message)}
+            )
+            fleet.time.run(1)
+            restart(fleet, [delegate])
+            fleet.time.run(0.7)
+            member = router_id
+    exchange = fleet.routers[delegate].exchange
+    exchange.on_message(member, late[0])
+    columns = exchange.pools['p'].columns
+    assert not any(one.is_complete for one in columns.columns.values())
+
+
 def test_no_customer_starves_after_a_rejoin():
     fleet = make_fleet()
     fleet.time.run(30)
@@ -211,7 +243,7 @@
     assert starved == []
 
 
-@pytest.mark.parametrize('seed', range(2))
+@pytest.mark.parametrize('seed', [0, 31])
 def test_views_never_exceed_the_truth_under_faults(seed):
     chance = random.Random(seed)
     fleet = make_fleet(seed=seed)
