Sync a restarted router only by messages to its own life

Cause: a delegate that has not heard of a router's restart yet goes on with messages for the earlier life. The new life took their word that it had everything and lifted a customer by service that it did not know yet.

Ruled out: waiting a fixed time after the start; the delegate's delay is not bounded by one.

Change: the message names the incarnation that it is for.

Seen to fail when broken (scratch copy): the test with an earlier life's message fails when the recipient is not compared.

Conclusion: whether a router is synced is told to that life alone.

--- a/src/hickorymux/_internal/coordination/counter_exchange.py
+++ b/src/hickorymux/_internal/coordination/counter_exchange.py
@@ -273,4 +273,5 @@
         other_zones=batch.extra,
         floor=floor,
         is_complete=complete,
+        recipient=link.key.incarnation,
     )
--- a/src/hickorymux/_internal/coordination/service_intake.py
+++ b/src/hickorymux/_internal/coordination/service_intake.py
@@ -126,7 +126,8 @@
                 counters.account_by_id(row.number),
                 waits=row.waits,
             )
-    if is_delegate and exchange.columns is None:
+    is_for_me = message.recipient == exchange.members.myself.incarnation
+    if is_delegate and is_for_me and exchange.columns is None:
         exchange.follow_delegate(is_complete=message.is_complete)
 
 
--- a/src/hickorymux/_internal/coordination/service_messages.py
+++ b/src/hickorymux/_internal/coordination/service_messages.py
@@ -54,7 +54,8 @@
     """A delegate tells a router of its zone what all others have served.
 
     ``rows.served`` is that of the other routers in the zone, ``other_zones``
-    that of the other zones.
+    that of the other zones. ``recipient`` is the incarnation that the message
+    is for: a router that restarted has not got what its earlier life got.
     """
 
     pool: str = ''
@@ -63,6 +64,7 @@
     other_zones: list[int] = dataclasses.field(default_factory=list)
     floor: int = 0
     is_complete: bool = False
+    recipient: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/hickorymux/_internal/protocol/idl/service.thrift
+++ b/src/hickorymux/_internal/protocol/idl/service.thrift
@@ -34,6 +34,7 @@
   4: optional list<i64> other_zones = [],
   5: optional i64 floor = 0,
   6: optional bool is_complete = 0,
+  7: optional i64 recipient = 0,
 }
 
 struct ServiceRequest {
--- a/tests/unit/test_counter_exchange.py
+++ b/tests/unit/test_counter_exchange.py
@@ -222,6 +222,32 @@
     assert not any(one.is_complete for one in columns.columns.values())
 
 
+def test_message_to_an_earlier_life_does_not_sync_a_router():
+    fleet = make_fleet()
+    fleet.time.run(20)
+    delegate = fleet.routers['a-1'].exchange.pools['p'].delegate
+    (member,) = {'a-1', 'a-2'} - {delegate.router_id}
+    late = []
+    deliver = fleet.deliver
+
+    def hold(sender, router_id, message):
+        if router_id == member:
+            late.append(message)
+        else:
+            deliver(sender, router_id, message)
+
+    fleet.deliver = hold
+    fleet.time.run(1)
+    restart(fleet, [member])
+    fleet.time.run(0.7)
+    exchange = fleet.routers[member].exchange
+    exchange.on_message(delegate.router_id, late[0])
+    pool = exchange.pools['p']
+    assert late[0].is_complete
+    assert pool.delegate == delegate
+    assert not pool.counters.is_synced
+
+
 def test_no_customer_starves_after_a_rejoin():
     fleet = make_fleet()
     fleet.time.run(30)
