--- a/src/hickorymux/_internal/coordination/pool_exchange.py
+++ b/src/hickorymux/_internal/coordination/pool_exchange.py
@@ -8,14 +8,10 @@
 stay lower bounds until they have.
 """
 
-import dataclasses
 import logging
-import math
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator
 from typing import final
 
-import xxhash
-
 from hickorymux._internal.coordination.fair_queue import FairQueue
 from hickorymux._internal.coordination.ports import Member, MemberView
 from hickorymux._internal.coordination.service_link import (
@@ -24,6 +20,11 @@
     ServiceLink,
 )
 from hickorymux._internal.coordination.service_messages import ServiceRequest
+from hickorymux._internal.coordination.service_peers import (
+    Request,
+    WaitingPeers,
+    choose_delegate,
+)
 from hickorymux._internal.state.service_counters import AccountUpdate
 from hickorymux._internal.state.zone_columns import Source, ZoneColumns
 from hickorymux._internal.utils.clock import Clock
@@ -32,68 +33,13 @@
 SYNC_TIMEOUT_SECONDS = 60
 # A new delegate waits for longer than the membership needs to name all peers.
 LEAST_TERM_SECONDS = 5
+TERM_START_RANGE = 1 << 20
 
 _MS_PER_SECOND = 1000
 
 _logger = logging.getLogger(__name__)
 
 
-def choose_delegate(members: Sequence[Member], pool: str) -> Member | None:
-    """Return the member that speaks for its zone, by rendezvous hash."""
-    staying = [member for member in members if not member.is_leaving]
-    return max(
-        staying or members,
-        key=lambda member: xxhash.xxh64_intdigest(
-            f'{member.router_id}|{pool}'.encode(),
-        ),
-        default=None,
-    )
-
-
-@dataclasses.dataclass(slots=True)
-class Request:
-    """What a peer is asked for: everything, or what it has not sent yet."""
-
-    term: int
-    is_full: bool
-    asked_at: float = -math.inf
-
-
-@final
-class WaitingPeers:
-    """Which routers and zones have requests of a customer waiting."""
-
-    __slots__ = ('peers',)
-
-    def __init__(self) -> None:
-        self.peers: dict[int, set[str]] = {}
-
-    def put(self, number: int, peer: str, *, waits: bool) -> None:
-        """Note whether the customer waits at a peer."""
-        if waits:
-            self.peers.setdefault(number, set()).add(peer)
-            return
-        names = self.peers.get(number)
-        if names is not None:
-            names.discard(peer)
-            if not names:
-                self.peers.pop(number)
-
-    def drop(self, peer: str) -> list[int]:
-        """Forget a peer; return the customers that waited there."""
-        numbers = [
-            number for number, names in self.peers.items() if peer in names
-        ]
-        for number in numbers:
-            self.put(number, peer, waits=False)
-        return numbers
-
-    def any_but(self, number: int, left_out: str) -> bool:
-        """Return whether the customer waits at a peer but the one given."""
-        names = self.peers.get(number, ())
-        return any(name != left_out for name in names)
-
-
 @final
 class PoolExchange:
     """Links, sums and synchronisation of one pool."""
@@ -141,7 +87,8 @@
         self.sync_deadline = clock.monotonic()
         self.sync_due = clock.monotonic()
         self.revision = 0
-        self.term = 0
+        # Terms of an earlier life of this router differ from those of this one.
+        self.term = members.myself.incarnation % TERM_START_RANGE
         self.touched: set[int] = set()
         self.waits_at_routers = WaitingPeers()
         self.waits_in_zones = WaitingPeers()
@@ -171,7 +118,11 @@
             return
         due = self.clock.monotonic() - REQUEST_INTERVAL_SECONDS
         delegates = self._delegates()
-        for peer, request in self.outstanding.items():
+        oldest_first = sorted(
+            self.outstanding.items(),
+            key=lambda pair: pair[1].asked_at,
+        )
+        for peer, request in oldest_first:
             if request.asked_at > due:
                 continue
             request.asked_at = self.clock.monotonic()
@@ -209,12 +160,24 @@
                 waits=self._waits_elsewhere(number),
             )
 
-    def hear_complete(self, peer: str, term: int) -> None:
-        """Note that a peer has sent everything that was asked for."""
+    def hear_complete(self, peer: str, term: int) -> bool:
+        """Note that a peer has sent everything, if that was asked for."""
         request = self.outstanding.get(peer)
-        if request is not None and request.term == term:
-            self.outstanding.pop(peer)
-            self._check_synced()
+        if request is None or request.term != term:
+            return False
+        self.outstanding.pop(peer)
+        return True
+
+    def end_isolation(self, columns: ZoneColumns) -> None:
+        """Take the zone's earlier total from the first other zone heard.
+
+        It happens once in a life: later the others also know service of this
+        life, which must not be added to itself.
+        """
+        if self.is_isolated:
+            self.is_isolated = False
+            columns.reopen()
+            self.sync_due = self.clock.monotonic() + LEAST_TERM_SECONDS
 
     def follow_delegate(self, *, is_complete: bool) -> None:
         """Take the delegate's word on whether the counters are synced."""
@@ -304,15 +267,14 @@
         present = dict.fromkeys(delegates, 0) | routers
         present.pop(myself.zone)
         self._note_departed(present)
-        if self.is_isolated and len(delegates) > 1:
-            self.is_isolated = False
-            columns.reopen()
+        if len(delegates) > 1:
+            self.end_isolation(columns)
         for peer, incarnation in present.items():
             if self.present.get(peer) != incarnation:
                 self._note_arrived(peer, incarnation)
         self.present = present
         columns.fold((Source(*pair) for pair in routers.items()), now)
-        self._check_synced()
+        self.check_synced()
 
     def _note_departed(self, present: dict[str, int]) -> None:
         for peer, incarnation in self.present.items():
@@ -338,7 +300,8 @@
             self.is_cut = True
             self.counters.mark_unsynced()
 
-    def _check_synced(self) -> None:
+    def check_synced(self) -> None:
+        """Settle the sums once all peers that were asked have answered."""
         columns = self.columns
         if columns is None:
             return
@@ -364,6 +327,14 @@
 
     def _mark_synced(self) -> None:
         self.counters.mark_synced()
+        _logger.info(
+            'service counters synced',
+            extra={
+                'event': 'fairness.synced',
+                'pool': self.pool,
+                'is_debt_forgiven': self.is_cut,
+            },
+        )
         if self.is_cut:
             self.is_cut = False
             self.queue.rejoin()
