Ask a few homes first, then all, then urgently

Cause: in the steady state without a backlog a request cost 14.4 messages: every home was asked, all granted, and one full home warned everybody. Change: a small need asks as many homes as slots are wanted, in turns; a home that cannot grant says so; only when all have refused are idle slots of other routers called back.

--- a/src/hickorymux/_internal/coordination/slot_holder.py
+++ b/src/hickorymux/_internal/coordination/slot_holder.py
@@ -1,6 +1,7 @@
 """The slots that this router holds, and how it asks homes for more."""
 
 import dataclasses
+import enum
 import functools
 import logging
 from collections.abc import Callable, Iterable, Sequence
@@ -79,14 +80,27 @@
         return self.holder.is_usable(self, now)
 
 
+class Reach(enum.IntEnum):
+    """Which homes are asked: a few near ones, all, all and urgently."""
+
+    few = 0
+    every = 1
+    urgent = 2
+
+
 @dataclasses.dataclass(slots=True)
 class Backlog:
-    """What waits at this router for slots of one pool."""
+    """What waits at this router for slots of one pool.
+
+    ``unanswered`` names the homes that were asked and not yet heard.
+    """
 
     waiting: int = 0
     heads: list[HeadCustomer] = dataclasses.field(default_factory=list)
     idle_since: float = 0
     contended_until: float = 0
+    reach: Reach = Reach.few
+    unanswered: set[str] = dataclasses.field(default_factory=set)
 
     def keeps_idle(self, now: float) -> bool:
         """Return whether idle slots are kept for requests to come."""
@@ -188,6 +202,9 @@
         if waiting > 0:
             backlog.idle_since = now
             self._ask(pool, now)
+        else:
+            backlog.reach = Reach.few
+            backlog.unanswered.clear()
 
     def take(
         self, pool: str, now: float, preferred: Sequence[str] = ()
@@ -255,7 +272,9 @@
             self._keep(session, now)
         for pool, backlog in self.backlogs.items():
             if backlog.waiting > 0:
-                self._ask(pool, now, is_widened=True)
+                backlog.reach = Reach.urgent
+                backlog.unanswered.clear()
+                self._ask(pool, now)
 
     def on_message(self, sender_id: str, message: Any) -> None:
         """Take a message of a home."""
@@ -426,40 +445,56 @@
         found = (self.holdings.get(one.name) for one in pool.upstreams)
         return [holding for holding in found if holding is not None]
 
-    def _ask(
-        self, pool_name: str, now: float, *, is_widened: bool = False
-    ) -> None:
+    def _ask(self, pool_name: str, now: float) -> None:
         pool = self._pool(pool_name)
         if pool is None:
             return
-        wanted = self.backlogs[pool_name].waiting - self.idle_slots(
-            pool_name, now
-        )
-        if wanted <= 0:
+        backlog = self.backlogs[pool_name]
+        wanted = backlog.waiting - self.idle_slots(pool_name, now)
+        if wanted <= len(backlog.unanswered):
             return
-        homes = self._homes_to_ask(pool, is_widened=is_widened)
-        if not is_widened and len(homes) > wanted:
-            homes = self._next_homes(homes, wanted)
-            is_partial = True
-        else:
-            is_partial = False
-        for home_id in homes:
+        for home_id in self._homes_in_reach(pool, backlog, wanted):
             session = self._session(home_id, now)
             demand = self._demand(pool_name, session)
-            demand.is_urgent = not is_partial
-            held = self._held_in(pool_name, home_id)
-            owed = session.targets.get(pool_name, 0) - held
-            is_told = owed > 0 and demand.target - held < 2 * owed
-            if is_told and not self._is_outdated(pool_name, session, now):
+            demand.is_urgent = backlog.reach is Reach.urgent
+            if demand.is_urgent and self._is_told(demand, session, now):
                 continue
+            if not demand.is_urgent:
+                backlog.unanswered.add(home_id)
             if session.is_open:
                 self._request(session, [demand], now)
 
-    def _next_homes(self, homes: list[str], count: int) -> list[str]:
-        """Return some homes, in turns over all calls."""
+    def _ask_further(
+        self, pool_name: str, backlog: Backlog, home_id: str, now: float
+    ) -> None:
+        """Widen the reach when the homes that were asked have answered."""
+        backlog.unanswered.discard(home_id)
+        if backlog.unanswered:
+            return
+        if backlog.reach is not Reach.urgent:
+            backlog.reach = Reach(backlog.reach + 1)
+        self._ask(pool_name, now)
+
+    def _homes_in_reach(
+        self, pool: Pool, backlog: Backlog, wanted: int
+    ) -> list[str]:
+        is_widened = backlog.reach is not Reach.few
+        homes = self._homes_to_ask(pool, is_widened=is_widened)
+        if is_widened or not homes:
+            return homes
         self.asked += 1
         first = self.asked % len(homes)
-        return (homes[first:] + homes[:first])[:count]
+        return (homes[first:] + homes[:first])[:wanted]
+
+    def _is_told(
+        self, demand: PoolDemand, session: HomeSession, now: float
+    ) -> bool:
+        """Return whether the home knows the demand well enough."""
+        held = self._held_in(demand.pool, session.home_id)
+        owed = session.targets.get(demand.pool, 0) - held
+        if owed <= 0 or demand.target - held >= 2 * owed:
+            return False
+        return not self._is_outdated(demand.pool, session, now)
 
     def _is_outdated(
         self, pool_name: str, session: HomeSession, now: float
@@ -483,8 +518,8 @@
         ]
         near = [one for one in upstreams if one.zone == own_zone]
         asked = upstreams if is_widened or not near else near
-        homes = dict.fromkeys(self.home_map.home_of(one) for one in asked)
-        return [home_id for home_id in homes if home_id]
+        homes = [self.home_map.home_of(one) for one in asked]
+        return list(dict.fromkeys(home_id for home_id in homes if home_id))
 
     def _held_in(self, pool_name: str, home_id: str) -> int:
         return sum(
@@ -499,9 +534,7 @@
         held = self._held_in(pool_name, session.home_id)
         wanted = max(backlog.waiting - idle, 0)
         target = min(held + wanted, MAX_TARGET_SLOTS)
-        return PoolDemand(
-            pool_name, target, wanted > 0, list(backlog.heads)
-        )
+        return PoolDemand(pool_name, target, wanted > 0, list(backlog.heads))
 
     def _session(self, home_id: str, now: float) -> HomeSession:
         session = self.sessions.get(home_id)
@@ -608,7 +641,7 @@
             self._confirm(session, grant.short_pools, now)
         for pool, backlog in list(self.backlogs.items()):
             if backlog.waiting:
-                self._ask(pool, now, is_widened=True)
+                self._ask_further(pool, backlog, session.home_id, now)
 
     def _confirm(
         self, session: HomeSession, pools: Iterable[str], now: float
--- a/tests/functional/test_connection_gate.py
+++ b/tests/functional/test_connection_gate.py
@@ -34,7 +34,9 @@
 async def test_connection_to_a_new_instance_is_refused_and_then_proved() -> (
     None
 ):
-    service = EngineService(EngineSettings(load_lag_seconds=0.5, cold_seconds=1))
+    service = EngineService(
+        EngineSettings(load_lag_seconds=0.5, cold_seconds=1)
+    )
     server = TestServer(service.app())
     await server.start_server()
     service.web_app[CONNECTIONS].server = server.runner.server
--- a/tools/measure_slots.py
+++ b/tools/measure_slots.py
@@ -10,12 +10,14 @@
 
 import asyncio
 import dataclasses
+import functools
 import importlib
+import itertools
 import json
 import random
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, final
 
 from hickorymux._internal.protocol.peer_messages import default_codec
 from hickorymux._internal.state.tables import Upstream
@@ -28,6 +30,7 @@
 SETTLE_SECONDS = 10
 MS_PER_SECOND = 1000
 FRAME_OCTETS = 24
+STEADY_RATE = 20
 
 
 def make_network(zones: str, routers: int, upstreams: int) -> Any:
@@ -49,9 +52,12 @@
     """Let requests last 0.05 s to 5 s, most of them short."""
     drawn = random.Random(seed)
     for router in network.routers.values():
-        router.next_work_seconds = lambda: min(
-            0.05 / max(drawn.random(), 0.01), 5
-        )
+        router.next_work_seconds = functools.partial(next_work, drawn)
+
+
+def next_work(drawn: random.Random) -> float:
+    """Return how long a request lasts, in seconds."""
+    return min(0.05 / max(drawn.random(), 0.01), 5)
 
 
 def running(network: Any) -> int:
@@ -67,21 +73,53 @@
     return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
 
 
-def count_octets(network: Any) -> dict[str, int]:
-    """Count what goes between different routers, as the codec writes it."""
-    codec = default_codec()
-    counted = {'messages': 0, 'octets': 0}
-    original = network.send
+@final
+class PeerTraffic:
+    """Counts what goes between different routers, as the codec writes it."""
+
+    def __init__(self, network: Any) -> None:
+        self.messages = 0
+        self.octets = 0
+        self.deliver = network.send
+        network.send = self.send
 
-    def send(source: str, target: str, message: object) -> bool:
+    def send(self, source: str, target: str, message: object) -> bool:
+        """Count a message and pass it on."""
         if source != target:
-            counted['messages'] += 1
-            body = codec.encode(message)[1]
-            counted['octets'] += len(body) + FRAME_OCTETS
-        return bool(original(source, target, message))
+            self.messages += 1
+            body = default_codec().encode(message)[1]
+            self.octets += len(body) + FRAME_OCTETS
+        return bool(self.deliver(source, target, message))
+
+    def per_router_second(self, seconds: float, routers: int) -> float:
+        """Return the octets of one router in a second, in and out."""
+        return 2 * self.octets / seconds / routers
+
 
-    network.send = send
-    return counted
+@final
+class FreedSlots:
+    """How long the slots of one upstream stay free, and how many work."""
+
+    def __init__(self, engine: Any) -> None:
+        self.engine = engine
+        self.started = engine.started
+        self.free_since: list[float] = []
+        self.gaps: list[float] = []
+        self.busy_steps = 0
+
+    def step(self, now: float) -> None:
+        """Look at the upstream once in a step of the simulated time."""
+        news = self.engine.started - self.started
+        self.started = self.engine.started
+        self.busy_steps += self.engine.running
+        free = SLOTS - self.engine.running
+        refilled = max(len(self.free_since) - free, 0)
+        ended = self.free_since[:refilled]
+        self.gaps.extend(now - since for since in ended)
+        self.gaps.extend(itertools.repeat(0, max(news - refilled, 0)))
+        self.free_since = self.free_since[refilled:]
+        missing = free - len(self.free_since)
+        self.free_since.extend(itertools.repeat(now, max(missing, 0)))
 
 
 async def measure_backlog(seconds: float = 30) -> dict[str, Any]:
@@ -91,40 +129,26 @@
     for router in network.routers.values():
         router.demand(MANY)
     await network.run(SETTLE_SECONDS)
-    counted = count_octets(network)
-    total = SLOTS * len(network.engines)
-    busy = 0
-    free_since: dict[str, list[float]] = {}
-    gaps: list[float] = []
-    started = {name: one.started for name, one in network.engines.items()}
+    traffic = PeerTraffic(network)
+    watched = [FreedSlots(engine) for engine in network.engines.values()]
     steps = int(seconds * MS_PER_SECOND)
     for _ in range(steps):
         await network.run(1 / MS_PER_SECOND)
-        busy += running(network)
-        for name, engine in network.engines.items():
-            free = free_since.setdefault(name, [])
-            news = engine.started - started[name]
-            started[name] = engine.started
-            wanted = SLOTS - engine.running
-            refilled = max(len(free) - wanted, 0)
-            for _ in range(refilled):
-                gaps.append(network.clock.now - free.pop(0))
-            gaps.extend([0] * max(news - refilled, 0))
-            while len(free) < wanted:
-                free.append(network.clock.now)
+        for freed in watched:
+            freed.step(network.clock.now)
+    gaps = list(itertools.chain.from_iterable(one.gaps for one in watched))
+    total = SLOTS * len(watched)
+    routers = len(network.routers)
     return {
-        'routers': len(network.routers),
+        'routers': routers,
         'slots': total,
-        'busy_share': busy / steps / total,
+        'busy_share': sum(one.busy_steps for one in watched) / steps / total,
         'requests_per_second': len(gaps) / seconds,
         'freed_to_work_ms_p50': quantile(gaps, 0.5) * MS_PER_SECOND,
         'freed_to_work_ms_p99': quantile(gaps, 0.99) * MS_PER_SECOND,
         'message_delay_ms': network.delay_seconds * MS_PER_SECOND,
-        'octets_per_router_second': 2
-        * counted['octets']
-        / seconds
-        / len(network.routers),
-        'messages_per_request': counted['messages'] / max(len(gaps), 1),
+        'octets_per_router_second': traffic.per_router_second(seconds, routers),
+        'messages_per_request': traffic.messages / max(len(gaps), 1),
     }
 
 
@@ -195,30 +219,30 @@
     for router in network.routers.values():
         router.work_seconds = 1.0
     await network.run(SETTLE_SECONDS)
-    counted: dict[str, int] = {}
+    await offer(network, drawn, 5)
+    traffic = PeerTraffic(network)
+    requests = await offer(network, drawn, seconds)
+    routers = len(network.routers)
+    return {
+        'routers': routers,
+        'upstreams': len(network.engines),
+        'requests_per_second': requests / seconds,
+        'waiting_at_end': sum(one.waiting for one in network.routers.values()),
+        'octets_per_router_second': traffic.per_router_second(seconds, routers),
+        'messages_per_request': traffic.messages / max(requests, 1),
+    }
+
+
+async def offer(network: Any, drawn: random.Random, seconds: float) -> int:
+    """Offer requests at random moments; return how many."""
     requests = 0
-    for step in range(int((seconds + 5) * MS_PER_SECOND)):
-        if step == 5 * MS_PER_SECOND:
-            counted = count_octets(network)
-            requests = 0
+    for _ in range(int(seconds * MS_PER_SECOND)):
         for router in network.routers.values():
-            if drawn.random() < 20 / MS_PER_SECOND:
+            if drawn.random() < STEADY_RATE / MS_PER_SECOND:
                 requests += 1
                 router.demand(router.waiting + 1)
         await network.run(1 / MS_PER_SECOND)
-    return {
-        'routers': len(network.routers),
-        'upstreams': len(network.engines),
-        'requests_per_second': requests / seconds,
-        'waiting_at_end': sum(
-            one.waiting for one in network.routers.values()
-        ),
-        'octets_per_router_second': 2
-        * counted['octets']
-        / seconds
-        / len(network.routers),
-        'messages_per_request': counted['messages'] / max(requests, 1),
-    }
+    return requests
 
 
 async def measure() -> dict[str, Any]:
