--- /dev/null
+++ b/src/hickorymux/_internal/coordination/retry_budget.py
@@ -0,0 +1,95 @@
+"""Bounds retries to a share of the requests of each pool.
+
+Without a bound, retries multiply the load on a pool that already fails.
+
+Example::
+
+    budget = RetryBudget.from_config(clock)
+    budget.count_request('drafting')
+    if budget.take('drafting'):
+        await send_again()
+"""
+
+import dataclasses
+import datetime as dt
+from typing import final
+
+from hickorymux._internal.utils.clock import Clock
+
+_BUCKETS = 10
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RetrySettings:
+    """``share`` of the requests within ``window`` may be retries.
+
+    ``floor`` retries are allowed in any window, so that a quiet pool has some.
+    """
+
+    share: float = 0.2
+    floor: int = 10
+    window: dt.timedelta = dt.timedelta(seconds=10)
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """Counts of one part of the window."""
+
+    index: int = -1
+    requests: int = 0
+    retries: int = 0
+
+
+@final
+class RetryBudget:
+    """Counts requests and retries of each pool over a sliding window."""
+
+    __slots__ = ('clock', 'pools', 'settings')
+
+    def __init__(self, clock: Clock, settings: RetrySettings) -> None:
+        self.clock = clock
+        self.settings = settings
+        self.pools: dict[str, list[_Bucket]] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        clock: Clock,
+        settings: RetrySettings | None = None,
+    ) -> 'RetryBudget':
+        """Return a budget in which nothing is counted yet."""
+        return cls(clock, settings or RetrySettings())
+
+    def count_request(self, pool: str) -> None:
+        """Count a request, not its retries."""
+        self._bucket(pool).requests += 1
+
+    def take(self, pool: str) -> bool:
+        """Return whether a retry is within the budget, and count it."""
+        bucket = self._bucket(pool)
+        live = [
+            each
+            for each in self.pools[pool]
+            if each.index > bucket.index - _BUCKETS
+        ]
+        requests = sum(each.requests for each in live)
+        retries = sum(each.retries for each in live)
+        allowed = max(self.settings.floor, requests * self.settings.share)
+        if retries >= allowed:
+            return False
+        bucket.retries += 1
+        return True
+
+    def _bucket(self, pool: str) -> _Bucket:
+        buckets = self.pools.get(pool)
+        if buckets is None:
+            buckets = [_Bucket() for _ in range(_BUCKETS)]
+            self.pools[pool] = buckets
+        width = self.settings.window.total_seconds() / _BUCKETS
+        index = int(self.clock.monotonic() / width)
+        bucket = buckets[index % _BUCKETS]
+        if bucket.index != index:
+            bucket.index = index
+            bucket.requests = 0
+            bucket.retries = 0
+        return bucket
