Never let a late opening bring back slots that were lent since

Found by a model of the leases: a message of an opened session that arrives after the lease ran out at the home made the home count the slots anew, while it had lent them on. Now each opening has an epoch of its own, a holder drops a session whose epoch changes, and an opening with idle slots is refused unless old leases are still waited out or the loan is still counted.

--- a/src/hickorymux/_internal/coordination/slot_holder.py
+++ b/src/hickorymux/_internal/coordination/slot_holder.py
@@ -287,7 +287,7 @@
             return
         now = self.clock.monotonic()
         if message.is_unknown or session.epoch not in {0, message.epoch}:
-            self._reopen(session, now)
+            self._reopen(session, now, is_refused=not session.is_open)
             return
         session.on_grant(message, message.lease_ms / MS_PER_SECOND)
         self._apply_loans(session, message, now)
@@ -544,8 +544,11 @@
             self._reopen(session, now)
         return session
 
-    def _reopen(self, session: HomeSession, now: float) -> None:
-        is_live = now < session.usable_until
+    def _reopen(
+        self, session: HomeSession, now: float, *, is_refused: bool = False
+    ) -> None:
+        """Open a session with what is held; only what is busy if refused."""
+        is_live = now < session.usable_until and not is_refused
         self.session_number += 1
         fresh = HomeSession(
             session.home_id, self.session_number, session.usable_until
@@ -556,6 +559,7 @@
             if holding.granted:
                 count = SlotCount(holding.upstream.name, holding.granted)
                 fresh.opening.append(count)
+        fresh.is_busy_only = not is_live
         self.sessions[session.home_id] = fresh
         self._renew(fresh, now)
 
@@ -581,6 +585,7 @@
             sequence=session.next_sequence(now),
             is_opening=not session.is_open,
             seen=session.seen,
+            is_busy_only=session.is_busy_only,
             held_total=sum(holding.held for holding in holdings),
             held=[] if session.is_open else session.opening,
             demands=demands,
--- a/src/hickorymux/_internal/coordination/slot_home.py
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -48,6 +48,7 @@
 LEASE_SECONDS = 3.0
 TICK_SECONDS = 0.25
 MS_PER_SECOND = 1000
+EPOCHS_PER_INCARNATION = 1_000_000
 SHORTAGE_REPEAT_SECONDS = 0.5
 COLD_OFFER_SECONDS = 2.0
 SILENCE_SECONDS = 1.5
@@ -59,11 +60,13 @@
 class Borrower:
     """The session of one router with this home.
 
-    ``unconfirmed`` counts the slots lent since the router was heard.
+    ``unconfirmed`` counts the slots lent since the router was heard. ``epoch``
+    is never used again, also if a late message opens the session once more.
     """
 
     session: int
     expires_at: float
+    epoch: int = 0
     sequence: int = 0
     unconfirmed: int = 0
     version: int = 0
@@ -103,6 +106,7 @@
     """
 
     __slots__ = (
+        'begun',
         'book',
         'borrowers',
         'clock',
@@ -130,6 +134,7 @@
         self.sender = sender
         self.clock = clock
         self.book = book
+        self.begun = 0
         self.read_tables = read_tables
         self.lease_seconds = lease_seconds
         self.home_map = HomeMap(members)
@@ -226,6 +231,10 @@
         if known is not None and known.session > message.session:
             return False
         if known is None or known.session < message.session:
+            if not self._may_adopt(sender_id, message, now):
+                answer = SlotGrant(message.session, is_unknown=True)
+                self.sender.send(sender_id, answer)
+                return False
             self._begin(sender_id, message, now)
         return self.hear(sender_id, message.session, message.sequence, now)
 
@@ -307,8 +316,30 @@
             return 0
         return self.book.state_of(upstream).lease_limit(now)
 
+    def _may_adopt(
+        self, sender_id: str, message: SlotRenew, now: float
+    ) -> bool:
+        """Return whether idle slots of the opening cannot be lent already.
+
+        That is so while old leases are waited out, or if the router's loan
+        is still counted here. An opening that arrives late is refused.
+        """
+        if message.is_busy_only:
+            return True
+        for count in message.held:
+            ledger = self.ledgers.get(count.upstream)
+            if ledger is None or now < ledger.lends_from:
+                continue
+            loan = ledger.loans.get(sender_id)
+            if loan is None or loan.held < count.slots:
+                return False
+        return True
+
     def _begin(self, sender_id: str, message: SlotRenew, now: float) -> None:
         borrower = Borrower(message.session, now + self.lease_seconds)
+        self.begun += 1
+        incarnation = self.members.myself.incarnation
+        borrower.epoch = incarnation * EPOCHS_PER_INCARNATION + self.begun
         borrower.opening = {
             count.upstream: count.slots for count in message.held
         }
@@ -608,7 +639,7 @@
         grant = SlotGrant(
             session=borrower.session,
             sequence=borrower.sequence,
-            epoch=self.members.myself.incarnation,
+            epoch=borrower.epoch,
             lease_ms=int(self.lease_seconds * MS_PER_SECOND),
             base=base,
             version=borrower.version,
--- a/src/hickorymux/_internal/coordination/slot_messages.py
+++ b/src/hickorymux/_internal/coordination/slot_messages.py
@@ -70,7 +70,8 @@
     ``held`` lists what the holder has of the home's upstreams when it opens
     the session, and is empty otherwise. ``seen`` is the version up to which
     the holder has all grants, ``held_total`` the slots that it has in all, by
-    which the home notices that a message was lost.
+    which the home notices that a message was lost. ``is_busy_only`` means that
+    every slot of ``held`` carries a request.
     """
 
     session: int = 0
@@ -78,6 +79,7 @@
     is_opening: bool = False
     seen: int = 0
     held_total: int = 0
+    is_busy_only: bool = False
     held: list[SlotCount] = dataclasses.field(default_factory=list)
     demands: list[PoolDemand] = dataclasses.field(default_factory=list)
 
@@ -96,7 +98,7 @@
 class SlotGrant:
     """A home answers a holder: its session lives on, and these loans changed.
 
-    ``epoch`` is the incarnation of the home. ``is_unknown`` tells the holder
+    ``epoch`` is new each time a home opens a session. ``is_unknown`` tells the holder
     that the home does not know the session, which has to be opened anew. The
     message lists all loans that changed after version ``base``. Routers wait
     for slots of ``short_pools``, so that idle slots of these go back at once.
--- a/src/hickorymux/_internal/coordination/slot_session.py
+++ b/src/hickorymux/_internal/coordination/slot_session.py
@@ -77,6 +77,7 @@
     number: int
     usable_until: float
     opening: list[SlotCount] = dataclasses.field(default_factory=list)
+    is_busy_only: bool = False
     is_open: bool = False
     sequence: int = 0
     seen: int = 0
--- a/src/hickorymux/_internal/protocol/idl/slot.thrift
+++ b/src/hickorymux/_internal/protocol/idl/slot.thrift
@@ -38,7 +38,8 @@
   4: optional i64 seen = 0,
   5: optional i64 held_total = 0,
   6: optional list<SlotCount> held,
-  7: optional list<PoolDemand> demands
+  7: optional list<PoolDemand> demands,
+  8: optional bool is_busy_only = 0
 }
 
 struct SlotReturn {
--- /dev/null
+++ b/tests/models/slot_leases.py
@@ -0,0 +1,279 @@
+"""Model of the leases of one upstream, for the model checker.
+
+Two routers borrow the one slot of an upstream. The home keeps the router's own
+``SlotLedger``; messages may be lost, repeated, reordered and late; the home
+may restart with no memory; a router may stand still between any two steps.
+Time passes in ticks, a lease is one tick long.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import minicheck
+
+from hickorymux._internal.state.slot_ledger import (
+    Loan,
+    SlotLedger,
+    usable_until,
+    wait_out_seconds,
+)
+
+NAMES = ('a', 'b')
+LEASE_TICKS = 1
+MAX_GRANTED = 2
+LIMIT = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Variant:
+    """Which mechanisms are on, and how large the model is."""
+
+    has_wait_out: bool = True
+    has_check: bool = True
+    counts_grow_only: bool = True
+    has_epochs: bool = True
+    last_tick: int = 2
+    max_restarts: int = 1
+    max_flying: int = 2
+
+
+class LoanRow(NamedTuple):
+    """A loan as the home keeps it."""
+
+    session: int
+    expires_at: float
+    granted: int
+    returned: int
+    epoch: int
+
+
+class Message(NamedTuple):
+    """A renewal, return or grant on its way."""
+
+    kind: str
+    router: int
+    session: int
+    asked_at: int
+    slots: int
+    epoch: int = 0
+
+
+class Holder(NamedTuple):
+    """A router: its session and what it holds in it."""
+
+    session: int = 1
+    until: float = 0
+    granted: int = 0
+    returned: int = 0
+    epoch: int = 0
+
+
+class World(NamedTuple):
+    """The whole state."""
+
+    now: int = 0
+    lends_from: float = 0
+    loans: tuple[LoanRow | None, ...] = (None, None)
+    holders: tuple[Holder, ...] = (Holder(), Holder())
+    flying: tuple[Message, ...] = ()
+    restarts: int = 0
+    begun: int = 0
+
+
+Steps = Iterator[tuple[str, World]]
+
+
+def ledger_of(world: World) -> SlotLedger:
+    """Return the home's ledger with the loans of the state."""
+    ledger = SlotLedger(world.lends_from)
+    for name, row in zip(NAMES, world.loans, strict=True):
+        if row is not None:
+            ledger.loans[name] = Loan(
+                row.session, row.expires_at, row.granted, row.returned
+            )
+    return ledger
+
+
+def with_ledger(world: World, ledger: SlotLedger) -> World:
+    rows = []
+    for name, before in zip(NAMES, world.loans, strict=True):
+        loan = ledger.loans.get(name)
+        if loan is None:
+            rows.append(None)
+            continue
+        epoch = before.epoch if before else world.begun
+        rows.append(
+            LoanRow(
+                loan.session,
+                loan.expires_at,
+                loan.granted,
+                loan.returned,
+                epoch,
+            )
+        )
+    return world._replace(loans=tuple(rows))
+
+
+def with_holder(world: World, index: int, **changes: object) -> World:
+    holders = list(world.holders)
+    holders[index] = holders[index]._replace(**changes)
+    return world._replace(holders=tuple(holders))
+
+
+def is_usable(world: World, holder: Holder, variant: Variant) -> bool:
+    if holder.granted <= holder.returned:
+        return False
+    return world.now < holder.until or not variant.has_check
+
+
+def fly(world: World, message: Message, variant: Variant) -> World | None:
+    if message in world.flying or len(world.flying) >= variant.max_flying:
+        return None
+    return world._replace(flying=tuple(sorted((*world.flying, message))))
+
+
+def holder_steps(world: World, index: int, variant: Variant) -> Steps:
+    holder = world.holders[index]
+    held = holder.granted - holder.returned
+    renewal = Message('renew', index, holder.session, world.now, held)
+    asked = fly(world, renewal, variant)
+    if asked is not None:
+        yield 'renews', asked
+    if held > 0:
+        given = with_holder(world, index, returned=holder.returned + 1)
+        message = Message(
+            'return', index, holder.session, 0, holder.returned + 1
+        )
+        sent = fly(given, message, variant)
+        yield 'returns', given if sent is None else sent
+    if world.now >= holder.until and holder.granted and holder.session < 2:
+        fresh = Holder(session=holder.session + 1)
+        yield 'lapses', with_holder(world, index, **fresh._asdict())
+
+
+def receive(world: World, message: Message, variant: Variant) -> World:
+    if message.kind == 'grant':
+        return receive_grant(world, message, variant)
+    name = NAMES[message.router]
+    ledger = ledger_of(world)
+    if message.kind == 'return':
+        if not variant.counts_grow_only and name in ledger.loans:
+            ledger.loans[name].returned += 1
+        else:
+            ledger.give_back(name, message.session, message.slots, world.now)
+        return with_ledger(world, ledger)
+    if message.slots and name not in ledger.loans:
+        # The home does not know the session, and says so.
+        return world
+    expires_at = world.now + LEASE_TICKS
+    if variant.has_epochs and name not in ledger.loans:
+        world = world._replace(begun=world.begun + 1)
+    if not ledger.renew(name, message.session, expires_at):
+        ledger.open_loan(
+            name, message.session, message.slots, expires_at, world.now
+        )
+    loan = ledger.loans[name]
+    world = with_ledger(world, ledger)
+    if loan.session != message.session:
+        return world
+    answer = Message(
+        'grant',
+        message.router,
+        loan.session,
+        message.asked_at,
+        loan.granted,
+        world.loans[message.router].epoch,
+    )
+    return fly(world, answer, variant) or world
+
+
+def receive_grant(world: World, message: Message, variant: Variant) -> World:
+    holder = world.holders[message.router]
+    if holder.session != message.session:
+        return world
+    if variant.has_epochs and holder.epoch not in {0, message.epoch}:
+        return world
+    until = usable_until(message.asked_at, LEASE_TICKS)
+    return with_holder(
+        world,
+        message.router,
+        granted=max(holder.granted, message.slots),
+        until=max(holder.until, until),
+        epoch=message.epoch,
+    )
+
+
+def home_steps(world: World, variant: Variant) -> Steps:
+    for index, name in enumerate(NAMES):
+        row = world.loans[index]
+        if row is None or row.granted >= MAX_GRANTED:
+            continue
+        ledger = ledger_of(world)
+        if ledger.grant(name, 1, LIMIT, world.now):
+            yield f'home lends to {name}', with_ledger(world, ledger)
+    if world.restarts < variant.max_restarts:
+        wait = wait_out_seconds(LEASE_TICKS) if variant.has_wait_out else 0
+        yield (
+            'home restarts',
+            world._replace(
+                loans=(None, None),
+                lends_from=world.now + wait,
+                restarts=world.restarts + 1,
+            ),
+        )
+
+
+def pass_time(world: World) -> World:
+    later = world._replace(now=world.now + 1)
+    ledger = ledger_of(later)
+    ledger.expire(later.now)
+    return with_ledger(later, ledger)
+
+
+def transitions(world: World, variant: Variant) -> list[tuple[str, World]]:
+    found = [
+        (f'{name} {label}', after)
+        for index, name in enumerate(NAMES)
+        for label, after in holder_steps(world, index, variant)
+    ]
+    found.extend(home_steps(world, variant))
+    for message in world.flying:
+        rest = world._replace(
+            flying=tuple(one for one in world.flying if one != message)
+        )
+        found.append((f'loses {message.kind}', rest))
+        found.append(
+            (f'delivers {message.kind}', receive(rest, message, variant))
+        )
+        found.append(
+            (f'repeats {message.kind}', receive(world, message, variant))
+        )
+    if world.now < variant.last_tick:
+        found.append(('time passes', pass_time(world)))
+    return [(label, after) for label, after in found if after != world]
+
+
+def usable(world: World, variant: Variant) -> int:
+    return sum(
+        holder.granted - holder.returned
+        for holder in world.holders
+        if is_usable(world, holder, variant)
+    )
+
+
+def model(variant: Variant) -> minicheck.Protocol:
+    """Return the model for the checker."""
+    return minicheck.Protocol(
+        name='slot leases',
+        candidate=False,
+        fields=('world',),
+        initial=(World(),),
+        transitions=lambda state: [
+            (label, (after,))
+            for label, after in transitions(state[0], variant)
+        ],
+        invariants={
+            'limit': lambda known: usable(known['world'], variant) <= LIMIT,
+        },
+    )
--- a/tests/unit/test_slot_failures.py
+++ b/tests/unit/test_slot_failures.py
@@ -5,6 +5,10 @@
 from lib.slot_fleet import POOL, Engine, Network, Router
 
 from hickorymux._internal.coordination.slot_home import LEASE_SECONDS
+from hickorymux._internal.coordination.slot_messages import (
+    SlotCount,
+    SlotRenew,
+)
 from hickorymux._internal.state.tables import Upstream
 
 LIMIT = 4
@@ -259,3 +263,20 @@
     assert running(network, 'a') == 2 * LIMIT
     assert running(network, 'b') == 2 * LIMIT
     assert peak(network) <= 2 * LIMIT
+
+
+async def test_late_opening_does_not_bring_back_slots_lent_since() -> None:
+    network = make_network('a', 2, 1)
+    flood(network)
+    await network.run(6)
+    first, _ = network.routers.values()
+    home_id = home_id_of(network, first, 'engine-a0')
+    home = network.routers[home_id].home
+    stale = SlotRenew(
+        session=10**9, is_opening=True, held=[SlotCount('engine-a0', LIMIT)]
+    )
+    for loan in home.ledgers['engine-a0'].loans.values():
+        loan.expires_at = network.clock.now
+    home.ledgers['engine-a0'].expire(network.clock.now)
+    home.on_message('router-a0', stale)
+    assert 'router-a0' not in home.ledgers['engine-a0'].loans
