Check the lease rules in a small model

Model: two routers, limit 1, one restart of the home, messages lost, repeated and late. No epochs, no wait-out, no check and returns that add up are refuted.

--- a/tests/models/slot_leases.py
+++ b/tests/models/slot_leases.py
@@ -270,8 +270,7 @@
         fields=('world',),
         initial=(World(),),
         transitions=lambda state: [
-            (label, (after,))
-            for label, after in transitions(state[0], variant)
+            (label, (after,)) for label, after in transitions(state[0], variant)
         ],
         invariants={
             'limit': lambda known: usable(known['world'], variant) <= LIMIT,
--- /dev/null
+++ b/tests/unit/test_slot_lease_model.py
@@ -0,0 +1,35 @@
+"""The rules of slot leases hold in a small model, and broken ones do not.
+
+``True`` needs an exhaustive search; ``False`` is a counterexample. With two
+messages on their way and all mechanisms on the search is too large to end, so
+nothing is said of it here.
+"""
+
+import minicheck
+import pytest
+from models.slot_leases import Variant, model
+
+MAX_STATES = 150_000
+
+
+def holds(variant: Variant) -> bool | None:
+    report = minicheck.check_safety(model(variant), max_states=MAX_STATES)
+    return report['properties']['limit']['holds']
+
+
+def test_limit_holds_with_one_message_on_its_way() -> None:
+    assert holds(Variant(has_epochs=False, max_flying=1)) is True
+
+
+@pytest.mark.parametrize(
+    'variant',
+    [
+        Variant(has_epochs=False, max_restarts=0),
+        Variant(has_epochs=False, has_wait_out=False),
+        Variant(has_epochs=False, has_check=False),
+        Variant(has_epochs=False, counts_grow_only=False),
+    ],
+    ids=['no epochs', 'no wait-out', 'no check', 'returns add up'],
+)
+def test_broken_rules_are_refuted(variant: Variant) -> None:
+    assert holds(variant) is False
