Resume cut streams, and name runs by the id of the attempt

Cause: a stream that an engine cut was cut to the caller as well, although the engine could go on with it; one that was cut before its first event was not tried again, as the answer's head had already gone out. Engines knew a run by the request id that the caller chose: two callers with the same id, or an id with a slash, reached each other's run by cancel (and would by resume). Ruled out: matching runs by customer and id; a retry on the same engine would still meet the run before it. Change: the answer starts with the first whole event; a cut stream goes on after the last whole event on the same instance, at most 3 times and only while each brought an event; model engines see the attempt's id as request id, the dispatch line names it. The stand-in engine can leave resumed streams whole (truncate_resumed).

--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -37,11 +37,13 @@
     AttemptTimeout,
     UpstreamAnswer,
     UpstreamClient,
+    UpstreamCut,
 )
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.ids import new_request_id
 
 MAX_ATTEMPTS: Final = 3
+MAX_RESUMES: Final = 3
 RETRY_AFTER_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
 _STATUS_TOO_MANY: Final = 429
@@ -161,10 +163,11 @@
             raise
         upstream = placement.slot.upstream
         waited = placement.waited_seconds
+        attempt_id = new_request_id()
         self.metrics.observe('queue_wait', call.pool.name, waited)
         attempt = Attempt(
-            attempt_id=new_request_id(),
-            request_id=call.request_id,
+            attempt_id=attempt_id,
+            upstream_id=_upstream_id(call, attempt_id),
             upstream=upstream,
             method=call.method,
             path=call.path,
@@ -193,6 +196,7 @@
             zone=upstream.zone,
             lease=placement.slot.lease_id,
             attempt=history.attempts,
+            attempt_id=attempt_id,
             waited_ms=round(waited * _MS_PER_SECOND, 1),
         )
         return Exchange(call, attempt, placement, history.attempts)
@@ -319,12 +323,55 @@
             return
         relay = EventRelay(
             reply,
+            answer.status,
+            headers,
             functools.partial(self._count_events, exchange),
             needs_done=exchange.call.pool.kind is PoolKind.model,
         )
-        await reply.start(answer.status, headers)
-        await relay.run(answer.chunks())
-        await reply.finish()
+        await self._relay_events(exchange, answer, relay)
+        await relay.finish()
+
+    async def _relay_events(
+        self,
+        exchange: Exchange,
+        answer: UpstreamAnswer,
+        relay: EventRelay,
+    ) -> None:
+        """Relay a stream; one that an engine cuts goes on where it ended.
+
+        The slot stays held meanwhile, as the engine works on. A stream of
+        which nothing was passed on is tried again instead.
+        """
+        instance = answer.response.headers.get(http.ENGINE_INSTANCE, '')
+        for _ in range(MAX_RESUMES):
+            passed = relay.events
+            cut = await _relay_until_cut(relay, answer)
+            if cut is None:
+                return
+            if relay.events == passed or not relay.needs_done:
+                raise cut
+            answer = await self._resume(exchange, relay, instance, cut)
+        last_cut = await _relay_until_cut(relay, answer)
+        if last_cut is not None:
+            raise last_cut
+
+    async def _resume(
+        self,
+        exchange: Exchange,
+        relay: EventRelay,
+        instance: str,
+        cause: UpstreamCut,
+    ) -> UpstreamAnswer:
+        attempt = exchange.attempt
+        answer = await self.client.resume(attempt, instance, relay.events)
+        self.decisions.record(
+            exchange.call.request_id,
+            'resumed',
+            str(cause),
+            upstream=attempt.upstream.name,
+            after_events=relay.events,
+        )
+        return answer
 
     def _count_events(self, exchange: Exchange, events: int) -> None:
         exchange.cost += events
@@ -402,6 +449,34 @@
     )
 
 
+async def _relay_until_cut(
+    relay: EventRelay,
+    answer: UpstreamAnswer,
+) -> UpstreamCut | None:
+    """Relay one answer of a stream; return how it was cut, if it was."""
+    try:
+        await relay.run(answer.chunks())
+    except UpstreamCut as error:
+        answer.close()
+        return error
+    except BaseException:
+        answer.close()
+        raise
+    answer.release()
+    return None
+
+
+def _upstream_id(call: Call, attempt_id: str) -> str:
+    """Return the request id for the upstream.
+
+    An engine finds a run by this id, to resume or cancel it. Callers choose
+    their ids, so two may choose the same; the id of the attempt is ours.
+    """
+    if call.pool.kind is PoolKind.model:
+        return attempt_id
+    return call.request_id
+
+
 def _outgoing_headers(call: Call) -> CIMultiDict[str]:
     headers = http.headers_for_upstream(call.headers)
     headers[http.CUSTOMER] = call.customer
--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -1,7 +1,8 @@
 """Passes an upstream's answer on to the caller, whole or visibly cut.
 
 Server-sent events go on event by event, so that a stream that was cut can be
-resumed after the last whole event. A plain answer is held back until it is
+resumed after the last whole event. The answer to the caller starts with the
+first whole event, so that a stream cut before it can be tried again. A plain answer is held back until it is
 whole or too large to hold, so that a cut one can be tried again elsewhere.
 """
 
@@ -54,6 +55,8 @@
     """Relays one stream of server-sent events, over one or more answers."""
 
     reply: Reply
+    status: int
+    headers: CIMultiDict[str]
     count_events: CountEvents
     needs_done: bool
     events: int = 0
@@ -77,7 +80,13 @@
         if self.needs_done and not self.is_done:
             raise UpstreamCut('stream ended without its end marker')
         if self.partial:
-            await self.reply.write(self.partial)
+            await self._write(self.partial)
+
+    async def finish(self) -> None:
+        """End the stream to the caller: it is whole."""
+        if not self.reply.has_started:
+            await self.reply.start(self.status, self.headers)
+        await self.reply.finish()
 
     async def _pass_on(self, chunk: bytes) -> None:
         if self.partial:
@@ -92,7 +101,12 @@
         self.events += events
         self.tail = whole[-_TAIL_OCTETS:]
         self.count_events(events)
-        await self.reply.write(whole)
+        await self._write(whole)
+
+    async def _write(self, chunk: bytes) -> None:
+        if not self.reply.has_started:
+            await self.reply.start(self.status, self.headers)
+        await self.reply.write(chunk)
 
 
 async def relay_plain(
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -22,6 +22,7 @@
 
 KEEPALIVE_SECONDS = 30
 CANCEL_TIMEOUT_SECONDS = 2
+RESUME_TIMEOUT_SECONDS = 2
 MAX_LINE_OCTETS = 16384
 READ_BUFFER_OCTETS = 1 << 16
 
@@ -66,10 +67,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One try to run a request on one upstream."""
+    """One try to run a request on one upstream.
+
+    ``upstream_id`` is the request id that the upstream sees and must echo.
+    """
 
     attempt_id: str
-    request_id: str
+    upstream_id: str
     upstream: Upstream
     method: str
     path: str
@@ -221,10 +225,36 @@
         _check_answers(attempt, response)
         return UpstreamAnswer(attempt, response, self.timeouts.idle)
 
+    async def resume(
+        self,
+        attempt: Attempt,
+        instance: str,
+        after: int,
+    ) -> UpstreamAnswer:
+        """Return the rest of a model engine's stream after so many events.
+
+        Raises ``UpstreamCut`` when the engine does not have it any more or
+        is another instance than the one that began the answer.
+        """
+        try:
+            async with asyncio.timeout(RESUME_TIMEOUT_SECONDS):
+                response = await self.session.get(
+                    f'{_run_url(attempt)}/stream',
+                    params={'after': after},
+                    allow_redirects=False,
+                )
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise UpstreamCut(f'not resumed: {error!r}') from error
+        received = response.headers.get(http.ENGINE_INSTANCE, '')
+        if not response.ok or received != instance:
+            response.close()
+            raise UpstreamCut(f'not resumed: status {response.status}')
+        _check_answers(attempt, response)
+        return UpstreamAnswer(attempt, response, self.timeouts.idle)
+
     async def cancel(self, attempt: Attempt) -> bool:
         """Ask a model engine to stop an attempt; return whether it did."""
-        address = attempt.upstream.address
-        url = f'http://{address}/v1/requests/{attempt.request_id}/cancel'
+        url = f'{_run_url(attempt)}/cancel'
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_SECONDS)
         try:
             async with self.session.post(url, timeout=timeout) as response:
@@ -237,7 +267,7 @@
 
     async def _request(self, attempt: Attempt) -> aiohttp.ClientResponse:
         headers = attempt.headers.copy()
-        headers[http.REQUEST_ID] = attempt.request_id
+        headers[http.REQUEST_ID] = attempt.upstream_id
         headers[http.ATTEMPT_ID] = attempt.attempt_id
         session = self.session if attempt.is_repeatable else self.fresh_session
         send = functools.partial(
@@ -274,12 +304,18 @@
     response: aiohttp.ClientResponse,
 ) -> None:
     """Refuse an answer that names another request as its own."""
-    echoed = response.headers.get(http.REQUEST_ID, attempt.request_id)
-    if echoed != attempt.request_id:
+    echoed = response.headers.get(http.REQUEST_ID, attempt.upstream_id)
+    if echoed != attempt.upstream_id:
         response.close()
         raise UpstreamCut(f'answer belongs to request {echoed}')
 
 
+def _run_url(attempt: Attempt) -> str:
+    """Return where a model engine knows the attempt."""
+    address = attempt.upstream.address
+    return f'http://{address}/v1/requests/{attempt.upstream_id}'
+
+
 def _timed_out(attempt: Attempt) -> AttemptError:
     if attempt.sent:
         return AttemptTimeout('no first byte within the limit')
--- a/src/hickorymux_emulator/engine.py
+++ b/src/hickorymux_emulator/engine.py
@@ -44,6 +44,7 @@
     checks_fence: bool = False
     truncate_after: int | None = None
     truncate_cleanly: bool = False
+    truncate_resumed: bool = True
     crash_on_text: str = ''
 
 
--- a/src/hickorymux_emulator/engine_service.py
+++ b/src/hickorymux_emulator/engine_service.py
@@ -28,6 +28,7 @@
     hang: bool | None = None
     truncate_after: int | None = None
     truncate_cleanly: bool | None = None
+    truncate_resumed: bool | None = None
     crash_on_text: str | None = None
     token_ms: float | None = None
     cold_seconds: float | None = None
@@ -146,6 +147,7 @@
         names = (
             'truncate_after',
             'truncate_cleanly',
+            'truncate_resumed',
             'crash_on_text',
             'token_ms',
             'cold_seconds',
@@ -192,9 +194,10 @@
         after: int,
     ) -> bool:
         sent = after
+        is_cut = self.settings.truncate_resumed or not after
         while True:
             for event in run.events[sent:]:
-                if sent == self.settings.truncate_after:
+                if is_cut and sent == self.settings.truncate_after:
                     return False
                 await response.write(event)
                 sent += 1
--- /dev/null
+++ b/tests/functional/test_whole_answers.py
@@ -0,0 +1,146 @@
+"""An answer reaches its caller whole, or the caller can tell that it is not."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from aiohttp import web
+from lib.single_router import (
+    SingleRouter,
+    open_single_router,
+    text_of,
+    wanted_text,
+)
+
+from demo.traffic import uuid7
+
+pytestmark = pytest.mark.processes
+
+SECONDS = 20
+
+
+@pytest.fixture
+async def one() -> AsyncIterator[SingleRouter]:
+    async with open_single_router() as single:
+        yield single
+
+
+async def read_cut(answer: aiohttp.ClientResponse) -> bytes:
+    """Return what came of an answer that must end visibly cut."""
+    received = b''
+    with pytest.raises(aiohttp.ClientError):
+        async for chunk in answer.content.iter_any():
+            received += chunk
+    return received
+
+
+async def until(check, wanted) -> None:
+    async with asyncio.timeout(SECONDS):
+        while await check() != wanted:
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize('cleanly', [False, True])
+async def test_truncated_answer_never_ends_as_if_whole(one, cleanly) -> None:
+    await one.control(one.engines(), truncate_after=5, truncate_cleanly=cleanly)
+    async with one.chat('menu costs') as answer:
+        received = await read_cut(answer)
+    assert received.count(b'\n\n') == 5
+    assert b'[DONE]' not in received
+
+
+@pytest.mark.parametrize('cleanly', [False, True])
+async def test_cut_stream_is_resumed_without_gap_or_double(
+    one, cleanly
+) -> None:
+    await one.control(
+        one.engines(),
+        truncate_after=5,
+        truncate_cleanly=cleanly,
+        truncate_resumed=False,
+    )
+    async with one.chat('menu costs') as answer:
+        assert text_of(await answer.read()) == wanted_text('menu costs')
+    assert len(await one.runs('menu costs')) == 1
+    assert len(list(one.router.events('resumed'))) == 1
+
+
+async def test_same_request_id_of_two_callers_is_not_crossed(one) -> None:
+    await one.control(one.engines(), truncate_after=5, truncate_resumed=False)
+
+    async def ask(text: str, key: str) -> str:
+        headers = {'Authorization': f'Bearer {key}', 'X-Request-Id': 'a/b?c'}
+        async with one.chat(text, 40, **headers) as answer:
+            assert answer.headers['X-Request-Id'] == 'a/b?c'
+            return text_of(await answer.read())
+
+    texts = [f'asked {number}' for number in range(6)]
+    keys = ['key-small-1', 'key-large-1'] * 3
+    found = await asyncio.gather(*map(ask, texts, keys))
+    assert found == [wanted_text(text, 40) for text in texts]
+
+
+async def test_caller_that_leaves_cancels_its_work(one) -> None:
+    async with one.chat('left early', 4000) as answer:
+        await answer.content.readany()
+    left_at = asyncio.get_running_loop().time()
+
+    async def ends() -> list[str]:
+        return [run['end'] for run in await one.runs('left early')]
+
+    await until(ends, ['cancelled'])
+    # An engine by itself ends a run without a reader only after 5 s.
+    assert asyncio.get_running_loop().time() - left_at < 4
+
+
+async def test_write_to_a_crashing_service_is_sent_once(one) -> None:
+    await one.control(one.services(), lose_answers=True)
+    async with one.order('two loaves', uuid7()) as answer:
+        problem = await answer.json(content_type=None)
+    assert answer.status == 502
+    assert problem['ran'] == 'unknown'
+    assert len(await one.records(one.services(), '/executions')) == 1
+
+
+async def test_answer_to_another_request_is_never_delivered(one) -> None:
+    calls = []
+
+    async def crossed(request: web.Request) -> web.Response:
+        if request.path == '/load':
+            return web.json_response(
+                {
+                    'instance': 'i',
+                    'state': 'warm',
+                    'slots': 4,
+                    'cold_slots': 1,
+                    'running': 0,
+                    'waiting': 0,
+                    'models': ['demo'],
+                    'reported_at': '2026-01-01T00:00:00Z',
+                }
+            )
+        calls.append(request.path)
+        headers = {'X-Request-Id': 'another', 'X-Engine-Instance': 'i'}
+        return web.Response(text='of another caller', headers=headers)
+
+    app = web.Application()
+    app.router.add_route('*', '/{tail:.*}', crossed)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    host, port = runner.addresses[0][:2]
+    fleet = one.fleet
+    addresses = {
+        name: f'{host}:{port}' if 'engine' in name else address
+        for name, address in fleet.platform.addresses.items()
+    }
+    fleet.deployment.write_pools(fleet.directory / 'pools.toml', addresses)
+    await fleet.apply()
+    await asyncio.sleep(2)
+    async with one.chat('mine') as answer:
+        body = await answer.read()
+    await runner.cleanup()
+    assert b'of another' not in body
+    assert answer.status == 502
+    assert '/v1/chat/completions' in calls
--- a/tests/models/cold_permits.py
+++ b/tests/models/cold_permits.py
@@ -98,9 +98,7 @@
     return fold_of(world, router, variant).state(KEY)
 
 
-def fold_of(
-    world: World, router: RouterState, variant: Variant
-) -> PermitFold:
+def fold_of(world: World, router: RouterState, variant: Variant) -> PermitFold:
     fold_class = PermitFold if variant.first_claim_wins else LastClaimFold
     fold = fold_class(start=router.start)
     for offset in range(router.start, router.read_to):
@@ -147,9 +145,7 @@
     fold = fold_of(world, router, variant)
     if pick_permit(fold, [KEY], is_gone) is None:
         return None
-    record = PermitRecord(
-        KEY, NAMES[index], router.incarnation, router.read_to
-    )
+    record = PermitRecord(KEY, NAMES[index], router.incarnation, router.read_to)
     return fly(world, record)
 
 
@@ -253,8 +249,7 @@
         fields=('world',),
         initial=(World(),),
         transitions=lambda state: [
-            (label, (after,))
-            for label, after in transitions(state[0], variant)
+            (label, (after,)) for label, after in transitions(state[0], variant)
         ],
         invariants={'cold limit': lambda known: running(known['world']) <= 1},
     )
--- a/tests/unit/test_cold_permit_model.py
+++ b/tests/unit/test_cold_permit_model.py
@@ -22,9 +22,7 @@
         Variant(max_crashes=0),
         Variant(max_crashes=0, max_trims=1, may_be_called_gone=False),
         Variant(may_be_called_gone=False),
-        Variant(
-            max_crashes=0, may_be_called_gone=False, has_quarantine=False
-        ),
+        Variant(max_crashes=0, may_be_called_gone=False, has_quarantine=False),
     ],
     ids=['frozen and called gone', 'trimmed', 'crashed', 'no succession'],
 )
