Refuse new requests once a stopping router closes, cut the rest visibly

Cause: a router that was told to stop went on taking requests until its drain limit, as it waited for a moment without any; what was then still running, or was running at a second signal, kept the process for up to 60 s (the server's own shutdown limit) while the tasks that serve it had ended. Requests whose body was still being read were not waited for. Ruled out: closing the listener first; callers on kept connections would see resets instead of a refusal that says that nothing ran. Change: after the notice new requests get 503 not_ready, ran: no, with Retry-After and Connection: close, and what was begun ends whole. At the drain limit or a second signal what still runs is cut: its connection ends without an end of the body, its work is cancelled at the engine, a line "cut" names each request and drain_ended counts them.

--- a/src/hickorymux/_internal/transport/caller_server.py
+++ b/src/hickorymux/_internal/transport/caller_server.py
@@ -124,6 +124,9 @@
         'customers',
         'decisions',
         'dispatcher',
+        'handling',
+        'is_closing',
+        'is_cutting',
         'limits',
         'metrics',
         'missing',
@@ -150,15 +153,42 @@
         self.decisions: DecisionLog = dispatcher.decisions
         self.metrics: RouterMetrics = dispatcher.metrics
         self.running: set[asyncio.Task[Any]] = set()
+        self.handling: set[asyncio.Task[Any]] = set()
+        self.is_closing = False
+        self.is_cutting = False
 
     def application(self) -> web.Application:
         """Return the application to serve."""
         app = web.Application(client_max_size=self.limits.max_body_octets)
         app.router.add_route('*', '/{tail:.*}', self.handle)
+        app.on_response_prepare.append(self._on_prepare)
         return app
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
-        """Answer one request."""
+        """Answer one request; it counts as begun until its answer is given."""
+        task = asyncio.current_task()
+        if task is None:
+            raise RuntimeError('a request is handled outside of a task')
+        self.handling.add(task)
+        try:
+            return await self._handle(request)
+        finally:
+            self.handling.discard(task)
+
+    def refuse_new(self) -> None:
+        """Refuse requests from now on; those that were begun go on."""
+        self.is_closing = True
+
+    async def cut(self) -> int:
+        """End what runs and return how many requests that cut."""
+        self.is_cutting = True
+        cut = self.handling | self.running
+        for task in cut:
+            task.cancel()
+        await asyncio.gather(*cut, return_exceptions=True)
+        return len(cut)
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
         request_id = _request_id(request)
         reply = HttpReply(request)
         try:
@@ -166,18 +196,35 @@
         except RequestError as error:
             return self._refuse(error, request_id, reply)
         except (ConnectionError, asyncio.CancelledError):
-            self.decisions.record(request_id, 'cancelled', 'the caller left')
-            self.metrics.count_outcome('', 'caller_left')
+            self._record_cancelled(request_id)
             raise
         if reply.response is None:
             raise RuntimeError('the call ended without an answer')
         return reply.response
 
+    def _record_cancelled(self, request_id: str) -> None:
+        if self.is_cutting:
+            self.decisions.record(request_id, 'cut', 'the router was stopped')
+            self.metrics.count_outcome('', 'cut')
+            return
+        self.decisions.record(request_id, 'cancelled', 'the caller left')
+        self.metrics.count_outcome('', 'caller_left')
+
     async def drained(self) -> None:
-        """Wait until no request runs."""
-        while self.running:
+        """Wait until no request is under way."""
+        while self.handling or self.running:
             await self.clock.sleep(DRAIN_POLL_SECONDS)
 
+    async def _on_prepare(
+        self,
+        _request: web.Request,
+        response: web.StreamResponse,
+    ) -> None:
+        """Tell callers to use another connection once this router closes."""
+        if self.is_closing:
+            response.force_close()
+            response.headers['Connection'] = 'close'
+
     async def _serve(
         self,
         request: web.Request,
@@ -210,9 +257,13 @@
             self.running.discard(work)
 
     async def _run_shielded(self, call: calls.Call, reply: HttpReply) -> None:
-        """Run a call that goes on to its end when the caller has left."""
+        """Run a call that goes on to its end when the caller has left.
+
+        From here on the work stands for the request, not its handler.
+        """
         work = asyncio.create_task(self._run(call, reply))
         self.running.add(work)
+        self.handling -= {asyncio.current_task()}
         work.add_done_callback(self.running.discard)
         work.add_done_callback(_read_exception)
         await asyncio.shield(work)
@@ -244,6 +295,11 @@
         return customer
 
     def _check_ready(self) -> None:
+        if self.is_closing:
+            raise NotReady(
+                'the router is shutting down',
+                retry_after=OVERLOAD_RETRY_SECONDS,
+            )
         missing = self.missing()
         if missing:
             raise NotReady(
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -69,6 +69,7 @@
 FOLLOW_SECONDS: Final = 0.5
 MAX_FAR_ANCHORS: Final = 64
 KEEPALIVE_SECONDS: Final = 75
+LAST_WRITES_SECONDS: Final = 3
 MAX_HEADER_OCTETS: Final = 16384
 
 _logger = logging.getLogger(__name__)
@@ -144,7 +145,7 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         self.exchange.flush()
-        cut = len(self.callers.running)
+        cut = await self.callers.cut()
         _logger.info(
             'shut down',
             extra={'event': 'drain_ended', 'cut_requests': cut},
@@ -438,6 +439,7 @@
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_SECONDS,
+            shutdown_timeout=LAST_WRITES_SECONDS,
             max_field_size=MAX_HEADER_OCTETS,
             max_line_size=MAX_HEADER_OCTETS,
         )
@@ -469,6 +471,7 @@
 
     async def _drain(self) -> None:
         await self.clock.sleep(self.settings.drain_notice.total_seconds())
+        self.callers.refuse_new()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(
                 self.settings.drain_limit.total_seconds(),
--- /dev/null
+++ b/tests/functional/test_router_shutdown.py
@@ -0,0 +1,79 @@
+"""A router that is told to stop ends what it has begun."""
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+from lib.single_router import (
+    SingleRouter,
+    open_single_router,
+    text_of,
+    wanted_text,
+)
+
+from demo.traffic import uuid7
+
+pytestmark = pytest.mark.processes
+
+REFUSED = 'refused'
+WHOLE = 'whole'
+
+
+async def ask(one: SingleRouter, text: str, tokens: int) -> str:
+    """Return how one stream ended: whole, or refused before it began."""
+    try:
+        answer = await one.chat(text, tokens)
+    except aiohttp.ClientConnectorError:
+        return REFUSED
+    async with answer:
+        if answer.status == 200:
+            assert text_of(await answer.read()) == wanted_text(text, tokens)
+            return WHOLE
+        problem = await answer.json(content_type=None)
+        assert (problem['code'], problem['ran']) == ('not_ready', 'no')
+        assert 'Retry-After' in answer.headers
+        return REFUSED
+
+
+async def keep_asking(one: SingleRouter, name: str) -> list[str]:
+    """Ask one after the other until refused."""
+    ends = []
+    while ends[-1:] != [REFUSED]:
+        ends.append(await ask(one, f'{name} {len(ends)}', 20))
+    return ends
+
+
+async def test_stop_under_load_cuts_no_request() -> None:
+    async with open_single_router() as one:
+        asking = [
+            asyncio.create_task(keep_asking(one, f'load {number}'))
+            for number in range(8)
+        ]
+        long = asyncio.create_task(ask(one, 'long', 300))
+        await one.control(one.services(), latency_ms=3000)
+        await asyncio.sleep(1)
+        order = asyncio.create_task(one.order('a loaf', uuid7()))
+        await asyncio.sleep(0.3)
+        one.router.terminate()
+        ends = await asyncio.gather(*asking)
+        assert await long == WHOLE
+        assert (await order).status == 200
+        assert await asyncio.to_thread(one.router.wait) == 0
+    assert all(set(each[:-1]) == {WHOLE} for each in ends)
+    assert next(one.router.events('drain_ended'))['cut_requests'] == 0
+
+
+async def test_second_signal_ends_at_once_and_says_what_was_cut() -> None:
+    async with open_single_router() as one:
+        async with one.chat('long', 4000) as answer:
+            await answer.content.readany()
+            one.router.terminate()
+            await asyncio.to_thread(one.router.wait_event, 'drain_started')
+            asked_at = time.monotonic()
+            one.router.terminate()
+            with pytest.raises(aiohttp.ClientError):
+                await answer.read()
+        assert await asyncio.to_thread(one.router.wait) == 0
+    assert time.monotonic() - asked_at < 5
+    assert next(one.router.events('drain_ended'))['cut_requests'] == 1
