--- a/src/hickorymux/_internal/coordination/membership.py
+++ b/src/hickorymux/_internal/coordination/membership.py
@@ -221,8 +221,13 @@
             self.send(sender, request)
 
     def _relay(self, message: ZoneDigest, sender_id: str) -> None:
-        """Pass another zone's digest on inside the own zone."""
-        if sender_id in self.sightings:
+        """Pass another zone's digest on inside the own zone.
+
+        Only what the speaker itself sent is passed on. Whether the sender is
+        known must not decide: two routers that have not heard each other yet
+        would pass a digest to and fro without end.
+        """
+        if sender_id != message.speaker.router_id:
             return
         for member in self._zone_peers():
             self.send(member, message)
--- /dev/null
+++ b/tests/unit/test_frames.py
@@ -0,0 +1,146 @@
+"""Frames and messages: whatever arrives is understood or refused."""
+
+import dataclasses
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from lib.manual_clock import ManualClock
+
+from hickorymux._internal.coordination.membership_messages import (
+    Heartbeat,
+    ZoneDigest,
+)
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.exceptions import FrameError
+from hickorymux._internal.protocol import peer_codec
+from hickorymux._internal.protocol.frames import Envelope, FrameSealer
+from hickorymux._internal.protocol.peer_messages import (
+    MESSAGE_REGISTRY,
+    default_codec,
+)
+from hickorymux._internal.transport.peer_network import PeerNetwork
+
+KEY = b'the key of the fleet'
+UNKNOWN_CODE = 9999
+FEW = settings(derandomize=True, max_examples=200, deadline=None)
+
+codec = default_codec()
+sealer = FrameSealer(KEY)
+beats = st.builds(
+    Heartbeat,
+    router_id=st.text(max_size=20),
+    incarnation=st.integers(0, 2**62),
+    zone=st.text(max_size=20),
+    port=st.integers(0, 65535),
+    is_leaving=st.booleans(),
+)
+
+
+def seal(message=None, sequence=1, key=KEY, challenge=b'', **more) -> bytes:
+    code, body = codec.encode(message or Heartbeat('a-1', 1, 'a'))
+    fields = {'type_code': code, 'body': body, **more}
+    envelope = Envelope('a-1', 1, sequence, **fields)
+    return FrameSealer(key).seal(envelope, challenge)
+
+
+@FEW
+@given(st.lists(beats, max_size=3), beats)
+def test_messages_survive_the_way(members, speaker) -> None:
+    message = ZoneDigest('b', 7, speaker, members)
+    envelope = sealer.open(seal(message))
+    assert codec.decode(envelope.type_code, envelope.body) == message
+
+
+@FEW
+@given(st.binary(max_size=300))
+def test_random_octets_are_refused(frame) -> None:
+    with pytest.raises(FrameError):
+        sealer.open(frame)
+
+
+@FEW
+@given(st.data())
+def test_truncated_or_changed_frames_are_refused(data) -> None:
+    frame = seal()
+    at = data.draw(st.integers(0, len(frame) - 1))
+    change = data.draw(st.integers(1, 255))
+    changed = frame[:at] + bytes((frame[at] ^ change,)) + frame[at + 1 :]
+    for wrong in (frame[:at], changed):
+        with pytest.raises(FrameError):
+            sealer.open(wrong)
+
+
+def test_version_key_and_challenge_are_checked() -> None:
+    frame = seal(challenge=b'of this link')
+    assert sealer.open(frame, b'of this link').sender == 'a-1'
+    with pytest.raises(FrameError, match='version 2'):
+        sealer.open(b'\x02' + frame[1:], b'of this link')
+    for key, challenge in ((KEY, b'of another'), (b'a stranger', b'')):
+        with pytest.raises(FrameError, match='tag'):
+            FrameSealer(key).open(frame, challenge)
+
+
+@FEW
+@given(st.sampled_from(MESSAGE_REGISTRY), st.binary(max_size=200))
+def test_random_bodies_decode_or_are_refused(entry, body) -> None:
+    try:
+        message = codec.decode(entry[0], body)
+    except FrameError:
+        return
+    assert type(message).__name__ == entry[2]
+
+
+def test_unknown_type_codes_and_fields_are_harmless() -> None:
+    assert codec.decode(UNKNOWN_CODE, b'anything') is None
+    # A newer version's field 99, a text, before the end mark of the struct.
+    code, body = codec.encode(Heartbeat('a-1', 3, 'a'))
+    newer = bytes((0x08, 0xC6, 0x01, 3)) + b'new' + b'\x00'
+    assert codec.decode(code, body[:-1] + newer) == Heartbeat('a-1', 3, 'a')
+    # An older version that knows no field at all.
+    assert codec.decode(code, b'\x00') == Heartbeat()
+
+
+def test_all_messages_of_this_version_have_their_struct() -> None:
+    for code, _, _ in MESSAGE_REGISTRY:
+        default = codec.by_code[code].message_class()
+        assert codec.decode(*codec.encode(default)) == default
+
+
+class TestDatagrams:
+    """A network without sockets, to which datagrams are given by hand."""
+
+    @pytest.fixture(autouse=True)
+    def network(self) -> None:
+        self.clock = ManualClock()
+        me = Member('b-1', 1, 'b', '127.0.0.1', 1)
+        self.network = PeerNetwork(me, sealer, self.clock)
+        self.received: list[object] = []
+        self.network.handler = lambda _, message: self.received.append(message)
+        self.now_ms = int(self.clock.now * 1000)
+
+    def take(self, **fields) -> int:
+        self.network.take_datagram(seal(**{'sent_at_ms': self.now_ms} | fields))
+        return len(self.received)
+
+    def test_replayed_old_and_foreign_ones_change_nothing(self) -> None:
+        assert self.take(sequence=5) == 1
+        assert self.take(sequence=5) == 1
+        assert self.take(sequence=4) == 1
+        assert self.take(sequence=6, sent_at_ms=self.now_ms - 31_000) == 1
+        assert self.take(sequence=7, key=b'a stranger') == 1
+        assert self.network.meter.refused == 4
+        assert self.take(sequence=8) == 2
+
+    def test_bad_bodies_and_unknown_codes_lose_nothing(self) -> None:
+        assert self.take(sequence=1, body=b'\xff' * 9) == 0
+        assert self.take(sequence=2, type_code=UNKNOWN_CODE) == 0
+        assert self.network.meter.refused == 1
+        assert self.take(sequence=3) == 1
+
+
+def test_struct_errors_are_coded() -> None:
+    with pytest.raises(FrameError) as caught:
+        peer_codec.read_struct(peer_codec.load_idl('envelope').Envelope(), b'')
+    assert caught.value.code == 'frame_invalid'
+    assert not dataclasses.is_dataclass(caught.value)
