--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 
 from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.coordination.retry_budget import RetryBudget
 from hickorymux._internal.coordination.scheduler import (
     Demand,
     Placement,
@@ -109,8 +110,8 @@
         'clock',
         'decisions',
         'metrics',
+        'retries',
         'scheduler',
-        'take_retry',
         'verify',
     )
 
@@ -121,7 +122,7 @@
         decisions: DecisionLog,
         metrics: RouterMetrics,
         clock: Clock,
-        take_retry: Callable[[str], bool],
+        retries: RetryBudget,
         verify: VerifyConnection,
     ) -> None:
         self.scheduler = scheduler
@@ -129,7 +130,7 @@
         self.decisions = decisions
         self.metrics = metrics
         self.clock = clock
-        self.take_retry = take_retry
+        self.retries = retries
         self.verify = verify
 
     async def run(self, call: Call, reply: Reply, claim: ClaimLike) -> None:
@@ -137,6 +138,7 @@
 
         Raises ``RequestError`` when there is none; its ``ran`` is true.
         """
+        self.retries.count_request(call.pool.name)
         history = _History()
         while True:
             exchange = await self._place(call, claim, history)
@@ -420,12 +422,10 @@
         error: AttemptError,
         history: '_History',
     ) -> RequestError | None:
-        call = exchange.call
         if reply.has_started:
             return AnswerCut(error.detail, ran=Ran.unknown)
-        may_repeat = call.is_repeatable or not exchange.attempt.sent
         is_last = exchange.number >= MAX_ATTEMPTS
-        if may_repeat and not is_last and self.take_retry(call.pool.name):
+        if not is_last and self._may_repeat(exchange):
             return None
         ran = Ran.unknown if history.was_sent else Ran.not_run
         error_class = (
@@ -439,6 +439,12 @@
             retry_after=RETRY_AFTER_SECONDS,
         )
 
+    def _may_repeat(self, exchange: Exchange) -> bool:
+        if not exchange.attempt.sent:
+            return True
+        call = exchange.call
+        return call.is_repeatable and self.retries.take(call.pool.name)
+
 
 def _demand_of(call: Call) -> Demand:
     return Demand(
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -31,6 +31,7 @@
 from hickorymux._internal.coordination.gone_routers import GoneRouters
 from hickorymux._internal.coordination.membership import Membership
 from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.coordination.retry_budget import RetryBudget
 from hickorymux._internal.coordination.scheduler import Scheduler
 from hickorymux._internal.coordination.slot_holder import SlotHolder
 from hickorymux._internal.coordination.slot_home import SlotHome
@@ -285,7 +286,7 @@
             self.decisions,
             self.metrics,
             self.clock,
-            _always_retry,
+            RetryBudget.from_config(self.clock),
             self._verify,
         )
         self.claimer = Claimer.from_config(
@@ -499,7 +500,3 @@
     if task.cancelled() or task.exception() is None:
         return
     _logger.error('a task of the router ended', exc_info=task.exception())
-
-
-def _always_retry(pool: str) -> bool:
-    return bool(pool)
--- /dev/null
+++ b/tests/unit/test_relay.py
@@ -0,0 +1,66 @@
+"""Streams go on event by event and end whole or with an error."""
+
+from collections.abc import AsyncIterator
+
+import pytest
+from multidict import CIMultiDict
+
+from hickorymux._internal.transport.relay import EventRelay
+from hickorymux._internal.transport.upstream_client import UpstreamCut
+
+DONE = b'data: [DONE]\n\n'
+
+
+class FakeReply:
+    def __init__(self) -> None:
+        self.has_started = False
+        self.body = b''
+
+    async def start(self, status, headers) -> None:
+        self.has_started = True
+
+    async def write(self, chunk: bytes) -> None:
+        assert self.has_started
+        self.body += chunk
+
+    async def finish(self) -> None:
+        assert self.has_started
+
+
+async def stream(*chunks: bytes) -> AsyncIterator[bytes]:
+    for chunk in chunks:
+        yield chunk
+
+
+def new_relay(*, needs_done: bool = True) -> EventRelay:
+    counted: list[int] = []
+    return EventRelay(
+        FakeReply(), 200, CIMultiDict(), counted.append, needs_done
+    )
+
+
+async def test_nothing_starts_before_the_first_whole_event() -> None:
+    relay = new_relay()
+    with pytest.raises(UpstreamCut):
+        await relay.run(stream(b'data: 1\n'))
+    assert not relay.reply.has_started
+
+
+async def test_half_an_event_is_dropped_when_the_stream_goes_on() -> None:
+    relay = new_relay()
+    with pytest.raises(UpstreamCut):
+        await relay.run(stream(b'data: 1\n\nda', b'ta: 2\n\ndata: 3'))
+    assert (relay.events, relay.is_done) == (2, False)
+    await relay.run(stream(b'data: 3\n\n', DONE[:8], DONE[8:]))
+    assert relay.reply.body == b'data: 1\n\ndata: 2\n\ndata: 3\n\n' + DONE
+    assert (relay.events, relay.is_done) == (4, True)
+
+
+async def test_a_stream_of_a_service_needs_no_end_mark() -> None:
+    relay = new_relay(needs_done=False)
+    await relay.run(stream(b'data: 1\n\n', b'rest'))
+    assert relay.reply.body == b'data: 1\n\nrest'
+    empty = new_relay(needs_done=False)
+    await empty.run(stream())
+    await empty.finish()
+    assert empty.reply.has_started
