--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -147,7 +147,6 @@
 
         Raises ``RequestError`` when there is none; its ``ran`` is true.
         """
-        self.retries.count_request(call.pool.name)
         history = _History()
         self.retries.count_request(call.pool.name)
         is_answered = False
@@ -493,6 +492,8 @@
     ) -> RequestError | None:
         if reply.has_started:
             return AnswerCut(error.detail, ran=Ran.unknown)
+        call = exchange.call
+        may_repeat = call.is_repeatable or not exchange.attempt.sent
         is_last = exchange.number >= MAX_ATTEMPTS
         if may_repeat and not is_last and self._may_retry(exchange):
             return None
