Make the order of links independent of the hash seed

Cause: the model is meant to be deterministic, but zones and links were taken in the order of sets of strings.

Ruled out: fixing the hash seed for the tests.

--- a/src/hickorymux/_internal/coordination/pool_exchange.py
+++ b/src/hickorymux/_internal/coordination/pool_exchange.py
@@ -202,7 +202,7 @@
     def _delegates(self) -> dict[str, Member]:
         zones = {member.zone for member in self.members.live()}
         chosen = {}
-        for zone in zones:
+        for zone in sorted(zones):
             delegate = choose_delegate(
                 self.members.live_in_zone(zone),
                 self.pool,
@@ -345,11 +345,13 @@
         wanted = dict(self._wanted_links(delegates))
         for key in self.links.keys() - wanted.keys():
             self.links.pop(key)
-        for key in wanted.keys() - self.links.keys():
+        for key, is_once in wanted.items():
+            if key in self.links:
+                continue
             self.links[key] = ServiceLink(
                 key,
                 self.counters.accounts,
-                is_once=wanted[key],
+                is_once=is_once,
             )
 
     def _wanted_links(
