Rank other routers' customers by the home's own view too

Cause: a router that restarted with no memory reports counters that are too low and looked the most underserved to a home. Change: a home compares heads by the larger of the reported counter and its own view; queues take their limits from a new configuration.

--- a/src/hickorymux/_internal/coordination/scheduler.py
+++ b/src/hickorymux/_internal/coordination/scheduler.py
@@ -10,7 +10,11 @@
 from collections.abc import Sequence
 from typing import Final, final
 
-from hickorymux._internal.coordination.fair_queue import FairQueue, Ticket
+from hickorymux._internal.coordination.fair_queue import (
+    CustomerHead,
+    FairQueue,
+    Ticket,
+)
 from hickorymux._internal.coordination.slot_holder import Slot, SlotHolder
 from hickorymux._internal.coordination.slot_messages import HeadCustomer
 from hickorymux._internal.exceptions import (
@@ -89,8 +93,7 @@
             if queue is None:
                 self._open(name, pool)
                 continue
-            queue.counters.configure(pool)
-            queue.pool = pool
+            queue.configure(pool)
         for name in self.queues.keys() - tables.pools.keys():
             if not self.queues[name].backlog:
                 self.queues.pop(name)
@@ -154,6 +157,19 @@
                 break
         self._tell_demand(pool, queue)
 
+    def rank_head(self, pool: str, head: HeadCustomer) -> float:
+        """Return the counter by which a home ranks another router's head.
+
+        A router that restarted with no memory reports a counter that is too
+        low; this router's own view of the customer corrects it.
+        """
+        queue = self.queues.get(pool)
+        if queue is None:
+            return head.counter
+        return queue.rank(
+            CustomerHead(head.customer, head.counter, head.waiting),
+        )
+
     def backlog(self, pool: str) -> int:
         """Return how many requests wait for a pool here."""
         queue = self.queues.get(pool)
--- a/src/hickorymux/_internal/coordination/slot_home.py
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -12,6 +12,7 @@
     ColdOffer,
     GrantedSlots,
     HandedLoan,
+    HeadCustomer,
     PoolDemand,
     SlotCount,
     SlotGrant,
@@ -90,6 +91,14 @@
     at: float
 
 
+RankHead = Callable[[str, HeadCustomer], float]
+
+
+def reported_counter(pool: str, head: HeadCustomer) -> float:
+    """Return the counter of a waiting customer as its router reports it."""
+    return head.counter
+
+
 @final
 class SlotHome:
     """Lends the slots of the upstreams that this router is home of.
@@ -117,6 +126,7 @@
         'ledgers',
         'members',
         'names_by_pool',
+        'rank_head',
         'read_tables',
         'sender',
     )
@@ -129,7 +139,9 @@
         book: UpstreamBook,
         read_tables: Callable[[], Tables],
         lease_seconds: float = LEASE_SECONDS,
+        rank_head: RankHead = reported_counter,
     ) -> None:
+        self.rank_head = rank_head
         self.members = members
         self.sender = sender
         self.clock = clock
@@ -260,6 +272,8 @@
         """Replace what a router says it can use of some pools."""
         borrower = self.borrowers[sender_id]
         for demand in demands:
+            for head in demand.heads:
+                head.counter = self.rank_head(demand.pool, head)
             borrower.demands[demand.pool] = demand
 
     def take_returns(
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -241,6 +241,7 @@
             self.clock,
             self.book,
             self.read_tables,
+            rank_head=self._rank_head,
         )
         self.gone = GoneRouters(self.membership)
         self.gate = ConnectionGate(
@@ -383,6 +384,9 @@
         self.home.on_load_report(upstream.name, report)
         self.holder.on_load_report(upstream, report)
 
+    def _rank_head(self, pool: str, head: slot_messages.HeadCustomer) -> float:
+        return self.scheduler.rank_head(pool, head)
+
     def _on_lost(self, upstream: Upstream) -> None:
         self.holder.on_connection_failure(upstream)
 
