Serve only what a load report or a digest changes

Cause: the slopes showed a load report costing 4.3 us for each upstream of the home (1,867 us at 430), as it checked all ledgers; and every confirmation of a zone's digest went to every router of the other zones. Change: a report serves the pools of its upstream and checks its own ledger; an unchanged digest is passed on at most every 4 s.

--- a/src/hickorymux/_internal/coordination/membership.py
+++ b/src/hickorymux/_internal/coordination/membership.py
@@ -30,6 +30,7 @@
 MEMBER_TIMEOUT_SECONDS = 2.5
 DIGEST_INTERVAL_SECONDS = 2
 DIGEST_TIMEOUT_SECONDS = 10
+RELAY_SECONDS = 4
 
 _DIGEST_BITS_SHIFT = 1
 
@@ -48,11 +49,12 @@
 
 @dataclasses.dataclass(slots=True)
 class _RemoteZone:
-    """The last digest of another zone and when it was confirmed."""
+    """The last digest of another zone, when it was confirmed and passed on."""
 
     digest: int
     members: tuple[Member, ...]
     confirmed_at: float
+    relayed_at: float
 
 
 @final
@@ -188,13 +190,20 @@
         known = self.remote.get(message.zone)
         if known is not None and known.digest == message.digest:
             known.confirmed_at = now
-            self._relay(message, sender_id)
+            if now - known.relayed_at >= RELAY_SECONDS:
+                known.relayed_at = now
+                self._relay(message, sender_id)
             return
         if not message.members:
             self._ask_for_rows(message, sender_id)
             return
         members = tuple(_to_member(row) for row in message.members)
-        self.remote[message.zone] = _RemoteZone(message.digest, members, now)
+        self.remote[message.zone] = _RemoteZone(
+            message.digest,
+            members,
+            now,
+            now,
+        )
         self._relay(message, sender_id)
 
     @on_message.register
--- a/src/hickorymux/_internal/coordination/slot_home.py
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -200,7 +200,10 @@
             return
         limit = self.limit(state.upstream, now)
         ledger.settle(report.running, limit, now - REPORT_LAG_SECONDS, now)
-        self._serve_all(now)
+        for pool_name in self._wanted_pools():
+            if name in self.names_by_pool.get(pool_name, ()):
+                self.serve(pool_name, now)
+        self._recall_excess(name, ledger, now)
 
     def on_message(self, sender_id: str, message: Any) -> None:
         """Take a message of another router, or of the own holder."""
@@ -447,14 +450,19 @@
         self.sender.send(home_id, message)
 
     def _serve_all(self, now: float) -> None:
+        for pool_name in self._wanted_pools():
+            self.serve(pool_name, now)
+        for name, ledger in self.ledgers.items():
+            self._recall_excess(name, ledger, now)
+
+    def _wanted_pools(self) -> list[str]:
+        """Return the pools that any borrower has a demand for, in order."""
         pools = {
             pool_name
             for borrower in self.borrowers.values()
             for pool_name in borrower.demands
         }
-        for pool_name in sorted(pools):
-            self.serve(pool_name, now)
-        self._recall_excess(now)
+        return sorted(pools)
 
     def _serve_upstream(
         self, pool: Pool, upstream: Upstream, ledger: SlotLedger, now: float
@@ -621,15 +629,20 @@
                 self.borrowers[router_id].touch(upstream.name)
                 changed.add(router_id)
 
-    def _recall_excess(self, now: float) -> None:
-        for name, ledger in self.ledgers.items():
-            state = self.book.find(name)
-            if state is None or not state.is_known:
-                continue
-            limit = self.limit(state.upstream, now)
-            for router_id in ledger.recall_excess(limit):
-                self._note_change(router_id, name)
-                self._push(router_id)
+    def _recall_excess(
+        self,
+        name: str,
+        ledger: SlotLedger,
+        now: float,
+    ) -> None:
+        """Ask back what is lent of one upstream above its limit."""
+        state = self.book.find(name)
+        if state is None or not state.is_known:
+            return
+        limit = self.limit(state.upstream, now)
+        for router_id in ledger.recall_excess(limit):
+            self._note_change(router_id, name)
+            self._push(router_id)
 
     def _note_change(self, router_id: str, name: str) -> None:
         borrower = self.borrowers.get(router_id)
