Measure the path after the ramp

Cause: a new router ramps a warm upstream up, and the first run measured that. Change: the comparison waits 7 s.

--- a/tools/measure/path.py
+++ b/tools/measure/path.py
@@ -31,6 +31,7 @@
 MS_PER_SECOND: Final = 1000
 OCTETS_PER_MB: Final = 1_000_000
 MEMORY_TOKENS: Final = 300
+RAMP_SECONDS: Final = 7
 
 _HEADERS: Final = {'Authorization': f'Bearer {KEY}'}
 _CUSTOMER: Final = 'measure'
@@ -168,6 +169,7 @@
         direct = Target(bench.engine.url, bench.engine)
         async with open_session() as session:
             await wait_served(session, router.url)
+            await asyncio.sleep(RAMP_SECONDS)
             return {
                 'streams': await _compare_streams(session, router, baseline),
                 'short': await _compare_short(session, router, baseline),
