Work out homes only when members or tables changed

Cause: a fleet of 24 real routers spent 7 percent of a core each at one request a second, three times the prediction from the slopes; the profile showed each tick hashing all upstreams against all members, twice. Ruled out: the relay of tokens and the codec. Change: the map of homes is kept until the live members or the tables change.

--- a/src/hickorymux/_internal/coordination/slot_home.py
+++ b/src/hickorymux/_internal/coordination/slot_home.py
@@ -22,10 +22,7 @@
     SlotReturn,
     UpstreamSign,
 )
-from hickorymux._internal.coordination.slot_placement import (
-    HomeMap,
-    all_upstreams,
-)
+from hickorymux._internal.coordination.slot_placement import HomeMap
 from hickorymux._internal.coordination.slot_sharing import (
     Share,
     pick_furthest_ahead,
@@ -161,12 +158,7 @@
 
         The caller polls the load reports of exactly these.
         """
-        own_id = self.members.myself.router_id
-        return [
-            upstream
-            for upstream in all_upstreams(self.read_tables())
-            if self.home_map.home_of(upstream) == own_id
-        ]
+        return self.home_map.upstreams_of(self.members.myself.router_id)
 
     async def run(self) -> None:
         """Tick until cancelled."""
@@ -399,7 +391,8 @@
         return held
 
     def _follow_homes(self, now: float) -> None:
-        self.home_map.refresh(self.read_tables())
+        if not self.home_map.refresh(self.read_tables()):
+            return
         own = self.upstreams()
         self._sort_by_pool(own)
         names = {upstream.name for upstream in own}
--- a/src/hickorymux/_internal/coordination/slot_placement.py
+++ b/src/hickorymux/_internal/coordination/slot_placement.py
@@ -36,22 +36,38 @@
 
 @final
 class HomeMap:
-    """The homes of all upstreams, worked out again at every ``refresh``."""
+    """The homes of all upstreams, by the members and tables last seen."""
 
-    __slots__ = ('homes', 'members', 'tables')
+    __slots__ = ('by_home', 'homes', 'members', 'seen', 'tables')
 
     def __init__(self, members: MemberView) -> None:
         self.members = members
         self.tables = Tables()
+        self.seen: tuple[tuple[str, bool], ...] = ()
         self.homes: dict[str, str] = {}
-
-    def refresh(self, tables: Tables) -> None:
-        """Follow the membership and the tables."""
+        self.by_home: dict[str, list[Upstream]] = {}
+
+    def refresh(self, tables: Tables) -> bool:
+        """Follow the membership and the tables; return whether either changed.
+
+        The homes of all upstreams are worked out only then, since the tables
+        can hold thousands and this is asked several times a second.
+        """
+        seen = tuple(
+            (member.router_id, member.is_leaving)
+            for member in self.members.live()
+        )
+        if tables is self.tables and seen == self.seen:
+            return False
         self.tables = tables
-        self.homes = {
-            upstream.name: home_of(upstream, self.members)
-            for upstream in all_upstreams(tables)
-        }
+        self.seen = seen
+        self.homes = {}
+        self.by_home = {}
+        for upstream in all_upstreams(tables):
+            home_id = home_of(upstream, self.members)
+            self.homes[upstream.name] = home_id
+            self.by_home.setdefault(home_id, []).append(upstream)
+        return True
 
     def home_of(self, upstream: Upstream) -> str:
         """Return the id of an upstream's home, or an empty string."""
@@ -61,6 +77,10 @@
             self.homes[upstream.name] = home_id
         return home_id
 
+    def upstreams_of(self, home_id: str) -> list[Upstream]:
+        """Return the upstreams of a home, as of the last ``refresh``."""
+        return self.by_home.get(home_id, [])
+
 
 def _staying(members: Sequence[Member]) -> list[Member]:
     return [member for member in members if not member.is_leaving]
--- a/tools/measure/fleet.py
+++ b/tools/measure/fleet.py
@@ -18,6 +18,7 @@
 import statistics
 import sys
 import tempfile
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, Final
@@ -63,6 +64,7 @@
     processor_seconds: float
     resident_mb: float
     by_message: dict[str, str]
+    read_at: float
 
 
 class MeasuredFleet:
@@ -189,6 +191,7 @@
         processor_seconds=times.user + times.system,
         resident_mb=process.memory_info().rss / OCTETS_PER_MB,
         by_message=dict(_MESSAGE_OCTETS.findall(text)),
+        read_at=time.monotonic(),
     )
 
 
@@ -257,20 +260,20 @@
     return {
         'octets_per_second': _spread(
             [
-                (late.octets_out - early.octets_out) / WINDOW_SECONDS
+                (late.octets_out - early.octets_out) / _seconds(early, late)
                 for early, late in pairs
             ]
         ),
         'frames_per_second': _spread(
             [
-                (late.frames_out - early.frames_out) / WINDOW_SECONDS
+                (late.frames_out - early.frames_out) / _seconds(early, late)
                 for early, late in pairs
             ]
         ),
         'core_percent': _spread(
             [
                 (late.processor_seconds - early.processor_seconds)
-                / WINDOW_SECONDS
+                / _seconds(early, late)
                 * PERCENT
                 for early, late in pairs
             ]
@@ -282,7 +285,7 @@
                         float(late.by_message[kind])
                         - float(early.by_message[kind])
                     )
-                    / WINDOW_SECONDS
+                    / _seconds(early, late)
                     for early, late in pairs
                 ]
             )
@@ -292,6 +295,11 @@
     }
 
 
+def _seconds(early: NodeReading, late: NodeReading) -> float:
+    """Return the time between two readings, which reading adds to."""
+    return late.read_at - early.read_at
+
+
 def _spread(readings: Sequence[float]) -> dict[str, float]:
     return {
         'least': min(readings),
--- a/tools/measure/messages.py
+++ b/tools/measure/messages.py
@@ -79,9 +79,16 @@
     """Return a renewal with the demand of a number of pools."""
     heads = [HeadCustomer(f'customer-{number}', 1e6, 5) for number in range(4)]
     demands = [
-        PoolDemand(f'pool-{number}', 20, heads) for number in range(pools)
+        PoolDemand(pool=f'pool-{number}', target=20, heads=heads)
+        for number in range(pools)
     ]
-    return SlotRenew(7, 1000, False, 500, 120, [], demands)
+    return SlotRenew(
+        session=7,
+        sequence=1000,
+        seen=500,
+        held_total=120,
+        demands=demands,
+    )
 
 
 def slot_grant(loans: int) -> SlotGrant:
@@ -90,7 +97,15 @@
         GrantedSlots(f'engine-{number:05}', 'a' * 16, 5000, 40)
         for number in range(loans)
     ]
-    return SlotGrant(7, 1000, 1_796_344_000_000, 3000, False, 10, 20, rows)
+    return SlotGrant(
+        session=7,
+        sequence=1000,
+        epoch=1_796_344_000_000,
+        lease_ms=3000,
+        base=10,
+        version=20,
+        loans=rows,
+    )
 
 
 def slot_return(upstreams: int) -> SlotReturn:
@@ -98,7 +113,7 @@
     rows = [
         SlotCount(f'engine-{number:05}', 5000) for number in range(upstreams)
     ]
-    return SlotReturn(7, 1000, rows, [])
+    return SlotReturn(session=7, sequence=1000, returned=rows)
 
 
 def claim_ask(entries: int) -> ClaimAsk:
@@ -131,7 +146,13 @@
         customers=list(itertools.repeat(step, customers)),
         served=[1_000_000 + number for number in range(customers)],
     )
-    return ServiceReport('pool-1', 1_796_344_000_000, rows, [], 0, 1, True)
+    return ServiceReport(
+        pool='pool-1',
+        incarnation=1_796_344_000_000,
+        rows=rows,
+        term=1,
+        is_complete=True,
+    )
 
 
 def config_fold(upstreams: int) -> ConfigFold:
--- a/tools/measure/stand_ins.py
+++ b/tools/measure/stand_ins.py
@@ -15,6 +15,7 @@
 
 POOL = 'pool-1'
 ZONE = 'zone-1'
+ZONES = 28
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,6 +74,21 @@
     return Tables(version=1, pools={POOL: pool})
 
 
+def fleet_tables(count: int) -> Tables:
+    """Return tables with upstreams in 28 zones, the first one ours."""
+    found = [
+        Upstream(
+            f'engine-{number:05}',
+            f'zone-{number % ZONES + 1}',
+            f'10.0.0.1:{number}',
+            8,
+        )
+        for number in range(count)
+    ]
+    pool = Pool(POOL, PoolKind.model, tuple(found))
+    return Tables(version=1, pools={POOL: pool})
+
+
 def rows_of(count: int) -> list[PoolRow | RouteRow | UpstreamRow]:
     """Return the rows of a route, a pool and a number of upstreams."""
     engines = [
--- a/tools/measure/state.py
+++ b/tools/measure/state.py
@@ -12,6 +12,7 @@
 from hickorymux._internal.coordination.membership import Membership
 from hickorymux._internal.coordination.membership_messages import Heartbeat
 from hickorymux._internal.coordination.slot_home import SlotHome
+from hickorymux._internal.coordination.slot_placement import HomeMap
 from hickorymux._internal.state.claim_fold import ClaimFold
 from hickorymux._internal.state.config_fold import ConfigFold
 from hickorymux._internal.state.service_counters import ServiceCounters
@@ -73,6 +74,18 @@
         'us',
         [(size, home_tick_us(size)) for size in UPSTREAM_SIZES],
     )
+    yield Slope.fit(
+        'home: one tick by upstreams of the fleet, 29 or less at home',
+        'upstreams',
+        'us',
+        [(size, fleet_tick_us(size)) for size in TABLE_SIZES],
+    )
+    yield Slope.fit(
+        'homes: all worked out again',
+        'upstreams',
+        'us',
+        [(size, rehome_us(size)) for size in TABLE_SIZES],
+    )
     yield Slope.fit(
         'home: one load report',
         'upstreams',
@@ -177,6 +190,27 @@
     return processor_us(home_of(upstreams).tick)
 
 
+def fleet_tick_us(count: int) -> float:
+    """Return the time of a tick while the tables name the whole fleet."""
+    tables = stand_ins.fleet_tables(count)
+    home = SlotHome(
+        stand_ins.members_of_zone(15),
+        stand_ins.CountingSender(),
+        CLOCK,
+        UpstreamBook(),
+        lambda: tables,
+    )
+    home.tick()
+    return processor_us(home.tick)
+
+
+def rehome_us(count: int) -> float:
+    """Return the time to work out all homes after a change."""
+    members = stand_ins.members_of_zone(15)
+    tables = stand_ins.fleet_tables(count)
+    return processor_us(lambda: HomeMap(members).refresh(tables))
+
+
 def report_us(upstreams: int) -> float:
     """Return the time to take one load report."""
     home = home_of(upstreams)
