--- a/tools/measure/fleet.py
+++ b/tools/measure/fleet.py
@@ -62,6 +62,7 @@
     octets_out: float
     frames_out: float
     processor_seconds: float
+    system_seconds: float
     resident_mb: float
     by_message: dict[str, str]
     read_at: float
@@ -189,6 +190,7 @@
         octets_out=_metric(text, 'hickorymux_peer_octets_out'),
         frames_out=_metric(text, 'hickorymux_peer_frames_out'),
         processor_seconds=times.user + times.system,
+        system_seconds=times.system,
         resident_mb=process.memory_info().rss / OCTETS_PER_MB,
         by_message=dict(_MESSAGE_OCTETS.findall(text)),
         read_at=time.monotonic(),
@@ -278,6 +280,14 @@
                 for early, late in pairs
             ]
         ),
+        'core_percent_in_system': _spread(
+            [
+                (late.system_seconds - early.system_seconds)
+                / _seconds(early, late)
+                * PERCENT
+                for early, late in pairs
+            ]
+        ),
         'octets_per_second_by_message': {
             kind: _spread(
                 [
