Keep one limit for keys and drop a property nobody reads

Cause: reading the whole change again showed the key's length limit written twice, in the claims and in the server towards callers, and Share.is_backlogged without a reader. Ruled out: joining the two sets of running requests of the caller server, since the limit on requests counts one of them. Change: the server takes the constant of the claims; the property is gone.

--- a/src/hickorymux/_internal/coordination/slot_sharing.py
+++ b/src/hickorymux/_internal/coordination/slot_sharing.py
@@ -40,11 +40,6 @@
             demand.is_urgent,
         )
 
-    @property
-    def is_backlogged(self) -> bool:
-        """Return whether customers wait at the router for slots."""
-        return self.head.waiting > 0
-
     @property
     def is_short(self) -> bool:
         """Return whether the router can use more slots than it holds."""
--- a/src/hickorymux/_internal/transport/caller_server.py
+++ b/src/hickorymux/_internal/transport/caller_server.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from hickorymux._internal.coordination.claims import MAX_KEY_CHARS
 from hickorymux._internal.coordination.decisions import DecisionLog
 from hickorymux._internal.exceptions import (
     BadRequest,
@@ -35,7 +36,6 @@
 from hickorymux._internal.utils.ids import new_request_id
 
 MAX_REQUEST_ID_CHARACTERS: Final = 128
-MAX_KEY_CHARACTERS: Final = 255
 BODY_TIMEOUT_SECONDS: Final = 30
 OVERLOAD_RETRY_SECONDS: Final = 2.0
 DRAIN_POLL_SECONDS: Final = 0.05
@@ -395,9 +395,9 @@
 
 def _idempotency_key(request: web.Request) -> str:
     key = request.headers.get(http.IDEMPOTENCY_KEY, '')
-    if len(key) > MAX_KEY_CHARACTERS:
+    if len(key) > MAX_KEY_CHARS:
         raise BadRequest(
-            f'the key has more than {MAX_KEY_CHARACTERS} characters',
+            f'the key has more than {MAX_KEY_CHARS} characters',
             where=http.IDEMPOTENCY_KEY,
         )
     return key
