--- a/src/hickorymux/_internal/coordination/crash_suspects.py
+++ b/src/hickorymux/_internal/coordination/crash_suspects.py
@@ -35,7 +35,11 @@
 )
 from hickorymux._internal.coordination.suspect_turns import SuspectTurns
 from hickorymux._internal.exceptions import CrashSuspect, NoCapacity
-from hickorymux._internal.state.suspects import SuspectTable, Suspicion
+from hickorymux._internal.state.suspects import (
+    CRASHES_UNTIL_REFUSED,
+    SuspectTable,
+    Suspicion,
+)
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.ids import new_incarnation
 
@@ -57,6 +61,7 @@
 
     lifetime: dt.timedelta = dt.timedelta(minutes=10)
     max_entries: int = 4096
+    crashes_until_refused: int = CRASHES_UNTIL_REFUSED
     share_timeout: dt.timedelta = dt.timedelta(milliseconds=200)
 
 
@@ -111,6 +116,7 @@
         self.table = SuspectTable(
             settings.lifetime.total_seconds(),
             settings.max_entries,
+            settings.crashes_until_refused,
         )
 
     @classmethod
@@ -148,6 +154,10 @@
             raise
         return admission
 
+    def check(self, fingerprint: int) -> None:
+        """Raise ``CrashSuspect`` for a request that took upstreams down."""
+        self._refuse(fingerprint)
+
     def end(self, admission: Admission) -> None:
         """End what ``admit`` began, however the request ended."""
         if admission.turn:
@@ -199,7 +209,7 @@
     def _refuse(self, fingerprint: int) -> None:
         if self._standing(fingerprint) is Suspicion.refused:
             raise CrashSuspect(
-                'the request was in flight when two upstreams crashed',
+                'the request was in flight when upstreams crashed',
                 hint='change the request before you send it again',
             )
 
--- a/src/hickorymux/_internal/coordination/decisions.py
+++ b/src/hickorymux/_internal/coordination/decisions.py
@@ -20,9 +20,15 @@
 class DecisionLog:
     """Writes decisions and remembers the newest by request."""
 
-    __slots__ = ('clock', 'lines', 'router_id')
+    __slots__ = ('clock', 'lines', 'max_remembered', 'router_id')
 
-    def __init__(self, router_id: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        router_id: str,
+        clock: Clock,
+        max_remembered: int = MAX_EXPLAINED_REQUESTS,
+    ) -> None:
+        self.max_remembered = max_remembered
         self.router_id = router_id
         self.clock = clock
         self.lines: collections.OrderedDict[str, list[dict[str, Any]]] = (
@@ -45,7 +51,8 @@
             **fields,
         }
         _logger.info(event, extra={FIELDS: line})
-        self.remember(request_id, line)
+        if self.max_remembered:
+            self.remember(request_id, line)
 
     def explain(self, request_id: str) -> list[dict[str, Any]]:
         """Return the decisions on a request, oldest first."""
@@ -56,7 +63,7 @@
         """Keep a line for ``explain`` without writing it to the log."""
         known = self.lines.get(request_id)
         if known is None:
-            if len(self.lines) >= MAX_EXPLAINED_REQUESTS:
+            if len(self.lines) >= self.max_remembered:
                 self.lines.popitem(last=False)
             known = []
             self.lines[request_id] = known
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/deployment_view.py
@@ -0,0 +1,166 @@
+"""What this process believes of the deployment: tables and upstreams.
+
+Records of the operators and of the upstreams come in the order of their
+topics. A record that can't be read changes nothing: the last good one holds,
+and an upstream's unreadable entry takes that upstream out.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Final, Protocol, final
+
+from hickorymux._internal.coordination.ports import KeyedRecord
+from hickorymux._internal.exceptions import ConfigError
+from hickorymux._internal.state.routing import RoutingTable
+from hickorymux._internal.state.upstream_registry import (
+    RegisteredUpstream,
+    UpstreamRegistry,
+)
+from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.json_logging import FIELDS
+
+_logger: Final = logging.getLogger(__name__)
+
+
+class RecordReader(Protocol):
+    """Decodes the records of a deployment's topics."""
+
+    def is_table_key(self, key: str) -> bool:
+        """Return whether the operators' record is the routing table."""
+
+    def evacuated_zone(self, key: str) -> str | None:
+        """Return the zone that the operators' record evacuates, if any."""
+
+    def decode_table(self, value: bytes) -> RoutingTable:
+        """Return the routing table; raises ``ConfigError``."""
+
+    def decode_upstream(
+        self,
+        upstream_id: str,
+        value: bytes,
+        now: float,
+    ) -> RegisteredUpstream:
+        """Return an upstream's entry; raises ``ConfigError``."""
+
+
+@final
+class DeploymentView:
+    """The routing table in force and the registered upstreams."""
+
+    __slots__ = (
+        'clock',
+        'evacuated',
+        'has_upstreams',
+        'on_change',
+        'reader',
+        'registry',
+        'table',
+    )
+
+    def __init__(
+        self,
+        reader: RecordReader,
+        clock: Clock,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.reader = reader
+        self.clock = clock
+        self.on_change = on_change
+        self.registry = UpstreamRegistry()
+        self.table: RoutingTable | None = None
+        self.evacuated: frozenset[str] = frozenset()
+        self.has_upstreams = False
+
+    def take_operator_record(self, record: KeyedRecord) -> None:
+        """Take a new table, or a zone's evacuation or its end."""
+        zone = self.reader.evacuated_zone(record.key)
+        if zone is not None:
+            changed = {zone}
+            zones = self.evacuated - changed
+            self._evacuate(zones | changed if record.value else zones)
+        elif self.reader.is_table_key(record.key) and record.value:
+            self._use_table(record)
+
+    def take_operator_listing(self, keys: frozenset[str]) -> None:
+        """End the evacuations that a full listing does not show."""
+        zones = {self.reader.evacuated_zone(key) for key in keys}
+        self._evacuate(self.evacuated & zones)
+
+    def take_upstream_record(self, record: KeyedRecord) -> None:
+        """Take an upstream's entry, or its end."""
+        now = self.clock.monotonic()
+        if not record.value:
+            self._remove(record.key, now)
+            return
+        try:
+            upstream = self.reader.decode_upstream(
+                record.key,
+                record.value,
+                now,
+            )
+        except ConfigError as error:
+            _report('entry_unreadable', str(error), upstream=record.key)
+            self._remove(record.key, now)
+            return
+        known = self.registry.upstreams.get(record.key)
+        self.registry.put(upstream)
+        if known is None or known.is_ready != upstream.is_ready:
+            _report(
+                'upstream_changed',
+                'entry',
+                upstream=record.key,
+                pool=upstream.pool,
+                zone=upstream.zone,
+                is_ready=upstream.is_ready,
+                offset=record.offset,
+            )
+        self.on_change()
+
+    def take_upstream_listing(self, keys: frozenset[str]) -> None:
+        """Drop the upstreams that a full listing does not show."""
+        self.registry.keep_only(keys, self.clock.monotonic())
+        self.has_upstreams = True
+        self.on_change()
+
+    def _remove(self, upstream_id: str, now: float) -> None:
+        if upstream_id in self.registry.upstreams:
+            self.registry.remove(upstream_id, now)
+            _report(
+                'upstream_changed',
+                'entry ended',
+                upstream=upstream_id,
+                is_held=upstream_id in self.registry.lapsing,
+            )
+            self.on_change()
+
+    def _evacuate(self, zones: frozenset[str]) -> None:
+        if zones == self.evacuated:
+            return
+        self.evacuated = zones
+        self.registry.evacuate(zones, self.clock.monotonic())
+        _report('zones_evacuated', 'operators', zones=sorted(zones))
+        self.on_change()
+
+    def _use_table(self, record: KeyedRecord) -> None:
+        try:
+            table = self.reader.decode_table(record.value)
+        except ConfigError as error:
+            _report('table_unreadable', str(error), offset=record.offset)
+            return
+        known = self.table
+        if known is not None and table.version <= known.version:
+            return
+        self.table = table
+        _report(
+            'table_in_force',
+            'operators',
+            version=table.version,
+            former_version=known and known.version,
+            offset=record.offset,
+        )
+        self.on_change()
+
+
+def _report(event: str, reason: str, **fields: object) -> None:
+    line = {'event': event, 'reason': reason, **fields}
+    _logger.info(event, extra={FIELDS: line})
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/engines/health.py
@@ -0,0 +1,114 @@
+"""Which upstreams to leave alone for a while, judged by their answers.
+
+Load pattern: an engine crashes, falls silent, or fails part of its requests
+while its own health check passes. Each request that goes there is lost or
+late. An upstream is left out after failed connections at once, and after
+answers when it fails far more often than its pool; then it gets single
+requests until one succeeds.
+
+Example::
+
+    health.on_connect_failed('engine-7', now)
+    health.is_available('engine-7', now)
+"""
+
+import dataclasses
+from collections.abc import Collection
+from typing import Final, final
+
+FIRST_PAUSE_SECONDS: Final = 0.5
+MAX_PAUSE_SECONDS: Final = 4.0
+# Weight of the newest answer in the share of failures.
+GAIN: Final = 0.15
+# How far above its pool's share of failures an upstream is left out.
+EXCESS_SHARE: Final = 0.25
+# An upstream that was full gets the next request after this.
+FULL_SECONDS: Final = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    failure_share: float = 0
+    pause_seconds: float = FIRST_PAUSE_SECONDS
+    paused_until: float = 0
+    is_on_trial: bool = False
+    trial_until: float = 0
+
+
+@final
+class UpstreamHealth:
+    """What is known of each upstream's failures, by id."""
+
+    __slots__ = ('records',)
+
+    def __init__(self) -> None:
+        self.records: dict[str, _Record] = {}
+
+    def is_available(self, upstream_id: str, now: float) -> bool:
+        """Return whether the upstream may get a request now."""
+        record = self.records.get(upstream_id)
+        if record is None:
+            return True
+        if now < record.paused_until:
+            return False
+        return not record.is_on_trial or now >= record.trial_until
+
+    def on_sent(self, upstream_id: str, now: float) -> None:
+        """Note a request; on trial, no other one follows for a while."""
+        record = self.records.get(upstream_id)
+        if record is not None and record.is_on_trial:
+            record.trial_until = now + record.pause_seconds
+
+    def on_success(self, upstream_id: str) -> None:
+        """Note a whole answer."""
+        record = self.records.get(upstream_id)
+        if record is None:
+            return
+        record.failure_share *= 1 - GAIN
+        record.is_on_trial = False
+        record.pause_seconds = FIRST_PAUSE_SECONDS
+
+    def on_full(self, upstream_id: str, now: float) -> None:
+        """Note that the upstream had no room."""
+        record = self.records.setdefault(upstream_id, _Record())
+        record.paused_until = max(record.paused_until, now + FULL_SECONDS)
+
+    def on_connect_failed(self, upstream_id: str, now: float) -> None:
+        """Note that no connection could be made."""
+        self._pause(self.records.setdefault(upstream_id, _Record()), now)
+
+    def on_failure(
+        self,
+        upstream_id: str,
+        pool: Collection[str],
+        now: float,
+    ) -> None:
+        """Note an answer that failed or was cut; ``pool`` has all ids."""
+        record = self.records.setdefault(upstream_id, _Record())
+        record.failure_share += GAIN * (1 - record.failure_share)
+        excess = record.failure_share - self._mean_share(upstream_id, pool)
+        if excess > EXCESS_SHARE:
+            self._pause(record, now)
+
+    def forget(self, upstream_id: str) -> None:
+        """Drop what is known of an upstream that is gone."""
+        self.records.pop(upstream_id, None)
+
+    def _mean_share(self, upstream_id: str, pool: Collection[str]) -> float:
+        shares = [
+            self.records[other].failure_share
+            for other in pool
+            if other != upstream_id and other in self.records
+        ]
+        return sum(shares) / max(1, len(pool) - 1)
+
+    def _pause(self, record: _Record, now: float) -> None:
+        if now < record.paused_until:
+            return
+        record.paused_until = now + record.pause_seconds
+        record.trial_until = record.paused_until
+        record.is_on_trial = True
+        record.pause_seconds = min(
+            MAX_PAUSE_SECONDS,
+            2 * record.pause_seconds,
+        )
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/engines/waiting.py
@@ -0,0 +1,121 @@
+"""In which order waiting requests get their turn.
+
+Load pattern: more arrives than the engines can take, and one customer sends
+many times its share. The customer that was served least lately goes first, so
+a large customer waits behind a small one and never the other way round; among
+the requests of one customer, the one that must begin soonest goes first, and
+those that are late already come after those that can still be in time.
+
+Example::
+
+    line.push(demand)
+    for demand in line.in_turn(now):
+        ...
+    line.remove(demand)
+"""
+
+import math
+from collections.abc import Iterator
+from typing import Final, final
+
+from hickorymux._internal.coordination.engines.demands import Demand
+
+# Service counts half after this, so that no customer pays for old service.
+HALF_LIFE_SECONDS: Final = 3.0
+
+
+@final
+class ServiceMeter:
+    """What each customer was given lately, in the cost of its requests."""
+
+    __slots__ = ('given', 'updated_at')
+
+    def __init__(self) -> None:
+        self.given: dict[str, float] = {}
+        self.updated_at: dict[str, float] = {}
+
+    def add(self, customer: str, cost: float, now: float) -> None:
+        """Count service that begins now."""
+        self.given[customer] = self.recent(customer, now) + cost
+        self.updated_at[customer] = now
+
+    def recent(self, customer: str, now: float) -> float:
+        """Return the service of a customer, older service counting less."""
+        given = self.given.get(customer)
+        if given is None:
+            return 0
+        age = now - self.updated_at[customer]
+        return given * math.exp2(-age / HALF_LIFE_SECONDS)
+
+
+@final
+class WaitingLine:
+    """The requests that wait for one pool."""
+
+    __slots__ = ('by_customer', 'meter', 'queued_cost')
+
+    def __init__(self) -> None:
+        self.by_customer: dict[str, list[Demand]] = {}
+        self.meter = ServiceMeter()
+        self.queued_cost = 0.0
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(demands) for demands in self.by_customer.values())
+
+    def push(self, demand: Demand) -> None:
+        """Add a request."""
+        self.by_customer.setdefault(demand.customer, []).append(demand)
+        self.queued_cost += cost_of(demand)
+
+    def remove(self, demand: Demand) -> None:
+        """Take a request out, served or not."""
+        demands = self.by_customer[demand.customer]
+        demands.remove(demand)
+        if not demands:
+            self.by_customer.pop(demand.customer)
+        self.queued_cost -= cost_of(demand)
+
+    def in_turn(self, now: float) -> Iterator[Demand]:
+        """Yield each customer's next request, least served customer first.
+
+        Stop early or call again after each change: the order is as of now.
+        """
+        customers = sorted(
+            self.by_customer,
+            key=lambda customer: self.meter.recent(customer, now),
+        )
+        for customer in customers:
+            yield min(
+                self.by_customer[customer],
+                key=lambda demand: _urgency(demand, now),
+            )
+
+    def most_served(self, now: float) -> Demand | None:
+        """Return whom to refuse first: the newest of who got most lately."""
+        if not self.by_customer:
+            return None
+        customer = max(
+            self.by_customer,
+            key=lambda name: self.meter.recent(name, now),
+        )
+        return max(
+            self.by_customer[customer],
+            key=lambda demand: demand.arrived_at,
+        )
+
+    def all_waiting(self) -> Iterator[Demand]:
+        """Yield all requests that wait."""
+        for demands in self.by_customer.values():
+            yield from demands
+
+
+def cost_of(demand: Demand) -> float:
+    """Return the work of a request in the unit of its pool."""
+    cost: float = getattr(demand, 'cost', 1)
+    return cost
+
+
+def _urgency(demand: Demand, now: float) -> tuple[bool, float]:
+    is_late = demand.due_at <= now
+    return is_late, demand.due_at
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -0,0 +1,171 @@
+"""Follows a topic with keys and knows how old its view is.
+
+A follower starts from the newest record of each key and then reads on. When
+the log has dropped the offset it would read from, it starts over; keys that
+are no longer listed then count as dropped.
+
+Example::
+
+    follower = KeyedFollower(log, clock, 'tables', on_record, on_listing)
+    await follower.run()
+"""
+
+import dataclasses
+import logging
+import math
+from collections.abc import Callable
+from typing import Final, final
+
+from hickorymux._internal.coordination.ports import KeyedLog, KeyedRecord
+from hickorymux._internal.exceptions import LogTrimmed, LogUnavailable
+from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.json_logging import FIELDS
+
+RETRY_SECONDS: Final = 0.15
+# A view older than this was cut off from the log for a while.
+OUTAGE_SECONDS: Final = 1.5
+
+_logger = logging.getLogger(__name__)
+
+TakeRecord = Callable[[KeyedRecord], None]
+TakeListing = Callable[[frozenset[str]], None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Pace:
+    """How a topic is read, in seconds.
+
+    ``wait`` is how long the log may hold a read until a record comes.
+    ``pause`` lies between two reads, for topics that never rest.
+    """
+
+    wait: float
+    pause: float = 0
+
+
+@final
+class KeyedFollower:
+    """Reads one topic; each record goes to ``take`` in offset order.
+
+    ``take_listing`` gets all keys of a fresh listing, after its records.
+    ``on_return`` runs when the log answers again after an outage, before any
+    record is taken.
+    """
+
+    __slots__ = (
+        'as_of',
+        'clock',
+        'is_lost',
+        'log',
+        'next_offset',
+        'on_return',
+        'pace',
+        'take',
+        'take_listing',
+        'topic',
+    )
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        clock: Clock,
+        topic: str,
+        pace: Pace,
+        take: TakeRecord,
+        take_listing: TakeListing,
+        on_return: Callable[[], None],
+    ) -> None:
+        self.log = log
+        self.clock = clock
+        self.topic = topic
+        self.pace = pace
+        self.take = take
+        self.take_listing = take_listing
+        self.on_return = on_return
+        self.next_offset: int | None = None
+        self.as_of = -math.inf
+        self.is_lost = False
+
+    def age(self) -> float:
+        """Return how old the view may be, in seconds; infinite at first."""
+        return self.clock.monotonic() - self.as_of
+
+    async def run(self) -> None:
+        """Follow the topic for good."""
+        while True:
+            try:
+                await self.step()
+            except LogTrimmed:
+                self.next_offset = None
+            except LogUnavailable as error:
+                self._note_lost(error)
+                await self.clock.sleep(RETRY_SECONDS)
+
+    async def step(self) -> None:
+        """Read once, from the listing or from where the last read ended."""
+        started_at = self.clock.monotonic()
+        if self.next_offset is None:
+            await self._list(started_at)
+            return
+        page = await self.log.read(
+            self.topic,
+            self.next_offset,
+            wait_seconds=self.pace.wait,
+        )
+        # An empty answer proves that nothing was written while it was held.
+        held = 0 if page.records else self.pace.wait
+        self._note_answer(started_at + held)
+        for record in page.records:
+            self.take(record)
+        self.next_offset = page.next_offset
+        if self.pace.pause:
+            await self.clock.sleep(self.pace.pause)
+
+    async def _list(self, started_at: float) -> None:
+        page = await self.log.newest(self.topic)
+        self._note_answer(started_at)
+        for record in page.records:
+            self.take(record)
+        self.take_listing(
+            frozenset(record.key for record in page.records if record.value)
+        )
+        self.next_offset = page.next_offset
+
+    def _note_answer(self, as_of: float) -> None:
+        former_age = self.age()
+        self.as_of = max(self.as_of, min(as_of, self.clock.monotonic()))
+        allowed = OUTAGE_SECONDS + self.pace.wait + self.pace.pause
+        if not self.is_lost and former_age <= allowed:
+            return
+        self.is_lost = False
+        self.on_return()
+        _logger.info(
+            'log is back',
+            extra={
+                FIELDS: {
+                    'event': 'dependency_regained',
+                    'topic': self.topic,
+                    'age_seconds': _finite(former_age),
+                },
+            },
+        )
+
+    def _note_lost(self, error: LogUnavailable) -> None:
+        if self.is_lost:
+            return
+        self.is_lost = True
+        _logger.warning(
+            'log is lost',
+            extra={
+                FIELDS: {
+                    'event': 'dependency_lost',
+                    'topic': self.topic,
+                    'age_seconds': _finite(self.age()),
+                    'reason': str(error),
+                },
+            },
+        )
+
+
+def _finite(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/hickorymux/_internal/coordination/ports.py
+++ b/src/hickorymux/_internal/coordination/ports.py
@@ -54,6 +54,46 @@
         """
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeyedRecord:
+    """A record of a topic with keys; an empty value drops the key."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeyedPage:
+    """Records of a topic and the offset where the next read starts."""
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+
+
+class KeyedLog(Protocol):
+    """A log whose newest record of each key is kept for good."""
+
+    async def newest(self, topic: str) -> KeyedPage:
+        """Return the newest record of each key.
+
+        Raises ``LogUnavailable`` when the log does not answer.
+        """
+
+    async def read(
+        self,
+        topic: str,
+        from_offset: int,
+        *,
+        wait_seconds: float = 0,
+    ) -> KeyedPage:
+        """Return the records from an offset on, waiting if there are none.
+
+        Raises ``LogTrimmed`` when the offset is no longer retained and
+        ``LogUnavailable`` when the log does not answer.
+        """
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Member:
     """A router as the membership sees it."""
--- a/src/hickorymux/_internal/coordination/retry_budget.py
+++ b/src/hickorymux/_internal/coordination/retry_budget.py
@@ -27,7 +27,7 @@
     """
 
     share: float = 0.2
-    floor: int = 10
+    floor: float = 10
     window: dt.timedelta = dt.timedelta(seconds=10)
 
 
--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -118,6 +118,12 @@
     http_status = 502
 
 
+class AnswerCut(UpstreamFailed):
+    """The answer ended after its beginning had gone to the caller."""
+
+    code = 'answer_cut'
+
+
 class UpstreamTimeout(RequestError):
     """The upstream did not answer in time."""
 
--- a/src/hickorymux/_internal/protocol/http.py
+++ b/src/hickorymux/_internal/protocol/http.py
@@ -72,9 +72,16 @@
     return frozenset(name.strip() for name in listed)
 
 
+def hop_by_hop_names(headers: Mapping[str, str]) -> frozenset[str]:
+    """Return the names, in lower case, of headers that end at this hop."""
+    if 'Connection' not in headers:
+        return _HOP_BY_HOP
+    return _HOP_BY_HOP | _named_in_connection(headers)
+
+
 def headers_for_upstream(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the caller's headers that an upstream may see."""
-    dropped = _HOP_BY_HOP | _FOR_THE_ROUTER | _named_in_connection(headers)
+    dropped = hop_by_hop_names(headers) | _FOR_THE_ROUTER
     return CIMultiDict(
         (name, value)
         for name, value in headers.items()
@@ -84,7 +91,7 @@
 
 def headers_for_caller(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the upstream's headers that the caller may see."""
-    dropped = _HOP_BY_HOP | _named_in_connection(headers)
+    dropped = hop_by_hop_names(headers)
     return CIMultiDict(
         (name, value)
         for name, value in headers.items()
--- /dev/null
+++ b/src/hickorymux/_internal/protocol/idl/load.thrift
@@ -0,0 +1,9 @@
+// What routers have placed on upstreams, as columns of equal length.
+
+struct LoadReport {
+  1: optional string zone = "",
+  2: optional list<string> upstreams = [],
+  3: optional list<i32> running = [],
+  4: optional list<i32> unread = [],
+  5: optional list<i32> memory = [],
+}
--- a/src/hickorymux/_internal/protocol/peer_codec.py
+++ b/src/hickorymux/_internal/protocol/peer_codec.py
@@ -26,6 +26,7 @@
 
 _FACTORY = TCompactProtocolFactory()
 _COORDINATION = 'hickorymux._internal.coordination'
+_MESSAGES = '_messages'
 
 _Convert = Callable[[typing.Any], typing.Any]
 
@@ -109,17 +110,25 @@
 class PeerCodec:
     """Encodes and decodes all messages that routers exchange."""
 
-    __slots__ = ('by_class', 'by_code')
+    __slots__ = ('by_class', 'by_code', 'known', 'names')
 
     def __init__(self, registry: Iterable[tuple[int, str, str]]) -> None:
         self.by_code: dict[int, StructMapping] = {}
         self.by_class: dict[type, tuple[int, StructMapping]] = {}
-        for code, mechanism, class_name in registry:
-            self._register(code, mechanism, class_name)
+        self.known = {
+            (mechanism, class_name): code
+            for code, mechanism, class_name in registry
+        }
+        self.names = {code: name for name, code in self.known.items()}
 
     def encode(self, message: typing.Any) -> tuple[int, bytes]:
         """Return the type code and the thrift bytes of a message."""
-        code, mapping = self.by_class[type(message)]
+        message_class = type(message)
+        if message_class not in self.by_class:
+            module = message_class.__module__.rpartition('.')[2]
+            mechanism = module.removesuffix(_MESSAGES)
+            self._register(self.known[mechanism, message_class.__name__])
+        code, mapping = self.by_class[message_class]
         return code, serialize(mapping.to_struct(message), _FACTORY)
 
     def decode(self, code: int, body: bytes) -> typing.Any:
@@ -127,15 +136,20 @@
 
         A type code that this version does not know gives ``None``.
         """
-        mapping = self.by_code.get(code)
-        if mapping is None:
+        if code not in self.names:
             return None
+        if code not in self.by_code:
+            self._register(code)
+        mapping = self.by_code[code]
         return mapping.to_message(read_struct(mapping.struct(), body))
 
-    def _register(self, code: int, mechanism: str, class_name: str) -> None:
-        messages = import_module(
-            f'{_COORDINATION}.{mechanism}_messages',
-        )
+    def _register(self, code: int) -> None:
+        """Load a message's class and struct when it is first met.
+
+        A process then holds only what it exchanges.
+        """
+        mechanism, class_name = self.names[code]
+        messages = import_module(f'{_COORDINATION}.{mechanism}{_MESSAGES}')
         message_class = getattr(messages, class_name)
         mapping = StructMapping(message_class, load_idl(mechanism))
         self.by_code[code] = mapping
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -32,6 +32,7 @@
     (53, 'suspect', 'TurnRequest'),
     (54, 'suspect', 'TurnGrant'),
     (55, 'suspect', 'TurnEnd'),
+    (60, 'load', 'LoadReport'),
 )
 
 
--- a/src/hickorymux/_internal/state/suspects.py
+++ b/src/hickorymux/_internal/state/suspects.py
@@ -39,21 +39,25 @@
     expires_at: float
     crashes: frozenset[str] = frozenset()
 
-    @property
-    def standing(self) -> Suspicion:
-        """Return what follows from the crashes."""
-        if len(self.crashes) >= CRASHES_UNTIL_REFUSED:
-            return Suspicion.refused
-        return Suspicion.suspect
-
 
 @final
 class SuspectTable:
     """The suspects that one router knows of; the oldest make room."""
 
-    __slots__ = ('entries', 'lifetime_seconds', 'max_entries')
-
-    def __init__(self, lifetime_seconds: float, max_entries: int) -> None:
+    __slots__ = (
+        'crashes_until_refused',
+        'entries',
+        'lifetime_seconds',
+        'max_entries',
+    )
+
+    def __init__(
+        self,
+        lifetime_seconds: float,
+        max_entries: int,
+        crashes_until_refused: int = CRASHES_UNTIL_REFUSED,
+    ) -> None:
+        self.crashes_until_refused = crashes_until_refused
         self.lifetime_seconds = lifetime_seconds
         self.max_entries = max_entries
         self.entries: collections.OrderedDict[int, Suspect]
@@ -62,7 +66,7 @@
     def standing(self, fingerprint: int, now: float) -> Suspicion:
         """Return how a fingerprint may run at a monotonic time."""
         known = self._live(fingerprint, now)
-        return known.standing if known is not None else Suspicion.clear
+        return self._judge(known) if known is not None else Suspicion.clear
 
     def add_crash(self, fingerprint: int, crash: str, now: float) -> None:
         """Note that the fingerprint was in flight at a crash."""
@@ -77,9 +81,15 @@
     def clear(self, fingerprint: int) -> None:
         """Forget a suspect that ran to its end, unless refused."""
         known = self.entries.get(fingerprint)
-        if known is not None and known.standing is not Suspicion.refused:
+        if known is not None and self._judge(known) is Suspicion.suspect:
             self.entries.pop(fingerprint)
 
+    def _judge(self, known: Suspect) -> Suspicion:
+        """Return what follows from the crashes."""
+        if len(known.crashes) >= self.crashes_until_refused:
+            return Suspicion.refused
+        return Suspicion.suspect
+
     def _live(self, fingerprint: int, now: float) -> Suspect | None:
         known = self.entries.get(fingerprint)
         if known is None or known.expires_at > now:
--- /dev/null
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -0,0 +1,136 @@
+"""The upstreams that announce themselves, as this router last heard.
+
+Entries lapse when an upstream stops renewing them. After an outage of the
+registry's store, lapsed entries come back within a grace period, so a removal
+that is learned right after an outage takes effect only when it ends.
+
+Example::
+
+    registry.put(upstream, now)
+    registry.remove('engine-7', now)
+    registry.expire(now)
+    for upstream in registry.of_pool('drafting'):
+        ...
+"""
+
+import dataclasses
+from collections.abc import Iterator, Sequence
+from typing import Final, final
+
+# Lapsed entries of live upstreams return within two seconds of the store.
+LAPSE_GRACE_SECONDS: Final = 2.0
+# An upstream that comes back from an evacuation may be cold before its next
+# entry says so; entries are renewed about every 1.2 s.
+RETURN_COLD_SECONDS: Final = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class RegisteredUpstream:
+    """One life of an upstream.
+
+    ``born_ms`` tells lives under one id apart. ``cold_until`` is monotonic
+    seconds; the upstream bears little until then.
+    """
+
+    upstream_id: str
+    pool: str
+    address: str
+    zone: str
+    slots: int
+    is_ready: bool
+    cold_until: float = 0
+    born_ms: int = 0
+
+    @property
+    def life(self) -> str:
+        """Return a name that no other life of any upstream has."""
+        return f'{self.upstream_id}#{self.born_ms}'
+
+
+@final
+class UpstreamRegistry:
+    """All upstreams by id and by pool; entries change, ids do not move."""
+
+    __slots__ = (
+        'evacuated_zones',
+        'grace_until',
+        'lapsing',
+        'pools',
+        'returned_zones',
+        'upstreams',
+    )
+
+    def __init__(self) -> None:
+        self.upstreams: dict[str, RegisteredUpstream] = {}
+        self.pools: dict[str, tuple[RegisteredUpstream, ...]] = {}
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.returned_zones: dict[str, float] = {}
+        self.grace_until = 0.0
+        self.lapsing: set[str] = set()
+
+    def put(self, upstream: RegisteredUpstream) -> None:
+        """Take an entry, new or renewed."""
+        self.lapsing.discard(upstream.upstream_id)
+        known = self.upstreams.get(upstream.upstream_id)
+        self.upstreams[upstream.upstream_id] = upstream
+        if known is None or known != upstream:
+            self._index(upstream.pool)
+            if known is not None and known.pool != upstream.pool:
+                self._index(known.pool)
+
+    def remove(self, upstream_id: str, now: float) -> None:
+        """Drop an entry, or wait for its return right after an outage."""
+        if now < self.grace_until and upstream_id in self.upstreams:
+            self.lapsing.add(upstream_id)
+            return
+        gone = self.upstreams.pop(upstream_id, None)
+        if gone is not None:
+            self._index(gone.pool)
+
+    def keep_only(self, upstream_ids: frozenset[str], now: float) -> None:
+        """Drop whatever a full listing of the store does not show."""
+        for missing in self.upstreams.keys() - upstream_ids:
+            self.remove(missing, now)
+
+    def begin_grace(self, now: float) -> None:
+        """Note that the store is back after an outage."""
+        self.grace_until = now + LAPSE_GRACE_SECONDS
+
+    def expire(self, now: float) -> None:
+        """Drop entries that did not come back within the grace period."""
+        if now < self.grace_until or not self.lapsing:
+            return
+        lapsed, self.lapsing = self.lapsing, set()
+        for upstream_id in lapsed:
+            self.remove(upstream_id, now)
+
+    def evacuate(self, zones: frozenset[str], now: float) -> None:
+        """Take the zones that must get no work, replacing the former ones."""
+        for zone in self.evacuated_zones - zones:
+            self.returned_zones[zone] = now + RETURN_COLD_SECONDS
+        self.evacuated_zones = zones
+
+    def of_pool(self, pool: str) -> Iterator[RegisteredUpstream]:
+        """Yield the upstreams of a pool that may get work."""
+        for upstream in self.pools.get(pool, ()):
+            if upstream.is_ready and upstream.zone not in self.evacuated_zones:
+                yield upstream
+
+    def all_of_pool(self, pool: str) -> Sequence[RegisteredUpstream]:
+        """Return the upstreams of a pool, also those that may get none."""
+        return self.pools.get(pool, ())
+
+    def is_cold(self, upstream: RegisteredUpstream, now: float) -> bool:
+        """Return whether the upstream bears only its cold rate."""
+        if upstream.cold_until > now:
+            return True
+        return self.returned_zones.get(upstream.zone, 0) > now
+
+    def _index(self, pool: str) -> None:
+        members = [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.pool == pool
+        ]
+        members.sort(key=lambda upstream: upstream.upstream_id)
+        self.pools[pool] = tuple(members)
--- a/src/hickorymux/_internal/transport/caller_server.py
+++ b/src/hickorymux/_internal/transport/caller_server.py
@@ -265,7 +265,7 @@
         self.running.add(work)
         self.handling -= {asyncio.current_task()}
         work.add_done_callback(self.running.discard)
-        work.add_done_callback(_read_exception)
+        work.add_done_callback(read_exception)
         await asyncio.shield(work)
 
     async def _run(self, call: calls.Call, reply: HttpReply) -> None:
@@ -412,7 +412,7 @@
         )
 
 
-def _read_exception(work: 'asyncio.Task[None]') -> None:
+def read_exception(work: 'asyncio.Task[None]') -> None:
     """Read a task's error, so that one that nobody waits for is not lost."""
     if not work.cancelled() and work.exception() is not None:
         _logger.info('work without a caller ended: %r', work.exception())
--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -26,6 +26,7 @@
     Scheduler,
 )
 from hickorymux._internal.exceptions import (
+    AnswerCut,
     Ran,
     RequestError,
     UpstreamFailed,
@@ -77,12 +78,6 @@
     code = 'upstream_refused'
 
 
-class AnswerCut(UpstreamFailed):
-    """The answer ended after its beginning had gone to the caller."""
-
-    code = 'answer_cut'
-
-
 NOT_THE_UPSTREAM: Final = (LeaseLapsed, UpstreamRefused)
 
 
@@ -98,6 +93,11 @@
     cost: float = 0
     status: int = 0
 
+    @property
+    def upstream(self) -> Upstream:
+        """Return where the attempt goes."""
+        return self.placement.slot.upstream
+
 
 @dataclasses.dataclass(slots=True)
 class _History:
@@ -199,10 +199,10 @@
         if not attempt.sent or not isinstance(error, UpstreamCut):
             return
         instance = exchange.placement.slot.instance
-        if await self._is_alive(attempt.upstream, instance):
+        if await self._is_alive(exchange.upstream, instance):
             return
         await self.suspects.on_crash(
-            attempt.upstream.name,
+            exchange.upstream.name,
             instance,
             [exchange.call.fingerprint],
         )
@@ -234,16 +234,17 @@
         upstream = placement.slot.upstream
         waited = placement.waited_seconds
         attempt_id = new_request_id()
+        upstream_id = _upstream_id(call, attempt_id)
         self.metrics.observe('queue_wait', call.pool.name, waited)
         attempt = Attempt(
             attempt_id=attempt_id,
-            upstream_id=_upstream_id(call, attempt_id),
-            upstream=upstream,
+            upstream_id=upstream_id,
+            address=upstream.address,
             method=call.method,
             path=call.path,
-            headers=_outgoing_headers(call),
+            headers=_outgoing_headers(call, attempt_id, upstream_id),
             body=call.body,
-            is_repeatable=call.is_repeatable,
+            may_reuse_connection=call.is_repeatable,
             verify_connection=functools.partial(
                 self.verify,
                 upstream,
@@ -304,7 +305,7 @@
             'answered',
             'whole',
             status=exchange.status,
-            upstream=exchange.attempt.upstream.name,
+            upstream=exchange.upstream.name,
             cost=round(exchange.cost, 1),
         )
         whole_seconds = self.clock.monotonic() - call.arrived_at
@@ -360,7 +361,7 @@
         """Take what the head of the answer tells of the upstream."""
         now = self.clock.monotonic()
         call = exchange.call
-        upstream = exchange.attempt.upstream
+        upstream = exchange.upstream
         holder = self.scheduler.holder
         received = answer.response.headers
         holder.on_answer(
@@ -438,7 +439,7 @@
             exchange.call.request_id,
             'resumed',
             str(cause),
-            upstream=attempt.upstream.name,
+            upstream=exchange.upstream.name,
             after_events=relay.events,
         )
         return answer
@@ -470,13 +471,13 @@
         if isinstance(error, NOT_THE_UPSTREAM):
             _logger.debug('attempt ended: %s', error)
         else:
-            self.scheduler.holder.on_connection_failure(attempt.upstream)
+            self.scheduler.holder.on_connection_failure(exchange.upstream)
         final = self._final_error(exchange, reply, error, history)
         self.decisions.record(
             call.request_id,
             'retry' if final is None else 'failed',
             str(error),
-            upstream=attempt.upstream.name,
+            upstream=exchange.upstream.name,
             sent=attempt.sent,
             attempt=exchange.number,
         )
@@ -553,7 +554,13 @@
     return call.request_id
 
 
-def _outgoing_headers(call: Call) -> CIMultiDict[str]:
+def _outgoing_headers(
+    call: Call,
+    attempt_id: str,
+    upstream_id: str,
+) -> CIMultiDict[str]:
     headers = http.headers_for_upstream(call.headers)
     headers[http.CUSTOMER] = call.customer
+    headers[http.REQUEST_ID] = upstream_id
+    headers[http.ATTEMPT_ID] = attempt_id
     return headers
--- /dev/null
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -0,0 +1,435 @@
+"""Brings a request to its answer: seat, send, relay, second tries.
+
+Only what an upstream says of itself proves that a request did not run.
+"""
+
+import asyncio
+import contextlib
+import functools
+import logging
+from typing import Any, Final, final
+
+from hickorymux._internal.coordination.crash_suspects import CrashSuspects
+from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.coordination.engines.allocator import (
+    Allocator,
+    Seat,
+)
+from hickorymux._internal.coordination.engines.demands import PlainDemand
+from hickorymux._internal.coordination.retry_budget import RetryBudget
+from hickorymux._internal.exceptions import (
+    AnswerCut,
+    NoCapacity,
+    Ran,
+    RequestError,
+    UpstreamFailed,
+    UpstreamTimeout,
+)
+from hickorymux._internal.protocol import http
+from hickorymux._internal.protocol.upstream_http import AnswerFacts, Dialect
+from hickorymux._internal.state.routing import RequestKind
+from hickorymux._internal.transport.entry_call import EntryCall
+from hickorymux._internal.transport.metrics import RouterMetrics
+from hickorymux._internal.transport.relay import EventRelay, Reply, relay_plain
+from hickorymux._internal.transport.upstream_client import (
+    Attempt,
+    AttemptError,
+    ConnectFailed,
+    UpstreamAnswer,
+    UpstreamClient,
+    UpstreamCut,
+)
+from hickorymux._internal.utils.clock import Clock
+
+# Upstreams that one request may fail to connect to.
+MAX_FAILED_CONNECTS: Final = 4
+# Kept of the caller's time for the answer to travel.
+ANSWER_MARGIN_SECONDS: Final = 0.02
+# How long to wait for a sign of life of an upstream that cut an answer.
+ALIVE_SECONDS: Final = 0.3
+# What a refusal asks for when an upstream had no room.
+FULL_RETRY_SECONDS: Final = 0.3
+_STATUS_SERVER_ERROR: Final = 500
+_STATUS_OK: Final = 200
+_FIRST_NOT_OK: Final = 300
+# Statuses that promise that a request has not run; an upstream's word for it
+# counts only with its proof.
+_PROMISES: Final = frozenset((408, 421, 429, 503))
+
+_logger = logging.getLogger(__name__)
+
+
+class UpstreamRefused(AttemptError):
+    """The upstream proved that it did not run the request."""
+
+    code = 'upstream_refused'
+
+
+class AnswerNotUsable(AttemptError):
+    """The answer is not one to this request, or not to be passed on."""
+
+    code = 'answer_not_usable'
+
+
+class UpstreamError(AttemptError):
+    """The upstream ran the request and failed; it may be tried again."""
+
+    code = 'upstream_error'
+
+
+@final
+class EntryDispatcher:
+    """Runs calls; one instance for the whole process."""
+
+    __slots__ = (
+        'allocator',
+        'client',
+        'clock',
+        'decisions',
+        'dialect',
+        'metrics',
+        'retries',
+        'suspects',
+    )
+
+    def __init__(
+        self,
+        allocator: Allocator,
+        client: UpstreamClient,
+        dialect: Dialect,
+        suspects: CrashSuspects,
+        retries: RetryBudget,
+        decisions: DecisionLog,
+        metrics: RouterMetrics,
+        clock: Clock,
+    ) -> None:
+        self.allocator = allocator
+        self.client = client
+        self.dialect = dialect
+        self.suspects = suspects
+        self.retries = retries
+        self.decisions = decisions
+        self.metrics = metrics
+        self.clock = clock
+
+    async def run(self, call: EntryCall, reply: Reply) -> None:
+        """Bring the call to its answer.
+
+        Raises ``RequestError`` when there is none; its ``ran`` is true.
+        """
+        self.retries.count_request(call.demand.pool.name)
+        self.suspects.check(call.fingerprint)
+        seconds = call.demand.deadline - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(seconds - ANSWER_MARGIN_SECONDS):
+                while not await self._try(call, reply):
+                    _logger.debug('another attempt')
+        except TimeoutError:
+            raise self._timed_out(call) from None
+
+    async def _try(self, call: EntryCall, reply: Reply) -> bool:
+        """Run one attempt; return whether it brought the answer."""
+        seat = await self._acquire(call)
+        attempt = self._attempt(call, seat)
+        try:
+            await self._exchange(call, seat, attempt, reply)
+        except AttemptError as error:
+            self._learn(seat, attempt, error)
+            if isinstance(error, UpstreamCut) and attempt.sent:
+                await self._report_crash(call, seat)
+            self._judge(call, seat, attempt, error)
+            return False
+        finally:
+            seat.release()
+        self.allocator.health.on_success(seat.upstream.upstream_id)
+        return True
+
+    async def _acquire(self, call: EntryCall) -> Seat:
+        arrived_at = self.clock.monotonic()
+        try:
+            seat = await self.allocator.acquire(call.demand)
+        except RequestError as error:
+            if call.may_have_run:
+                raise UpstreamFailed(
+                    f'no upstream for another attempt: {error.detail}',
+                    ran=Ran.unknown,
+                ) from error
+            raise
+        waited = self.clock.monotonic() - arrived_at
+        self.metrics.observe('queue_wait', call.demand.pool.name, waited)
+        choice = seat.choice
+        self.decisions.record(
+            call.request_id,
+            'placed',
+            'in time' if choice.expected_seconds else 'idle',
+            customer=call.demand.customer,
+            pool=call.demand.pool.name,
+            upstream=seat.upstream.upstream_id,
+            attempt=call.sends + 1,
+            waited_ms=round(1000 * waited, 1),
+            expected_ms=round(1000 * choice.expected_seconds, 1),
+            unread_before=choice.unread_before,
+            running_before=choice.running_before,
+        )
+        return seat
+
+    def _attempt(self, call: EntryCall, seat: Seat) -> Attempt:
+        headers = call.headers.copy()
+        left = call.demand.deadline - self.clock.monotonic()
+        self.dialect.set_attempt_headers(
+            headers,
+            seat.upstream.upstream_id,
+            left,
+            call.last_event_id,
+        )
+        is_stream = call.route.kind is RequestKind.streaming
+        return Attempt(
+            attempt_id='',
+            upstream_id=call.request_id,
+            address=seat.upstream.address,
+            method=call.method,
+            path=call.path,
+            headers=headers,
+            body=call.body,
+            may_reuse_connection=is_stream or call.route.is_repeatable,
+            verify_connection=_accept_any,
+            check_before_send=functools.partial(_count_send, call),
+        )
+
+    async def _exchange(
+        self,
+        call: EntryCall,
+        seat: Seat,
+        attempt: Attempt,
+        reply: Reply,
+    ) -> None:
+        answer = await self.client.open(attempt)
+        try:
+            await self._relay(call, seat, answer, reply)
+        except BaseException:
+            answer.close()
+            raise
+        answer.release()
+        spent = self.clock.monotonic() - call.demand.arrived_at
+        self.metrics.observe('whole_answer', call.demand.pool.name, spent)
+        self.decisions.record(
+            call.request_id,
+            'answered',
+            'whole',
+            status=answer.status,
+            upstream=seat.upstream.upstream_id,
+            took_ms=round(1000 * spent, 1),
+        )
+
+    async def _relay(
+        self,
+        call: EntryCall,
+        seat: Seat,
+        answer: UpstreamAnswer,
+        reply: Reply,
+    ) -> None:
+        received = answer.response.headers
+        facts = self.dialect.read_answer(answer.status, received)
+        self._check(call, answer, facts)
+        is_success = _STATUS_OK <= answer.status < _FIRST_NOT_OK
+        if call.route.kind is RequestKind.streaming and is_success:
+            await self._relay_stream(call, seat, answer, reply)
+            return
+        if call.relay is not None:
+            raise AnswerNotUsable(f'status {answer.status} inside a stream')
+        headers = self.dialect.headers_to_caller(received)
+        await relay_plain(answer, reply, headers)
+        if is_success and isinstance(call.demand, PlainDemand):
+            self._learn_service_time(seat)
+
+    def _check(
+        self,
+        call: EntryCall,
+        answer: UpstreamAnswer,
+        facts: AnswerFacts,
+    ) -> None:
+        """Raise ``AttemptError`` for an answer that must not be passed on."""
+        status = answer.status
+        if facts.request_id and facts.request_id != call.request_id:
+            raise AnswerNotUsable(f'answer to request {facts.request_id}')
+        if facts.is_not_run:
+            raise UpstreamRefused(f'status {status}')
+        if status in _PROMISES:
+            raise AnswerNotUsable(f'status {status} without proof')
+        if not facts.is_signed:
+            raise AnswerNotUsable(f'status {status} without signature')
+        if status >= _STATUS_SERVER_ERROR and self._may_repeat(call):
+            raise UpstreamError(f'status {status}')
+
+    async def _relay_stream(
+        self,
+        call: EntryCall,
+        seat: Seat,
+        answer: UpstreamAnswer,
+        reply: Reply,
+    ) -> None:
+        if call.relay is None:
+            call.relay = EventRelay(
+                reply,
+                answer.status,
+                self.dialect.headers_to_caller(answer.response.headers),
+                functools.partial(self._on_events, call, seat),
+                needs_done=False,
+            )
+        await call.relay.run(answer.chunks())
+        await call.relay.finish()
+
+    def _on_events(self, call: EntryCall, seat: Seat, events: int) -> None:
+        if not seat.is_read:
+            now = self.clock.monotonic()
+            self.metrics.observe(
+                'first_byte',
+                call.demand.pool.name,
+                now - call.demand.arrived_at,
+            )
+            seat.on_answer_begun()
+
+    def _learn_service_time(self, seat: Seat) -> None:
+        self.allocator.speeds.observe_service(
+            seat.upstream.upstream_id,
+            seat.choice.running_before + 1,
+            seat.upstream.slots,
+            self.clock.monotonic() - seat.taken_at,
+        )
+
+    def _learn(
+        self,
+        seat: Seat,
+        attempt: Attempt,
+        error: AttemptError,
+    ) -> None:
+        """Take what a failure tells of the upstream."""
+        health = self.allocator.health
+        upstream_id = seat.upstream.upstream_id
+        now = self.clock.monotonic()
+        if isinstance(error, UpstreamRefused):
+            health.on_full(upstream_id, now)
+        elif isinstance(error, ConnectFailed) or not attempt.sent:
+            health.on_connect_failed(upstream_id, now)
+        else:
+            pool = self.allocator.registry.all_of_pool(seat.upstream.pool)
+            ids = [upstream.upstream_id for upstream in pool]
+            health.on_failure(upstream_id, ids, now)
+
+    async def _report_crash(self, call: EntryCall, seat: Seat) -> None:
+        """Note that a request was at work when its upstream died."""
+        if await _is_listening(seat.upstream.address):
+            return
+        self.allocator.health.on_connect_failed(
+            seat.upstream.upstream_id,
+            self.clock.monotonic(),
+        )
+        await self.suspects.on_crash(
+            seat.upstream.upstream_id,
+            str(seat.upstream.born_ms),
+            [call.fingerprint],
+        )
+
+    def _judge(
+        self,
+        call: EntryCall,
+        seat: Seat,
+        attempt: Attempt,
+        error: AttemptError,
+    ) -> None:
+        """Return when the call may be tried again, else raise its error."""
+        call.demand.tried.add(seat.upstream.upstream_id)
+        if not attempt.sent:
+            call.failed_connects += 1
+        elif not isinstance(error, UpstreamRefused):
+            call.may_have_run = True
+        final = self._final_error(call, attempt, error)
+        self.decisions.record(
+            call.request_id,
+            'retry' if final is None else 'failed',
+            str(error),
+            upstream=seat.upstream.upstream_id,
+            sent=attempt.sent,
+            attempt=call.sends,
+        )
+        if final is not None:
+            raise final from error
+
+    def _final_error(
+        self,
+        call: EntryCall,
+        attempt: Attempt,
+        error: AttemptError,
+    ) -> RequestError | None:
+        if self._may_try_again(call, attempt, error):
+            return None
+        if call.relay is not None and call.relay.reply.has_started:
+            return AnswerCut(str(error), ran=Ran.unknown)
+        if not call.may_have_run:
+            return NoCapacity(
+                f'not run: {error.detail}',
+                retry_after=FULL_RETRY_SECONDS,
+            )
+        return UpstreamFailed(error.detail, ran=Ran.unknown)
+
+    def _may_try_again(
+        self,
+        call: EntryCall,
+        attempt: Attempt,
+        error: AttemptError,
+    ) -> bool:
+        pool = call.demand.pool.name
+        if not attempt.sent:
+            if call.failed_connects > MAX_FAILED_CONNECTS:
+                return False
+            # Nothing arrived, so the first send is still to come.
+            return call.sends == 0 or self.retries.take(pool)
+        is_safe = call.route.is_repeatable or not call.may_have_run
+        if not is_safe or call.sends >= call.route.max_attempts:
+            return False
+        if _is_unresumable(call):
+            return False
+        return self.retries.take(pool)
+
+    def _may_repeat(self, call: EntryCall) -> bool:
+        return (
+            call.route.is_repeatable
+            and call.sends < call.route.max_attempts
+            and call.relay is None
+        )
+
+    def _timed_out(self, call: EntryCall) -> RequestError:
+        if call.relay is not None and call.relay.reply.has_started:
+            return AnswerCut('out of time', ran=Ran.unknown)
+        if call.sends:
+            return UpstreamTimeout('out of time', ran=Ran.unknown)
+        return NoCapacity('out of time', retry_after=FULL_RETRY_SECONDS)
+
+
+def _count_send(call: EntryCall) -> None:
+    """Count an upstream as reached; runs just before the first octet."""
+    call.sends += 1
+
+
+async def _accept_any(_protocol: Any) -> None:
+    """Take any connection: the upstream checks for itself who it is."""
+
+
+def _is_unresumable(call: EntryCall) -> bool:
+    """Return whether a stream has begun that can't be gone on with."""
+    relay = call.relay
+    if relay is None or not relay.reply.has_started:
+        return False
+    return not (call.route.is_resumable and relay.last_event_id)
+
+
+async def _is_listening(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    writer: asyncio.StreamWriter | None = None
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(ALIVE_SECONDS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    if writer is None:
+        return False
+    writer.close()
+    return True
--- /dev/null
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -0,0 +1,368 @@
+"""HTTP towards callers and the balancer of a deployment.
+
+Every request is matched, authorized and given to the dispatcher. A refusal is
+given at once and says whether the request ran and when to come back.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final, final
+
+from aiohttp import web
+
+from hickorymux._internal.coordination.decisions import DecisionLog
+from hickorymux._internal.coordination.deployment_view import DeploymentView
+from hickorymux._internal.coordination.engines.demands import (
+    Demand,
+    PlainDemand,
+    PromptDemand,
+)
+from hickorymux._internal.exceptions import (
+    BadRequest,
+    BodyTooLarge,
+    CrashSuspect,
+    NotReady,
+    RequestError,
+    RouteNotFound,
+    Unauthorized,
+)
+from hickorymux._internal.protocol.upstream_http import CallFacts, Dialect
+from hickorymux._internal.state.routing import (
+    DEFAULT_BODY_OCTETS,
+    Customer,
+    HttpRoute,
+    RequestKind,
+    RoutingTable,
+)
+from hickorymux._internal.transport.caller_server import (
+    HttpReply,
+    read_exception,
+)
+from hickorymux._internal.transport.entry_call import EntryCall
+from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
+from hickorymux._internal.transport.metrics import RouterMetrics
+from hickorymux._internal.utils.clock import Clock
+
+NOT_READY_RETRY_SECONDS: Final = 0.5
+# A view of the tables older than this can't tell that a route is missing.
+FRESH_TABLE_SECONDS: Final = 3.0
+# Longer than callers leave a connection idle, so that they close it first.
+KEEP_ALIVE_SECONDS: Final = 75.0
+# How long the rest of a body is read and dropped after an early answer.
+LINGERING_SECONDS: Final = 2.0
+MAX_HEADER_OCTETS: Final = 65536
+_STATUS_UNAVAILABLE: Final = 503
+_STATUS_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+@final
+class TableView:
+    """The routing table in force and how old this router's view of it is."""
+
+    __slots__ = ('age', 'deployment', 'max_key_age')
+
+    def __init__(
+        self,
+        deployment: DeploymentView,
+        age: Callable[[], float],
+        max_key_age: float | None,
+    ) -> None:
+        self.deployment = deployment
+        self.age = age
+        self.max_key_age = max_key_age
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """Return the table in force, ``None`` until there is one."""
+        return self.deployment.table
+
+    def may_trust_keys(self) -> bool:
+        """Return whether no key can have been withdrawn for too long."""
+        return self.max_key_age is None or self.age() < self.max_key_age
+
+
+@final
+class EntryServer:
+    """Takes requests and answers them; one instance for the process."""
+
+    __slots__ = (
+        'chooser',
+        'clock',
+        'decisions',
+        'dialect',
+        'dispatcher',
+        'is_stopping',
+        'metrics',
+        'running',
+        'view',
+    )
+
+    def __init__(
+        self,
+        dispatcher: EntryDispatcher,
+        view: TableView,
+        chooser: Callable[[HttpRoute], str],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.view = view
+        self.chooser = chooser
+        self.dialect: Dialect = dispatcher.dialect
+        self.clock: Clock = dispatcher.clock
+        self.decisions: DecisionLog = dispatcher.decisions
+        self.metrics: RouterMetrics = dispatcher.metrics
+        self.running: set[asyncio.Task[Any]] = set()
+        self.is_stopping = False
+
+    def server(self) -> web.Server:
+        """Return the server to listen with."""
+        return web.Server(
+            self.handle,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+            max_line_size=MAX_HEADER_OCTETS,
+            max_field_size=MAX_HEADER_OCTETS,
+            lingering_time=LINGERING_SECONDS,
+        )
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        task = asyncio.current_task()
+        if task is None:
+            raise RuntimeError('a request is handled outside of a task')
+        self.running.add(task)
+        try:
+            response = await self._handle(request)
+        finally:
+            self.running.discard(task)
+        if self.is_stopping:
+            response.force_close()
+        return response
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        facts = self.dialect.read_call(request.headers)
+        reply = HttpReply(request)
+        try:
+            await self._serve(request, facts, reply)
+        except RequestError as error:
+            return self._refuse(error, facts.request_id, reply)
+        except (ConnectionError, asyncio.CancelledError):
+            self.decisions.record(
+                facts.request_id,
+                'cancelled',
+                'the router is stopping'
+                if self.is_stopping
+                else 'the caller left',
+            )
+            self.metrics.count_outcome('', 'caller_left')
+            raise
+        if reply.response is None:
+            raise RuntimeError('the call ended without an answer')
+        return reply.response
+
+    async def _serve(
+        self,
+        request: web.BaseRequest,
+        facts: CallFacts,
+        reply: HttpReply,
+    ) -> None:
+        arrived_at = self.clock.monotonic()
+        table = self.view.table
+        if table is None:
+            raise NotReady(
+                'no routing table yet',
+                retry_after=NOT_READY_RETRY_SECONDS,
+            )
+        host = request.headers.get('Host', '')
+        route = self._match(table, host, request.raw_path)
+        customer = self._authorize(table, route, facts)
+        body = await self._read_body(request, route)
+        demand = self._demand(table, route, customer, facts, arrived_at)
+        call = EntryCall(
+            facts=facts,
+            route=route,
+            demand=demand,
+            method=request.method,
+            path=request.raw_path,
+            headers=self.dialect.headers_to_upstream(
+                request.headers,
+                host,
+                customer.name if customer is not None else None,
+            ),
+            body=body,
+        )
+        await self._run(call, reply)
+        self.metrics.count_outcome(demand.pool.name, 'answered')
+
+    async def _run(self, call: EntryCall, reply: HttpReply) -> None:
+        is_stream = call.route.kind is RequestKind.streaming
+        if is_stream or call.route.is_repeatable:
+            await self.dispatcher.run(call, reply)
+            return
+        # Work that may not be repeated ends even if its caller has left.
+        work = asyncio.create_task(self.dispatcher.run(call, reply))
+        self.running.add(work)
+        work.add_done_callback(self.running.discard)
+        work.add_done_callback(read_exception)
+        try:
+            await asyncio.shield(work)
+        except asyncio.CancelledError:
+            if not call.sends:
+                work.cancel()
+            raise
+
+    def _match(self, table: RoutingTable, host: str, path: str) -> HttpRoute:
+        route = table.match(host, path)
+        if route is not None:
+            return route
+        if self.view.age() > FRESH_TABLE_SECONDS:
+            raise NotReady(
+                'no such route in a table that may be out of date',
+                retry_after=NOT_READY_RETRY_SECONDS,
+            )
+        raise RouteNotFound(f'no route for {host}{path}')
+
+    def _authorize(
+        self,
+        table: RoutingTable,
+        route: HttpRoute,
+        facts: CallFacts,
+    ) -> Customer | None:
+        if route.is_public:
+            return None
+        if not self.view.may_trust_keys():
+            raise NotReady(
+                f'the keys were last confirmed {self.view.age():.1f} s ago',
+                retry_after=NOT_READY_RETRY_SECONDS,
+            )
+        customer = table.customers_by_key.get(facts.key)
+        if customer is not None:
+            return customer
+        if self.view.age() > FRESH_TABLE_SECONDS:
+            raise NotReady(
+                'unknown key in a table that may be out of date',
+                retry_after=NOT_READY_RETRY_SECONDS,
+            )
+        raise Unauthorized('the request carries no valid customer key')
+
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        route: HttpRoute,
+    ) -> bytes:
+        if not request.body_exists:
+            return b''
+        if request.headers.get('Expect', '').lower() == '100-continue':
+            await request.writer.write(_STATUS_CONTINUE)
+        try:
+            async with asyncio.timeout(route.timeout.total_seconds()):
+                return await request.read()
+        except web.HTTPRequestEntityTooLarge as error:
+            raise BodyTooLarge(str(error.text)) from None
+        except TimeoutError:
+            raise BadRequest('the body did not arrive in time') from None
+
+    def _demand(
+        self,
+        table: RoutingTable,
+        route: HttpRoute,
+        customer: Customer | None,
+        facts: CallFacts,
+        arrived_at: float,
+    ) -> Demand:
+        pool = table.pools.get(self.chooser(route))
+        if pool is None:
+            raise NotReady(
+                f'route "{route.name}" names an unknown pool',
+                retry_after=NOT_READY_RETRY_SECONDS,
+            )
+        limit = route.timeout.total_seconds()
+        if facts.patience_seconds is not None:
+            limit = min(limit, facts.patience_seconds)
+        objective = route.latency_objective.total_seconds() or limit
+        regions = route.regions
+        if customer is not None and customer.regions:
+            regions = (
+                regions & customer.regions if regions else customer.regions
+            )
+        times = (
+            arrived_at,
+            arrived_at + min(objective, limit),
+            arrived_at + limit,
+        )
+        name = customer.name if customer is not None else ''
+        if facts.prompt is None or pool.engine is None:
+            return PlainDemand(facts.request_id, name, pool, *times, regions)
+        return PromptDemand(
+            facts.request_id,
+            name,
+            pool,
+            *times,
+            regions,
+            prompt=facts.prompt,
+        )
+
+    def _refuse(
+        self,
+        error: RequestError,
+        request_id: str,
+        reply: HttpReply,
+    ) -> web.StreamResponse:
+        self.decisions.record(
+            request_id,
+            'refused',
+            str(error),
+            code=error.code,
+            ran=error.ran.value,
+            retry_after=error.retry_after,
+            table_version=self.view.table and self.view.table.version,
+            table_age_ms=round(1000 * min(self.view.age(), 1e6)),
+        )
+        self.metrics.count_outcome('', error.code)
+        if reply.response is not None:
+            reply.abort()
+            return reply.response
+        response = web.Response(
+            status=_status_of(error),
+            headers=self.dialect.refusal_headers(
+                request_id,
+                error.retry_after,
+            ),
+            text=f'{error.code}: {error.detail}\n',
+        )
+        if isinstance(error, NotReady):
+            # Another router may be able to serve the caller.
+            response.force_close()
+        return response
+
+    def _make_request(
+        self,
+        message: Any,
+        payload: Any,
+        protocol: Any,
+        writer: Any,
+        task: Any,
+    ) -> web.BaseRequest:
+        table = self.view.table
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=(
+                table.limits.max_body_octets
+                if table is not None
+                else DEFAULT_BODY_OCTETS
+            ),
+        )
+
+
+def _status_of(error: RequestError) -> int:
+    """Return the status; a suspect of crashes may come back later."""
+    if isinstance(error, CrashSuspect):
+        return _STATUS_UNAVAILABLE
+    return error.http_status
--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -20,6 +20,7 @@
 
 HELD_ANSWER_OCTETS: Final = 1 << 20
 _TAIL_OCTETS: Final = 64
+_EVENT_ID: Final = b'id:'
 
 CountEvents = Callable[[int], Any]
 
@@ -61,6 +62,7 @@
     needs_done: bool
     events: int = 0
     partial: bytes = b''
+    last_event_id: str = ''
     tail: bytes = b''
 
     @property
@@ -100,6 +102,7 @@
         events = whole.count(http.EVENT_END)
         self.events += events
         self.tail = whole[-_TAIL_OCTETS:]
+        self.last_event_id = _last_event_id(whole) or self.last_event_id
         self.count_events(events)
         await self._write(whole)
 
@@ -109,6 +112,15 @@
         await self.reply.write(chunk)
 
 
+def _last_event_id(events: bytes) -> str:
+    """Return the id of the last event that has one, else an empty text."""
+    start = events.rfind(_EVENT_ID)
+    if start < 0 or (start and events[start - 1 : start] != b'\n'):
+        return ''
+    end = events.find(b'\n', start)
+    return events[start + len(_EVENT_ID) : end].decode('latin-1').strip()
+
+
 async def relay_plain(
     answer: UpstreamAnswer,
     reply: Reply,
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -67,6 +67,7 @@
 from hickorymux._internal.transport.upstream_client import UpstreamClient
 from hickorymux._internal.utils.clock import Clock, SystemClock
 from hickorymux._internal.utils.ids import new_incarnation
+from hickorymux._internal.utils.tasks import report_crash
 
 HOST_LIST_SECONDS: Final = 2
 FOLLOW_SECONDS: Final = 0.5
@@ -438,7 +439,7 @@
         work: Coroutine[Any, Any, None],
     ) -> 'asyncio.Task[None]':
         task = asyncio.create_task(work)
-        task.add_done_callback(_report_crash)
+        task.add_done_callback(report_crash)
         self.tasks.append(task)
         return task
 
@@ -508,9 +509,3 @@
         for member in module.__dict__.values()
         if isinstance(member, type) and dataclasses.is_dataclass(member)
     ]
-
-
-def _report_crash(task: 'asyncio.Task[None]') -> None:
-    if task.cancelled() or task.exception() is None:
-        return
-    _logger.error('a task of the router ended', exc_info=task.exception())
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import contextvars
 import dataclasses
 import datetime as dt
@@ -15,10 +16,11 @@
 
 import aiohttp
 from multidict import CIMultiDict
+from yarl import URL
 
 from hickorymux._internal.exceptions import HickorymuxError
 from hickorymux._internal.protocol import http
-from hickorymux._internal.state.tables import Upstream
+from hickorymux._internal.transport.sockets import watch_silence
 
 KEEPALIVE_SECONDS = 30
 CANCEL_TIMEOUT_SECONDS = 2
@@ -26,6 +28,12 @@
 MAX_LINE_OCTETS = 16384
 READ_BUFFER_OCTETS = 1 << 16
 
+# Stale connections that one attempt skips before it gives up.
+MAX_STALE_CONNECTIONS = 8
+
+# Headers that aiohttp adds to a request that has none of its own.
+_ADDED_BY_CLIENTS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
+
 _current: contextvars.ContextVar['Attempt | None'] = contextvars.ContextVar(
     'attempt',
     default=None,
@@ -44,6 +52,12 @@
     code = 'connect_failed'
 
 
+class StaleConnection(AttemptError):
+    """A kept connection is not fit for use; nothing was sent."""
+
+    code = 'stale_connection'
+
+
 class UpstreamCut(AttemptError):
     """The upstream closed the connection before its answer was whole."""
 
@@ -61,6 +75,7 @@
     """How long to wait for an upstream."""
 
     connect: dt.timedelta = dt.timedelta(seconds=1)
+    keep_alive: dt.timedelta = dt.timedelta(seconds=KEEPALIVE_SECONDS)
     first_byte: dt.timedelta = dt.timedelta(seconds=60)
     idle: dt.timedelta = dt.timedelta(seconds=30)
 
@@ -74,20 +89,20 @@
 
     attempt_id: str
     upstream_id: str
-    upstream: Upstream
+    address: str
     method: str
     path: str
     headers: CIMultiDict[str]
     body: bytes
-    is_repeatable: bool
+    may_reuse_connection: bool
     verify_connection: Callable[[Any], Awaitable[None]]
     check_before_send: Callable[[], None]
     sent: bool = False
 
     @property
-    def url(self) -> str:
+    def url(self) -> URL:
         """Return where the attempt goes."""
-        return f'http://{self.upstream.address}{self.path}'
+        return URL(f'http://{self.address}{self.path}', encoded=True)
 
 
 @final
@@ -101,6 +116,8 @@
             if attempt.sent:
                 # The library repeats PUT and DELETE on a stale connection.
                 raise UpstreamCut('connection ended and nothing is repeated')
+            if _is_stale(conn.protocol):
+                raise StaleConnection('octets arrived after the last answer')
             await attempt.verify_connection(conn.protocol)
             attempt.check_before_send()
             attempt.sent = True
@@ -190,9 +207,14 @@
         """Open a session; must be called on a running event loop."""
         kept = aiohttp.TCPConnector(
             limit=0,
-            keepalive_timeout=KEEPALIVE_SECONDS,
+            keepalive_timeout=timeouts.keep_alive.total_seconds(),
+            socket_factory=watch_silence,
+        )
+        fresh = aiohttp.TCPConnector(
+            limit=0,
+            force_close=True,
+            socket_factory=watch_silence,
         )
-        fresh = aiohttp.TCPConnector(limit=0, force_close=True)
         return cls(
             _new_session(kept, timeouts),
             _new_session(fresh, timeouts),
@@ -213,7 +235,7 @@
         token = _current.set(attempt)
         try:
             async with asyncio.timeout(self._first_byte_seconds()):
-                response = await self._request(attempt)
+                response = await self._request_unstale(attempt)
         except TimeoutError as error:
             raise _timed_out(attempt) from error
         except aiohttp.ClientConnectorError as error:
@@ -262,24 +284,45 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
+    def _session_for(self, attempt: Attempt) -> aiohttp.ClientSession:
+        if attempt.may_reuse_connection:
+            return self.session
+        return self.fresh_session
+
     def _first_byte_seconds(self) -> float:
         return self.timeouts.first_byte.total_seconds()
 
+    async def _request_unstale(
+        self,
+        attempt: Attempt,
+    ) -> aiohttp.ClientResponse:
+        for _ in range(MAX_STALE_CONNECTIONS):
+            with contextlib.suppress(StaleConnection):
+                return await self._request(attempt)
+        raise ConnectFailed('every kept connection is stale')
+
     async def _request(self, attempt: Attempt) -> aiohttp.ClientResponse:
-        headers = attempt.headers.copy()
-        headers[http.REQUEST_ID] = attempt.upstream_id
-        headers[http.ATTEMPT_ID] = attempt.attempt_id
-        session = self.session if attempt.is_repeatable else self.fresh_session
+        session = self._session_for(attempt)
         send = functools.partial(
             session.request,
             attempt.method,
             attempt.url,
-            headers=headers,
+            headers=attempt.headers,
             allow_redirects=False,
+            skip_auto_headers=_ADDED_BY_CLIENTS,
         )
         return await send(data=attempt.body or None)
 
 
+def _is_stale(protocol: Any) -> bool:
+    """Return whether anything arrived since the last answer was whole.
+
+    Such octets belong to no request; the library would take them for the
+    answer to the next one.
+    """
+    return bool(protocol.should_close or protocol.exception() is not None)
+
+
 def _new_session(
     connector: aiohttp.TCPConnector,
     timeouts: UpstreamTimeouts,
@@ -312,8 +355,7 @@
 
 def _run_url(attempt: Attempt) -> str:
     """Return where a model engine knows the attempt."""
-    address = attempt.upstream.address
-    return f'http://{address}/v1/requests/{attempt.upstream_id}'
+    return f'http://{attempt.address}/v1/requests/{attempt.upstream_id}'
 
 
 def _timed_out(attempt: Attempt) -> AttemptError:
--- a/src/hickorymux/_internal/utils/json_logging.py
+++ b/src/hickorymux/_internal/utils/json_logging.py
@@ -17,6 +17,8 @@
 from absl import flags
 from absl import logging as absl_logging
 
+from hickorymux._internal.utils.bounded_output import BoundedOutput
+
 _STANDARD_FIELDS = frozenset(
     (
         *logging.makeLogRecord({}).__dict__,
@@ -73,6 +75,17 @@
     _skip_unused_record_fields()
 
 
+def configure_output(level: str = 'info') -> None:
+    """Send all loggers as JSON lines to standard output, never blocking."""
+    root = logging.getLogger()
+    for former in root.handlers.copy():
+        root.removeHandler(former)
+    root.addHandler(BoundedOutput.from_config(JsonFormatter()))
+    root.setLevel(logging.WARNING)
+    logging.getLogger('hickorymux').setLevel(level.upper())
+    _skip_unused_record_fields()
+
+
 def _skip_unused_record_fields() -> None:
     """Spare each record the look-ups that its line does not show.
 
--- /dev/null
+++ b/src/hickorymux/platform/__main__.py
@@ -0,0 +1,37 @@
+"""Runs an entry process on the platform: ``python3 -m hickorymux.platform``.
+
+The settings come from the file that the platform names in the environment.
+"""
+
+import asyncio
+import os
+import sys
+
+from hickorymux._internal.exceptions import HickorymuxError
+from hickorymux._internal.transport.entry_process import EntryProcess
+from hickorymux._internal.utils.json_logging import configure_output
+from hickorymux._internal.utils.terminal import write_error
+from hickorymux.platform.deployment import PlatformDeployment
+from hickorymux.platform.settings import load_settings
+
+_EXIT_INVALID_SETTINGS = 2
+
+
+async def _serve() -> None:
+    settings = load_settings(os.environ)
+    await EntryProcess.from_config(settings, PlatformDeployment()).run()
+
+
+def main() -> int:
+    """Serve until told to stop; return the exit status."""
+    configure_output()
+    try:
+        asyncio.run(_serve())
+    except HickorymuxError as error:
+        write_error(f'hickorymux: {error}')
+        return _EXIT_INVALID_SETTINGS
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/hickorymux/platform/engine_entries.py
@@ -0,0 +1,68 @@
+"""Decodes the entries by which upstreams announce themselves."""
+
+from typing import Final
+
+import msgspec
+
+from hickorymux._internal.exceptions import ConfigError
+from hickorymux._internal.state.upstream_registry import RegisteredUpstream
+
+UPSTREAM_TOPIC: Final = 'keyed.servers'
+_READY: Final = 'ready'
+_MS_PER_SECOND: Final = 1000
+_MAX_PORT: Final = 65535
+
+
+class _Entry(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    # How much longer the upstream bears little, from when it was written.
+    cold_remaining_ms: float
+    seq: int
+    # When this life began, in Unix milliseconds.
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Entry)
+
+
+def decode_entry(
+    upstream_id: str,
+    text: bytes,
+    now: float,
+) -> RegisteredUpstream:
+    """Return the upstream that an entry names; ``now`` is monotonic seconds.
+
+    Raises ``ConfigError`` for an entry with a missing or misshapen field.
+    """
+    try:
+        entry = _decoder.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(str(error), where=upstream_id) from error
+    _check(entry, upstream_id)
+    cold_until = 0.0
+    if entry.cold_remaining_ms > 0:
+        cold_until = now + entry.cold_remaining_ms / _MS_PER_SECOND
+    return RegisteredUpstream(
+        upstream_id=upstream_id,
+        pool=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        is_ready=entry.state == _READY,
+        cold_until=cold_until,
+        born_ms=entry.born,
+    )
+
+
+def _check(entry: _Entry, upstream_id: str) -> None:
+    if entry.state not in {_READY, 'draining'}:
+        raise ConfigError(f'unknown state "{entry.state}"', where=upstream_id)
+    if entry.slots < 1:
+        raise ConfigError(f'{entry.slots} slots', where=upstream_id)
+    host, _, port = entry.address.rpartition(':')
+    if not host or not port.isdecimal() or int(port) > _MAX_PORT:
+        raise ConfigError(f'address "{entry.address}"', where=upstream_id)
--- /dev/null
+++ b/src/hickorymux/platform/store.py
@@ -0,0 +1,244 @@
+"""The one client of the platform's metadata store."""
+
+import base64
+import contextlib
+import struct
+from collections.abc import Iterator, Mapping
+from typing import Final, Self, final
+
+import aiohttp
+import msgspec
+
+from hickorymux._internal.coordination.ports import (
+    HostEntry,
+    KeyedPage,
+    KeyedRecord,
+)
+from hickorymux._internal.exceptions import (
+    HostListUnavailable,
+    LogTrimmed,
+    LogUnavailable,
+)
+from hickorymux._internal.transport.sockets import watch_silence
+from hickorymux._internal.transport.router_settings import Address
+
+CONNECT_SECONDS: Final = 0.4
+# Beside the wait that a read asks for. The store answers in 4 ms when well
+# and in some 250 ms when slow.
+ANSWER_SECONDS: Final = 0.7
+ROUTER_TOPIC: Final = 'keyed.status'
+_PARTITION: Final = '0'
+_STATUS_OK: Final = 200
+_STATUS_TRIMMED: Final = 410
+_MS_PER_SECOND: Final = 1000
+
+_LENGTH: Final = struct.Struct('>I')
+_OFFSETS: Final = struct.Struct('>QQ')
+
+
+class _Item(msgspec.Struct):
+    key: str
+    # Base64; empty for a key that was dropped.
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    truncated: bool
+    # The offset after the newest record of the partition.
+    end: int
+
+
+class _RouterRecord(msgspec.Struct):
+    zone: str
+    host: str
+    port: int
+
+
+@final
+class StoreClient:
+    """Reads and writes topics whose records have keys.
+
+    Implements ``KeyedLog`` and ``HostListClient``. Every failure to get a
+    whole answer is a ``LogUnavailable``; the connection is not used again.
+
+    Example::
+
+        store = StoreClient.from_config(Address('10.0.0.1', 8781))
+        page = await store.newest('keyed.op')
+    """
+
+    __slots__ = ('base_url', 'session')
+
+    def __init__(self, base_url: str, session: aiohttp.ClientSession) -> None:
+        self.base_url = base_url
+        self.session = session
+
+    @classmethod
+    def from_config(cls, address: Address) -> Self:
+        """Return a client; must be called on a running event loop."""
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                socket_factory=watch_silence,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+        return cls(f'http://{address}/v1', session)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def newest(self, topic: str) -> KeyedPage:
+        """Return the newest record of each key, over all pages.
+
+        The end of the first page is where to read on, since later pages may
+        miss what was written meanwhile.
+        """
+        first_end: int | None = None
+        records: list[KeyedRecord] = []
+        query = {'topic': topic, 'part': _PARTITION}
+        while True:
+            page = await self._newest_page(query)
+            if first_end is None:
+                first_end = page.end
+            records.extend(_to_record(item) for item in page.items)
+            if not page.truncated or not page.items:
+                return KeyedPage(tuple(records), first_end)
+            query['after'] = page.items[-1].key
+
+    async def read(
+        self,
+        topic: str,
+        from_offset: int,
+        *,
+        wait_seconds: float = 0,
+    ) -> KeyedPage:
+        """Return the records from an offset on, waiting if there are none.
+
+        Raises ``LogTrimmed`` when the offset is no longer retained.
+        """
+        query = {
+            'topic': topic,
+            'part': _PARTITION,
+            'from': str(from_offset),
+            'waitMs': str(int(wait_seconds * _MS_PER_SECOND)),
+        }
+        status, body = await self._get('log-read', query, wait_seconds)
+        if status == _STATUS_TRIMMED:
+            raise LogTrimmed(f'offset {from_offset}', where=topic)
+        _check_ok(status, topic)
+        try:
+            records = tuple(_parse_records(body, from_offset))
+        except (struct.error, IndexError, UnicodeDecodeError) as error:
+            raise LogUnavailable(repr(error), where=topic) from error
+        return KeyedPage(records, from_offset + len(records))
+
+    async def fetch(self) -> tuple[HostEntry, ...]:
+        """Return the routers that have announced themselves."""
+        try:
+            page = await self.newest(ROUTER_TOPIC)
+        except LogUnavailable as error:
+            raise HostListUnavailable(str(error)) from error
+        return tuple(_hosts(page))
+
+    async def announce(self, host: HostEntry) -> None:
+        """Write where this router can be reached by the others."""
+        record = _RouterRecord(host.zone, host.host, host.port)
+        await self._append(host.router_id, msgspec.json.encode(record))
+
+    async def withdraw(self, router_id: str) -> None:
+        """Remove what ``announce`` wrote."""
+        await self._append(router_id, b'')
+
+    async def _append(self, key: str, value: bytes) -> None:
+        name = key.encode()
+        content = bytes((len(name),)) + name + value
+        timeout = _timeout(0)
+        with _unavailable(ROUTER_TOPIC):
+            async with self.session.post(
+                f'{self.base_url}/log-append',
+                params={'topic': ROUTER_TOPIC, 'part': _PARTITION},
+                data=_LENGTH.pack(len(content)) + content,
+                timeout=timeout,
+            ) as response:
+                await response.read()
+                _check_ok(response.status, ROUTER_TOPIC)
+
+    async def _newest_page(self, query: Mapping[str, str]) -> _Newest:
+        topic = query['topic']
+        status, body = await self._get('log-newest', query, 0)
+        _check_ok(status, topic)
+        try:
+            return msgspec.json.decode(body, type=_Newest)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise LogUnavailable(str(error), where=topic) from error
+
+    async def _get(
+        self,
+        call: str,
+        query: Mapping[str, str],
+        wait_seconds: float,
+    ) -> tuple[int, bytes]:
+        with _unavailable(query['topic']):
+            async with self.session.get(
+                f'{self.base_url}/{call}',
+                params=query,
+                timeout=_timeout(wait_seconds),
+            ) as response:
+                return response.status, await response.read()
+
+
+@contextlib.contextmanager
+def _unavailable(topic: str) -> Iterator[None]:
+    try:
+        yield
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        raise LogUnavailable(repr(error), where=topic) from error
+
+
+def _timeout(wait_seconds: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=CONNECT_SECONDS + ANSWER_SECONDS + wait_seconds,
+        sock_connect=CONNECT_SECONDS,
+    )
+
+
+def _check_ok(status: int, topic: str) -> None:
+    if status != _STATUS_OK:
+        raise LogUnavailable(f'status {status}', where=topic)
+
+
+def _to_record(item: _Item) -> KeyedRecord:
+    return KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
+
+
+def _parse_records(body: bytes, from_offset: int) -> Iterator[KeyedRecord]:
+    """Yield records: a length, then the length of the key, key and value."""
+    position = _OFFSETS.size
+    offset = from_offset
+    while position < len(body):
+        size = _LENGTH.unpack_from(body, position)[0]
+        position += _LENGTH.size
+        content = body[position : position + size]
+        if len(content) < size:
+            raise struct.error('record is cut')
+        value_start = 1 + content[0]
+        # Other writers may use keys that are no text.
+        key = content[1:value_start].decode(errors='replace')
+        yield KeyedRecord(key, content[value_start:], offset)
+        position += size
+        offset += 1
+
+
+def _hosts(page: KeyedPage) -> Iterator[HostEntry]:
+    for record in page.records:
+        try:
+            row = msgspec.json.decode(record.value, type=_RouterRecord)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            # Withdrawn, or written by a version that this one can't read.
+            continue
+        yield HostEntry(record.key, row.zone, row.host, row.port)
