--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -2,10 +2,9 @@
 
 Load pattern for model engines: requests share the beginnings of their
 prompts, and reading such a part again on another engine takes capacity from
-all. Like prompts go to like engines by rendezvous hashing (Thaler and
-Ravishankar, 1998), as long as the engine can begin in time; then to the next
-in the same order, so that a part is read on few engines. Where none can begin
-in time, the one that begins first.
+all, most of it when all engines are busy. Like prompts go to the same two
+engines by rendezvous hashing (Thaler and Ravishankar, 1998), to the first of
+them unless the second begins clearly earlier.
 
 Load pattern for plain services: short requests with little variance, so the
 upstream that is done first, the own zone before others at equal load.
@@ -39,8 +38,11 @@
 PLAIN_OVERCOMMIT: Final = 2.0
 # What another zone costs a plain request, in seconds.
 FAR_SECONDS: Final = 0.004
-# The share of the time left that the estimate may take, as it is uncertain.
-SAFE_SHARE: Final = 0.8
+# Engines that prompts of one kind go to: two, so that load evens out by the
+# power of two choices (Mitzenmacher, 2001) while each part is read twice only.
+HOMES: Final = 2
+# How much earlier the second home must begin to be preferred.
+HOME_SECONDS: Final = 0.05
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -120,36 +122,34 @@
         candidates: Sequence[RegisteredUpstream],
         now: float,
     ) -> Choice | None:
-        left = (demand.due_at - now) * SAFE_SHARE
-        earliest: Choice | None = None
-        for rank, upstream in enumerate(_ranked(demand, candidates)):
-            choice = self._offer(demand, upstream, is_home=rank == 0)
-            if choice is None:
-                continue
-            if choice.expected_seconds <= left:
-                return choice
-            if (
-                earliest is None
-                or choice.expected_seconds < earliest.expected_seconds
-            ):
-                earliest = choice
-        return earliest
+        homes = [
+            self._offer(demand, upstream)
+            for upstream in _ranked(demand, candidates)[:HOMES]
+        ]
+        if not homes:
+            return None
+        first = homes[0]
+        others = [choice for choice in homes[1:] if choice is not None]
+        if first is None:
+            return min(others, key=_expected_seconds, default=None)
+        # The first home is left only for one that is clearly earlier.
+        limit = first.expected_seconds - HOME_SECONDS
+        earlier = [one for one in others if one.expected_seconds < limit]
+        return min(earlier, key=_expected_seconds, default=first)
 
     def _offer(
         self,
         demand: PromptDemand,
         upstream: RegisteredUpstream,
-        *,
-        is_home: bool,
     ) -> Choice | None:
         """Return what placing the request there would mean, if there is room.
 
-        The first engine in the order is taken to hold the shared parts.
+        The homes of a prompt are taken to hold its shared parts.
         """
         prompt = demand.prompt
         total = self.board.total(upstream.upstream_id)
         shared = sum(part.tokens for part in prompt.shared_parts)
-        unread = prompt.tokens - shared if is_home else prompt.tokens
+        unread = prompt.tokens - shared
         load = EngineLoad(
             running=1,
             unread=unread,
@@ -170,6 +170,10 @@
         )
 
 
+def _expected_seconds(choice: Choice) -> float:
+    return choice.expected_seconds
+
+
 def has_room(
     total: EngineLoad,
     more: EngineLoad,
--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -16,8 +16,9 @@
     """One request, matched to its route, and what became of it so far.
 
     ``sends`` counts upstreams that got octets of it; ``may_have_run`` is set
-    once one of them did not prove that it did not run. ``relay`` is the
-    stream that the caller is being sent.
+    once one of them did not prove that it did not run. ``began_at`` is when
+    the answer began, in monotonic seconds. ``relay`` is the stream that the
+    caller is being sent.
     """
 
     facts: CallFacts
@@ -30,6 +31,7 @@
     sends: int = 0
     failed_connects: int = 0
     may_have_run: bool = False
+    began_at: float | None = None
     relay: EventRelay | None = None
 
     @property
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -25,7 +25,6 @@
     UpstreamFailed,
     UpstreamTimeout,
 )
-from hickorymux._internal.protocol import http
 from hickorymux._internal.protocol.upstream_http import AnswerFacts, Dialect
 from hickorymux._internal.state.routing import RequestKind
 from hickorymux._internal.transport.entry_call import EntryCall
@@ -218,6 +217,7 @@
             'whole',
             status=answer.status,
             upstream=seat.upstream.upstream_id,
+            began_ms=self._began_ms(call),
             took_ms=round(1000 * spent, 1),
         )
 
@@ -282,6 +282,7 @@
     def _on_events(self, call: EntryCall, seat: Seat, events: int) -> None:
         if not seat.is_read:
             now = self.clock.monotonic()
+            call.began_at = now
             self.metrics.observe(
                 'first_byte',
                 call.demand.pool.name,
@@ -289,6 +290,11 @@
             )
             seat.on_answer_begun()
 
+    def _began_ms(self, call: EntryCall) -> float | None:
+        if call.began_at is None:
+            return None
+        return round(1000 * (call.began_at - call.demand.arrived_at), 1)
+
     def _learn_service_time(self, seat: Seat) -> None:
         self.allocator.speeds.observe_service(
             seat.upstream.upstream_id,
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -91,6 +91,9 @@
 CRASHES_UNTIL_REFUSED: Final = 3
 # How long a stopping router waits until nobody opens connections to it.
 NOTICE_SECONDS: Final = 3.0
+# When a stopping router begins to refuse: by then the balancer sends no new
+# connections, and what comes on kept ones would be cut off.
+REFUSE_SECONDS: Final = 2.5
 # What is left of the shutdown time for the last writes.
 LAST_WRITES_SECONDS: Final = 0.5
 DRAIN_POLL_SECONDS: Final = 0.05
@@ -240,6 +243,7 @@
         started_at = self.clock.monotonic()
         _report('stopping', running=len(self.server.running))
         self.server.is_stopping = True
+        self.server.refuse_from = started_at + REFUSE_SECONDS
         self.membership.update_myself(is_leaving=True)
         self.membership.tick()
         limit = self.settings.bounds.shutdown.total_seconds()
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any, Final, final
 
@@ -44,6 +45,8 @@
 from hickorymux._internal.utils.clock import Clock
 
 NOT_READY_RETRY_SECONDS: Final = 0.5
+# Another router can be reached at once.
+STOPPING_RETRY_SECONDS: Final = 0.1
 # A view of the tables older than this can't tell that a route is missing.
 FRESH_TABLE_SECONDS: Final = 3.0
 # Longer than callers leave a connection idle, so that they close it first.
@@ -93,6 +96,7 @@
         'dispatcher',
         'is_stopping',
         'metrics',
+        'refuse_from',
         'running',
         'view',
     )
@@ -112,6 +116,7 @@
         self.metrics: RouterMetrics = dispatcher.metrics
         self.running: set[asyncio.Task[Any]] = set()
         self.is_stopping = False
+        self.refuse_from = math.inf
 
     def server(self) -> web.Server:
         """Return the server to listen with."""
@@ -169,6 +174,7 @@
         reply: HttpReply,
     ) -> None:
         arrived_at = self.clock.monotonic()
+        self._check_not_leaving(arrived_at)
         table = self.view.table
         if table is None:
             raise NotReady(
@@ -213,6 +219,15 @@
                 work.cancel()
             raise
 
+    def _check_not_leaving(self, now: float) -> None:
+        """Refuse what could not end before this process does."""
+        if now < self.refuse_from:
+            return
+        raise NotReady(
+            'the router is stopping',
+            retry_after=STOPPING_RETRY_SECONDS,
+        )
+
     def _match(self, table: RoutingTable, host: str, path: str) -> HttpRoute:
         route = table.match(host, path)
         if route is not None:
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -15,6 +15,7 @@
 from typing import Any, final
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -205,16 +206,10 @@
     @classmethod
     def from_config(cls, timeouts: UpstreamTimeouts) -> 'UpstreamClient':
         """Open a session; must be called on a running event loop."""
-        kept = aiohttp.TCPConnector(
-            limit=0,
+        kept = _UpstreamConnector(
             keepalive_timeout=timeouts.keep_alive.total_seconds(),
-            socket_factory=watch_silence,
-        )
-        fresh = aiohttp.TCPConnector(
-            limit=0,
-            force_close=True,
-            socket_factory=watch_silence,
         )
+        fresh = _UpstreamConnector(force_close=True)
         return cls(
             _new_session(kept, timeouts),
             _new_session(fresh, timeouts),
@@ -314,6 +309,30 @@
         return await send(data=attempt.body or None)
 
 
+@final
+class _StrictResponseHandler(ResponseHandler):
+    """Does not take a reset for the end of an answer without a length."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Mark an answer that was under way as cut if the peer reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+        super().connection_lost(exc)
+
+
+@final
+class _UpstreamConnector(aiohttp.TCPConnector):
+    """Opens connections that notice silence and resets."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(limit=0, socket_factory=watch_silence, **options)
+        self._factory: Any = functools.partial(
+            _StrictResponseHandler,
+            loop=asyncio.get_running_loop(),
+        )
+
+
 def _is_stale(protocol: Any) -> bool:
     """Return whether anything arrived since the last answer was whole.
 
