Read long prompts on engines of their own; fetch shared parts when spilling

Spilled requests read shared parts again. Change: a quarter of the engines reads the long prompts; a request leaves its home only if that would be late and the other engine idles, and then fetches the shared parts from the home.

--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -2,9 +2,11 @@
 
 Load pattern for model engines: requests share the beginnings of their
 prompts, and reading such a part again on another engine takes capacity from
-all, most of it when all engines are busy. Like prompts go to the same two
-engines by rendezvous hashing (Thaler and Ravishankar, 1998), to the first of
-them unless the second begins clearly earlier.
+all, most of it when all engines are busy. Like prompts have one home by
+rendezvous hashing (Thaler and Ravishankar, 1998). A request goes to another
+engine only if the home would be late and that one is idle, and then fetches
+the shared parts from the home, which takes a small part of the time of
+reading them.
 
 Load pattern for plain services: short requests with little variance, so the
 upstream that is done first, the own zone before others at equal load.
@@ -26,6 +28,7 @@
     PlainDemand,
     PromptDemand,
 )
+from hickorymux._internal.coordination.engines.prompts import Prompt
 from hickorymux._internal.coordination.engines.speeds import UpstreamSpeeds
 from hickorymux._internal.state.routing import EngineModel
 from hickorymux._internal.state.upstream_registry import RegisteredUpstream
@@ -38,22 +41,27 @@
 PLAIN_OVERCOMMIT: Final = 2.0
 # What another zone costs a plain request, in seconds.
 FAR_SECONDS: Final = 0.004
-# Engines that prompts of one kind go to: two, so that load evens out by the
-# power of two choices (Mitzenmacher, 2001) while each part is read twice only.
-HOMES: Final = 2
-# How much earlier the second home must begin to be preferred.
-HOME_SECONDS: Final = 0.05
+# Another engine than the home is used only if it begins within this share of
+# the time left, so that it is one that idles and not one that is less full.
+SPILL_SHARE: Final = 0.3
+LONG_TOKENS: Final = 12000
+LANE_SHARE: Final = 0.25
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Choice:
-    """An upstream, the load the request adds, and when it should begin."""
+    """An upstream, the load the request adds, and when it should begin.
+
+    ``fetch_from`` is the address of an engine that holds shared parts of the
+    prompt, empty where nothing is to be fetched.
+    """
 
     upstream: RegisteredUpstream
     load: EngineLoad
     expected_seconds: float
     unread_before: int = 0
     running_before: int = 0
+    fetch_from: str = ''
 
 
 @final
@@ -122,29 +130,32 @@
         candidates: Sequence[RegisteredUpstream],
         now: float,
     ) -> Choice | None:
-        homes = [
-            self._offer(demand, upstream)
-            for upstream in _ranked(demand, candidates)[:HOMES]
-        ]
-        if not homes:
+        ranked = _ranked(demand, candidates)
+        if not ranked:
             return None
-        first = homes[0]
-        others = [choice for choice in homes[1:] if choice is not None]
-        if first is None:
-            return min(others, key=_expected_seconds, default=None)
-        # The first home is left only for one that is clearly earlier.
-        limit = first.expected_seconds - HOME_SECONDS
-        earlier = [one for one in others if one.expected_seconds < limit]
-        return min(earlier, key=_expected_seconds, default=first)
+        own, other = split_lane(ranked, is_long=is_long(demand.prompt))
+        source = other[0] if is_long(demand.prompt) and other else own[0]
+        left = demand.due_at - now
+        home = self._offer(demand, own[0], source)
+        if home is not None and home.expected_seconds <= left:
+            return home
+        limit = left * SPILL_SHARE
+        for upstream in [*own[1:], *other]:
+            choice = self._offer(demand, upstream, source)
+            if choice is not None and choice.expected_seconds <= limit:
+                return choice
+        return home
 
     def _offer(
         self,
         demand: PromptDemand,
         upstream: RegisteredUpstream,
+        home: RegisteredUpstream,
     ) -> Choice | None:
         """Return what placing the request there would mean, if there is room.
 
-        The homes of a prompt are taken to hold its shared parts.
+        The home of a prompt is taken to hold its shared parts; another engine
+        fetches them from ``home``.
         """
         prompt = demand.prompt
         total = self.board.total(upstream.upstream_id)
@@ -167,11 +178,39 @@
             seconds,
             unread_before=total.unread,
             running_before=total.running,
+            fetch_from=(
+                home.address if shared and home is not upstream else ''
+            ),
         )
 
 
-def _expected_seconds(choice: Choice) -> float:
-    return choice.expected_seconds
+def is_long(prompt: Prompt) -> bool:
+    """Return whether reading the prompt holds up others for too long."""
+    shared = sum(part.tokens for part in prompt.shared_parts)
+    return prompt.tokens - shared >= LONG_TOKENS
+
+
+def split_lane(
+    ranked: Sequence[RegisteredUpstream],
+    *,
+    is_long: bool,
+) -> tuple[
+    Sequence[RegisteredUpstream],
+    Sequence[RegisteredUpstream],
+]:
+    """Return the engines for prompts of this length, and the other ones."""
+    size = round(len(ranked) * LANE_SHARE)
+    if not size or size == len(ranked):
+        return ranked, ()
+    by_lane = sorted(ranked, key=_lane_rank)
+    lane = {upstream.upstream_id for upstream in by_lane[:size]}
+    inside = [one for one in ranked if one.upstream_id in lane]
+    outside = [one for one in ranked if one.upstream_id not in lane]
+    return (inside, outside) if is_long else (outside, inside)
+
+
+def _lane_rank(upstream: RegisteredUpstream) -> int:
+    return xxhash.xxh3_64_intdigest(f'lane {upstream.upstream_id}'.encode())
 
 
 def has_room(
--- a/src/hickorymux/_internal/protocol/upstream_http.py
+++ b/src/hickorymux/_internal/protocol/upstream_http.py
@@ -82,6 +82,7 @@
         upstream_id: str,
         remaining_seconds: float,
         last_event_id: str,
+        fetch_from: str,
     ) -> None:
         """Set what differs from one attempt of a request to the next."""
 
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -180,6 +180,7 @@
             seat.upstream.upstream_id,
             left,
             call.last_event_id,
+            seat.choice.fetch_from,
         )
         is_stream = call.route.kind is RequestKind.streaming
         return Attempt(
--- a/src/hickorymux/platform/headers.py
+++ b/src/hickorymux/platform/headers.py
@@ -29,6 +29,8 @@
 PROMPT_PARTS: Final = 'X-Prompt-Prefix'
 # The caller's guess of the output tokens; often far off.
 OUTPUT_HINT: Final = 'X-Length-Hint'
+# The address of an engine from which memory of the prompt is copied.
+FETCH_FROM: Final = 'Kv-Fetch'
 # Proof that an upstream made the answer.
 SIGNATURE: Final = 'X-Response-Stamp'
 NOT_RUN: Final = 'X-Not-Executed'
@@ -52,7 +54,7 @@
         'X-Pin-Duration',
         'X-Kv-Backup',
         'Kv-From',
-        'Kv-Fetch',
+        FETCH_FROM,
         'Host',
         'Expect',
     )
@@ -109,8 +111,11 @@
     upstream_id: str,
     remaining_seconds: float,
     last_event_id: str,
+    fetch_from: str,
 ) -> None:
     """Set what differs from one attempt of a request to the next."""
+    if fetch_from:
+        headers[FETCH_FROM] = fetch_from
     headers[EXPECTED_UPSTREAM] = upstream_id
     remaining_ms = max(1, int(remaining_seconds * _MS_PER_SECOND))
     headers[REMAINING_MS] = str(remaining_ms)
