Share use between routers, fill engines less, read the store once a zone

Change: use by customer and waiting counts travel with the load reports, and a customer that is ahead yields to one that waits at another router; engines are filled to 0.6 of their slots and half of their memory; spill only to engines that begin within a tenth of the time left; waiting ends after 0.4 of the time to the first event; one router of a zone reads the log for all. Tests: the path through a whole process against stand-ins of the store and of engines, decoding, the shared log.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -34,7 +34,9 @@
     READ_TOKENS_PER_SECOND,
     UpstreamSpeeds,
 )
+from hickorymux._internal.coordination.engines.usage import UsageBoard
 from hickorymux._internal.coordination.engines.waiting import (
+    CustomerUse,
     WaitingLine,
     cost_of,
 )
@@ -51,6 +53,12 @@
 # A request that can only be late is placed where no more than this is unread,
 # so that it delays nobody who can still be in time.
 LATE_UNREAD_TOKENS: Final = READ_TOKENS_PER_SECOND * 0.3
+# An engine of which less than this share of the slots is taken has room for
+# all customers.
+PLENTY_SHARE: Final = 0.4
+# How many requests a customer may be ahead of one that waits elsewhere; what
+# is known of other routers lags.
+FAIR_REQUESTS: Final = 3.0
 
 ColdBound = Callable[[PoolPolicy], float]
 
@@ -107,6 +115,7 @@
         'speeds',
         'ticker',
         'region_of',
+        'usage',
     )
 
     def __init__(
@@ -123,6 +132,7 @@
         self.board = LoadBoard()
         self.speeds = UpstreamSpeeds()
         self.health = UpstreamHealth()
+        self.usage = UsageBoard()
         self.cold_share = cold_share
         self.cold_bound = cold_bound
         self.region_of = region_of
@@ -164,6 +174,21 @@
             is_moving = self._seat_next(line)
         self._shed(line)
 
+    def uses(self) -> dict[tuple[str, str], CustomerUse]:
+        """Return this router's use by pool and customer."""
+        now = self.clock.monotonic()
+        return {
+            (pool, customer): use
+            for pool, line in self.lines.items()
+            for customer, use in line.uses(now).items()
+        }
+
+    def on_usage(self) -> None:
+        """Take what other routers gave and keep waiting."""
+        sums = self.usage.sums(self.clock.monotonic())
+        for pool, line in self.lines.items():
+            line.meter.elsewhere = sums.get(pool, {})
+
     def pump_all(self) -> None:
         """Pump all pools; upstreams or their load have changed."""
         for pool in self.lines:
@@ -255,12 +280,14 @@
         )
         if choice is None or not self._is_worth_it(demand, choice, now):
             return None
+        if self._must_yield(demand, choice, line, now):
+            return None
         upstream = choice.upstream
         self.board.add(upstream.upstream_id, choice.load)
         self.health.on_sent(upstream.upstream_id, now)
         if self.registry.is_cold(upstream, now):
             self.cold_share.on_sent(upstream.life, now)
-        line.meter.add(demand.customer, cost_of(demand), now)
+        line.on_seated(demand, now)
         self.rates[demand.pool.name].add(cost_of(demand), now)
         return Seat(self, demand, choice, now)
 
@@ -278,6 +305,24 @@
             return True
         return choice.unread_before <= LATE_UNREAD_TOKENS
 
+    def _must_yield(
+        self,
+        demand: Demand,
+        choice: Choice,
+        line: WaitingLine,
+        now: float,
+    ) -> bool:
+        """Return whether the place is for a customer at another router.
+
+        Where there is plenty of room both can be served.
+        """
+        if not isinstance(demand, PromptDemand):
+            return False
+        if choice.running_before < choice.upstream.slots * PLENTY_SHARE:
+            return False
+        slack = FAIR_REQUESTS * max(line.mean_cost, demand.cost)
+        return line.meter.must_yield(demand.customer, slack, now)
+
     def _seat_next(self, line: WaitingLine) -> bool:
         now = self.clock.monotonic()
         for demand in line.in_turn(now):
--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -35,7 +35,10 @@
 
 # The part of an engine's memory that running requests may fill; the rest
 # keeps prompt parts that are used again.
-MEMORY_SHARE: Final = 0.75
+MEMORY_SHARE: Final = 0.5
+# The part of an engine's slots that is filled: each running request slows the
+# others, and a full engine ends its long answers too late.
+RUNNING_SHARE: Final = 0.6
 # Places beyond the slots of a plain service; an answer is then waited for at
 # most as long again as it takes.
 PLAIN_OVERCOMMIT: Final = 2.0
@@ -43,7 +46,7 @@
 FAR_SECONDS: Final = 0.004
 # Another engine than the home is used only if it begins within this share of
 # the time left, so that it is one that idles and not one that is less full.
-SPILL_SHARE: Final = 0.3
+SPILL_SHARE: Final = 0.1
 LONG_TOKENS: Final = 12000
 LANE_SHARE: Final = 0.25
 
@@ -220,7 +223,7 @@
     slots: int,
 ) -> bool:
     """Return whether an engine can run a request beside what it has."""
-    if total.running >= slots:
+    if total.running >= slots * RUNNING_SHARE:
         return False
     if engine is None or not total.running:
         return True
--- a/src/hickorymux/_internal/coordination/engines/refusal.py
+++ b/src/hickorymux/_internal/coordination/engines/refusal.py
@@ -14,7 +14,7 @@
 from hickorymux._internal.coordination.engines.demands import Demand
 
 # A request is kept for this share of the time in which it should begin.
-MAX_WAIT_SHARE: Final = 0.7
+MAX_WAIT_SHARE: Final = 0.4
 MIN_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 2.0
 # Clients heed a time to come back of up to a third of what they have left.
--- a/src/hickorymux/_internal/coordination/engines/waiting.py
+++ b/src/hickorymux/_internal/coordination/engines/waiting.py
@@ -14,33 +14,65 @@
     line.remove(demand)
 """
 
+import dataclasses
+import functools
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Final, final
 
 from hickorymux._internal.coordination.engines.demands import Demand
 
 # Service counts half after this, so that no customer pays for old service.
 HALF_LIFE_SECONDS: Final = 3.0
+# Weight of the newest request in the mean cost.
+MEAN_GAIN: Final = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class CustomerUse:
+    """What a customer was given lately, and how many of its requests wait."""
+
+    given: float = 0
+    waiting: int = 0
 
 
 @final
 class ServiceMeter:
     """What each customer was given lately, in the cost of its requests."""
 
-    __slots__ = ('given', 'updated_at')
+    __slots__ = ('elsewhere', 'given', 'updated_at')
 
     def __init__(self) -> None:
         self.given: dict[str, float] = {}
         self.updated_at: dict[str, float] = {}
+        self.elsewhere: Mapping[str, CustomerUse] = {}
 
     def add(self, customer: str, cost: float, now: float) -> None:
         """Count service that begins now."""
-        self.given[customer] = self.recent(customer, now) + cost
+        self.given[customer] = self.own(customer, now) + cost
         self.updated_at[customer] = now
 
     def recent(self, customer: str, now: float) -> float:
-        """Return the service of a customer, older service counting less."""
+        """Return the service of a customer at all routers."""
+        others = self.elsewhere.get(customer)
+        own = self.own(customer, now)
+        return own if others is None else own + others.given
+
+    def must_yield(self, customer: str, slack: float, now: float) -> bool:
+        """Return whether a less served customer waits at another router.
+
+        ``slack`` is the difference in service that is borne.
+        """
+        bound = self.recent(customer, now) - slack
+        return any(
+            use.waiting
+            and other != customer
+            and self.recent(other, now) < bound
+            for other, use in self.elsewhere.items()
+        )
+
+    def own(self, customer: str, now: float) -> float:
+        """Return the service at this router, older service counting less."""
         given = self.given.get(customer)
         if given is None:
             return 0
@@ -52,9 +84,10 @@
 class WaitingLine:
     """The requests that wait for one pool."""
 
-    __slots__ = ('by_customer', 'meter', 'queued_cost')
+    __slots__ = ('by_customer', 'mean_cost', 'meter', 'queued_cost')
 
     def __init__(self) -> None:
+        self.mean_cost = 1.0
         self.by_customer: dict[str, list[Demand]] = {}
         self.meter = ServiceMeter()
         self.queued_cost = 0.0
@@ -63,6 +96,12 @@
         """Return how many requests wait."""
         return sum(len(demands) for demands in self.by_customer.values())
 
+    def on_seated(self, demand: Demand, now: float) -> None:
+        """Count a request that got a place."""
+        cost = cost_of(demand)
+        self.meter.add(demand.customer, cost, now)
+        self.mean_cost += MEAN_GAIN * (cost - self.mean_cost)
+
     def push(self, demand: Demand) -> None:
         """Add a request."""
         self.by_customer.setdefault(demand.customer, []).append(demand)
@@ -77,7 +116,7 @@
         self.queued_cost -= cost_of(demand)
 
     def in_turn(self, now: float) -> Iterator[Demand]:
-        """Yield each customer's next request, least served customer first.
+        """Yield the requests in turn, least served customer first.
 
         Stop early or call again after each change: the order is as of now.
         """
@@ -85,11 +124,9 @@
             self.by_customer,
             key=lambda customer: self.meter.recent(customer, now),
         )
+        by_urgency = functools.partial(_urgency, now=now)
         for customer in customers:
-            yield min(
-                self.by_customer[customer],
-                key=lambda demand: _urgency(demand, now),
-            )
+            yield from sorted(self.by_customer[customer], key=by_urgency)
 
     def most_served(self, now: float) -> Demand | None:
         """Return whom to refuse first: the newest of who got most lately."""
@@ -104,6 +141,16 @@
             key=lambda demand: demand.arrived_at,
         )
 
+    def uses(self, now: float) -> dict[str, CustomerUse]:
+        """Return what this router gave to each customer, and who waits."""
+        return {
+            customer: CustomerUse(
+                self.meter.own(customer, now),
+                len(self.by_customer.get(customer, ())),
+            )
+            for customer in self.meter.given.keys() | self.by_customer.keys()
+        }
+
     def all_waiting(self) -> Iterator[Demand]:
         """Yield all requests that wait."""
         for demands in self.by_customer.values():
--- a/src/hickorymux/_internal/coordination/keyed_follower.py
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -112,9 +112,7 @@
             self.next_offset,
             wait_seconds=self.pace.wait,
         )
-        # An empty answer proves that nothing was written while it was held.
-        held = 0 if page.records else self.pace.wait
-        self._note_answer(started_at + held)
+        self._note_answer(started_at + page.valid_seconds)
         for record in page.records:
             self.take(record)
         self.next_offset = page.next_offset
--- a/src/hickorymux/_internal/coordination/load_messages.py
+++ b/src/hickorymux/_internal/coordination/load_messages.py
@@ -9,6 +9,8 @@
 
     ``zone`` is empty for a single router. Row by row: the upstream's id, its
     requests, the prompt tokens they have yet to read, the tokens they occupy.
+    Then, row by row, pool, customer, the service it was given lately and how
+    many of its requests wait.
     """
 
     zone: str = ''
@@ -16,3 +18,7 @@
     running: list[int] = dataclasses.field(default_factory=list)
     unread: list[int] = dataclasses.field(default_factory=list)
     memory: list[int] = dataclasses.field(default_factory=list)
+    pools: list[str] = dataclasses.field(default_factory=list)
+    customers: list[str] = dataclasses.field(default_factory=list)
+    given: list[int] = dataclasses.field(default_factory=list)
+    waiting: list[int] = dataclasses.field(default_factory=list)
--- a/src/hickorymux/_internal/coordination/ports.py
+++ b/src/hickorymux/_internal/coordination/ports.py
@@ -65,10 +65,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class KeyedPage:
-    """Records of a topic and the offset where the next read starts."""
+    """Records of a topic and the offset where the next read starts.
+
+    ``valid_seconds`` is how long after the read began nothing else had been
+    written: the time that the log held an empty answer back. It is negative
+    for an answer that is older than the read.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    valid_seconds: float = 0
 
 
 class KeyedLog(Protocol):
--- a/src/hickorymux/_internal/protocol/idl/load.thrift
+++ b/src/hickorymux/_internal/protocol/idl/load.thrift
@@ -6,4 +6,8 @@
   3: optional list<i32> running = [],
   4: optional list<i32> unread = [],
   5: optional list<i32> memory = [],
+  6: optional list<string> pools = [],
+  7: optional list<string> customers = [],
+  8: optional list<i64> given = [],
+  9: optional list<i32> waiting = [],
 }
--- /dev/null
+++ b/src/hickorymux/_internal/protocol/idl/topic.thrift
@@ -0,0 +1,16 @@
+// How routers of one zone share what one of them reads from the store.
+
+struct TopicAsk {
+  1: optional i64 number = 0,
+  2: optional string topic = "",
+  3: optional i64 offset = 0,
+}
+
+struct TopicPage {
+  1: optional i64 number = 0,
+  2: optional bool is_whole = 0,
+  3: optional i64 next_offset = 0,
+  4: optional list<string> keys = [],
+  5: optional list<binary> values = [],
+  6: optional i64 lag_us = 0,
+}
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -33,6 +33,8 @@
     (54, 'suspect', 'TurnGrant'),
     (55, 'suspect', 'TurnEnd'),
     (60, 'load', 'LoadReport'),
+    (70, 'topic', 'TopicAsk'),
+    (71, 'topic', 'TopicPage'),
 )
 
 
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -42,6 +42,11 @@
     RetryBudget,
     RetrySettings,
 )
+from hickorymux._internal.coordination.shared_log import SharedLog
+from hickorymux._internal.coordination.topic_messages import (
+    TopicAsk,
+    TopicPage,
+)
 from hickorymux._internal.exceptions import (
     HickorymuxError,
     HostListUnavailable,
@@ -67,9 +72,9 @@
 
 # Changes of the tables arrive at once; this only bounds how long a view may
 # go unconfirmed while nothing changes.
-TABLE_PACE: Final = Pace(wait=1.5)
+TABLE_PACE: Final = Pace(wait=1)
 # Entries are renewed all the time, so a read that waits would never rest.
-UPSTREAM_PACE: Final = Pace(wait=0, pause=0.6)
+UPSTREAM_PACE: Final = Pace(wait=0, pause=0.5)
 ROUTER_LIST_SECONDS: Final = 10.0
 ROUTERS_SECONDS: Final = 0.5
 # Kept of the age at which keys may no longer be trusted, for the request to
@@ -154,6 +159,7 @@
         'runners',
         'server',
         'settings',
+        'shared_log',
         'stopping',
         'store',
         'suspects',
@@ -307,8 +313,14 @@
         settings, deployment = self.settings, self.deployment
         self.store = deployment.open_store(settings.store)
         self.view = DeploymentView(deployment, self.clock, self._on_change)
-        self.tables = KeyedFollower(
+        self.shared_log = SharedLog(
             self.store,
+            self.membership,
+            self.network,
+            self.clock,
+        )
+        self.tables = KeyedFollower(
+            self.shared_log,
             self.clock,
             deployment.operator_topic,
             TABLE_PACE,
@@ -317,7 +329,7 @@
             _ignore_return,
         )
         self.upstreams = KeyedFollower(
-            self.store,
+            self.shared_log,
             self.clock,
             deployment.upstream_topic,
             UPSTREAM_PACE,
@@ -335,11 +347,10 @@
             self._region_of,
         )
         self.exchange = LoadExchange(
-            self.allocator.board,
+            self.allocator,
             self.membership,
             self.network.send_datagram,
             self.clock,
-            self.allocator.pump_all,
         )
         self.client = UpstreamClient.from_config(
             UpstreamTimeouts(
@@ -407,6 +418,8 @@
         """Give a message of another router to the part that it is for."""
         if isinstance(message, LoadReport):
             self.exchange.on_message(sender_id, message)
+        elif isinstance(message, TopicAsk | TopicPage):
+            self.shared_log.on_message(sender_id, message)
         elif type(message).__module__ == membership_messages.__name__:
             self.membership.on_message(message, sender_id)
         else:
--- a/src/hickorymux/platform/store.py
+++ b/src/hickorymux/platform/store.py
@@ -135,7 +135,9 @@
             records = tuple(_parse_records(body, from_offset))
         except (struct.error, IndexError, UnicodeDecodeError) as error:
             raise LogUnavailable(repr(error), where=topic) from error
-        return KeyedPage(records, from_offset + len(records))
+        valid_seconds = 0 if records else wait_seconds
+        end = from_offset + len(records)
+        return KeyedPage(records, end, valid_seconds)
 
     async def fetch(self) -> tuple[HostEntry, ...]:
         """Return the routers that have announced themselves."""
--- /dev/null
+++ b/tests/lib/platform_fleet.py
@@ -0,0 +1,164 @@
+"""An entry process in this event loop, with stand-ins around it."""
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+from yarl import URL
+
+from hickorymux._internal.transport.entry_process import EntryProcess
+from hickorymux.platform.deployment import PlatformDeployment
+from hickorymux.platform.settings import decode_settings
+from tests.lib.platform_engine import PlatformEngine
+from tests.lib.platform_store import PlatformStore
+
+HOST = 'api.example'
+KEY = 'key-of-ann'
+
+SETTINGS = """
+node = "front-1"
+zone = "z1"
+region = "r1"
+ip = "127.0.0.1"
+internalPortRange = [{peer}, {peer}]
+[zones]
+z1 = "r1"
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[limits]
+maxFds = 4096
+[bounds]
+graceS = {grace}
+strictRevocation = true
+revokeMs = {revoke_ms}
+[platform]
+address = "{store}"
+"""
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def route(prefix: str, kind: str, **changes: object) -> dict[str, object]:
+    """Return a route of the manifest."""
+    return {
+        'name': prefix,
+        'host': HOST,
+        'pathPrefix': prefix,
+        'kind': kind,
+        'timeoutMs': 2000,
+        'targetLatencyMs': 500,
+        'service': 'pool',
+        'maxAttempts': 1,
+        'public': False,
+        **changes,
+    }
+
+
+def manifest(version: int, *routes: dict[str, object]) -> dict[str, object]:
+    """Return a manifest with one pool and one customer."""
+    return {
+        'version': version,
+        'routes': list(routes),
+        'services': [{'name': 'pool', 'maxConnections': 100}],
+        'limits': {'maxBodyBytes': 10000},
+        'tenants': [{'name': 'ann', 'apiKeys': [KEY]}],
+    }
+
+
+class PlatformFleet:
+    """One entry process, its store and its engines."""
+
+    def __init__(self, process: EntryProcess, store: PlatformStore) -> None:
+        self.process = process
+        self.store = store
+        self.engines: list[PlatformEngine] = []
+        self.session = aiohttp.ClientSession()
+
+    async def add_engine(
+        self, engine: PlatformEngine, **changes: object
+    ) -> None:
+        """Start an engine and register it."""
+        await engine.start()
+        self.engines.append(engine)
+        await self.store.put(
+            'keyed.servers', engine.engine_id, engine.entry(**changes)
+        )
+
+    async def until_ready(self) -> None:
+        """Wait until the process serves the newest engines."""
+        wanted = {engine.engine_id for engine in self.engines}
+        view = self.process.view
+        while not (
+            self.process.read_readiness()
+            and wanted <= view.registry.upstreams.keys()
+        ):
+            await self.process.clock.sleep(0.02)
+
+    def request(self, method: str, path: str, **options: Any) -> Any:
+        """Send a request as the customer does."""
+        callers = self.process.settings.callers
+        headers = {
+            'Host': HOST,
+            'X-Key': KEY,
+            'X-Request-Id': 'r1',
+            'X-Request-Deadline': '2000',
+            **options.pop('headers', {}),
+        }
+        headers = {name: text for name, text in headers.items() if text}
+        return self.session.request(
+            method,
+            URL(f'http://{callers}{path}', encoded=True),
+            headers=headers,
+            **options,
+        )
+
+
+@contextlib.asynccontextmanager
+async def platform_fleet(
+    *routes: dict[str, object],
+    revoke_ms: int = 5000,
+    grace: float = 8,
+) -> AsyncIterator[PlatformFleet]:
+    """Run an entry process with these routes."""
+    store = PlatformStore()
+    await store.start()
+    text = SETTINGS.format(
+        front=free_port(),
+        ready=free_port(),
+        peer=free_port(),
+        store=store.address,
+        revoke_ms=revoke_ms,
+        grace=grace,
+    )
+    settings = decode_settings(text.encode(), where='test')
+    settings = _with_metrics_port(settings, free_port())
+    process = EntryProcess.from_config(settings, PlatformDeployment())
+    fleet = PlatformFleet(process, store)
+    if routes:
+        await store.put('keyed.op', 'config', manifest(1, *routes))
+    await process.start()
+    try:
+        yield fleet
+    finally:
+        store.mode = ''
+        await fleet.session.close()
+        await process.close()
+        for engine in fleet.engines:
+            await engine.close()
+        await store.close()
+
+
+def _with_metrics_port(settings: Any, port: int) -> Any:
+    import dataclasses
+
+    metrics = dataclasses.replace(settings.metrics, port=port)
+    return dataclasses.replace(settings, metrics=metrics)
--- /dev/null
+++ b/tests/unit/engines/test_shared_log.py
@@ -0,0 +1,123 @@
+"""One router of a zone reads the log for all."""
+
+import asyncio
+
+from hickorymux._internal.coordination.ports import (
+    KeyedPage,
+    KeyedRecord,
+    Member,
+)
+from hickorymux._internal.coordination.shared_log import SharedLog
+from hickorymux._internal.protocol.peer_messages import default_codec
+from tests.lib.fake_clock import FakeClock
+
+
+class Log:
+    """A log whose reads wait until the test lets them go."""
+
+    def __init__(self):
+        self.records = []
+        self.reads = 0
+        self.gate = asyncio.Event()
+
+    async def newest(self, topic):
+        return KeyedPage(tuple(self.records), len(self.records))
+
+    async def read(self, topic, from_offset, *, wait_seconds=0):
+        self.reads += 1
+        if wait_seconds:
+            await self.gate.wait()
+            self.gate.clear()
+        found = tuple(self.records[from_offset:])
+        return KeyedPage(found, len(self.records), 0 if found else wait_seconds)
+
+
+class Zone:
+    """Routers of one zone; the codec is between them as on the wire."""
+
+    def __init__(self, *names):
+        self.clock = FakeClock()
+        self.members = [Member(name, 1, 'z', '', 0) for name in names]
+        self.log = Log()
+        self.routers = {}
+        self.is_cut = False
+        for member in self.members:
+            view = View(self, member)
+            self.routers[member.router_id] = SharedLog(
+                self.log, view, view, self.clock
+            )
+
+
+class View:
+    """A member view and a sender."""
+
+    def __init__(self, zone, me):
+        self.zone = zone
+        self.myself = me
+
+    def live_in_zone(self, _zone):
+        return self.zone.members
+
+    def send(self, router_id, message):
+        if self.zone.is_cut:
+            return False
+        codec = default_codec()
+        message = codec.decode(*codec.encode(message))
+        router = self.zone.routers[router_id]
+        asyncio.get_running_loop().call_soon(
+            router.on_message, self.myself.router_id, message
+        )
+        return True
+
+
+async def test_second_router_gets_what_the_first_reads():
+    zone = Zone('a', 'b')
+    reading = asyncio.create_task(
+        zone.routers['a'].read('t', 0, wait_seconds=1)
+    )
+    asking = asyncio.create_task(zone.routers['b'].read('t', 0, wait_seconds=1))
+    await asyncio.sleep(0.01)
+    zone.log.records = [KeyedRecord('k', b'\x00\xff{}', 0)]
+    zone.log.gate.set()
+    assert (await reading).records == (await asking).records
+    assert (await asking).records[0].value == b'\x00\xff{}'
+    assert zone.log.reads == 1
+
+
+async def test_answer_says_how_much_older_than_the_ask_it_is():
+    zone = Zone('a', 'b')
+    reading = asyncio.create_task(
+        zone.routers['a'].read('t', 0, wait_seconds=1)
+    )
+    await asyncio.sleep(0.01)
+    zone.clock.advance(0.4)
+    asking = asyncio.create_task(zone.routers['b'].read('t', 0, wait_seconds=1))
+    await asyncio.sleep(0.01)
+    zone.log.records = [KeyedRecord('k', b'1', 0)]
+    zone.log.gate.set()
+    await reading
+    assert abs((await asking).valid_seconds + 0.4) < 0.001
+
+
+async def test_ask_without_an_answer_reads_the_store():
+    zone = Zone('a', 'b')
+    zone.is_cut = True
+    zone.log.records = [KeyedRecord('k', b'1', 0)]
+    page = await zone.routers['b'].read('t', 0, wait_seconds=0.01)
+    assert page.next_offset == 1
+    assert zone.log.reads == 1
+    zone.log.gate.set()
+    page = await zone.routers['b'].read('t', 0, wait_seconds=0.01)
+    assert page.next_offset == 1
+
+
+async def test_reader_that_lacks_records_says_so():
+    zone = Zone('a', 'b')
+    zone.log.records = [KeyedRecord('k', b'1', 0), KeyedRecord('k', b'2', 1)]
+    zone.log.gate.set()
+    asking = asyncio.create_task(zone.routers['b'].read('t', 0, wait_seconds=1))
+    await asyncio.sleep(0.01)
+    await zone.routers['a'].read('t', 1, wait_seconds=1)
+    page = await asking
+    assert [record.value for record in page.records] == [b'1', b'2']
+    assert zone.log.reads == 2
--- /dev/null
+++ b/tests/unit/platform/test_decoding.py
@@ -0,0 +1,147 @@
+"""What the platform's messages become inside."""
+
+import json
+import subprocess
+from pathlib import Path
+
+import pytest
+
+from hickorymux._internal.exceptions import ConfigError
+from hickorymux.platform import headers
+from hickorymux.platform.engine_entries import decode_entry
+from hickorymux.platform.manifest import decode_manifest
+from hickorymux.platform.settings import decode_settings
+from tests.lib.platform_fleet import KEY, manifest, route
+
+ROOT = Path(__file__).parents[3]
+
+
+def test_longest_prefix_wins():
+    table = decode_manifest(
+        json.dumps(
+            manifest(3, route('/a/', 'idempotent'), route('/a/b/', 'streaming'))
+        ).encode()
+    )
+    assert table.match('api.example', '/a/b/c').name == '/a/b/'
+    assert table.match('api.example', '/a/c').name == '/a/'
+    assert table.match('api.example', '/a') is None
+    assert table.match('other', '/a/c') is None
+    assert table.customers_by_key[KEY].name == 'ann'
+
+
+@pytest.mark.parametrize(
+    ('text', 'place'),
+    [
+        (b'{', 'config'),
+        (b'{"version":1}', 'routes'),
+        (b'{"version":"1"}', 'version'),
+    ],
+)
+def test_manifest_error_names_the_place(text, place):
+    with pytest.raises(ConfigError, match=place):
+        decode_manifest(text)
+
+
+def test_cold_time_counts_from_the_reading():
+    text = json.dumps(
+        {
+            'service': 's',
+            'address': '10.0.0.1:80',
+            'zone': 'z',
+            'slots': 4,
+            'state': 'draining',
+            'coldRemainingMs': 1500,
+            'seq': 1,
+        }
+    ).encode()
+    upstream = decode_entry('e1', text, 100)
+    assert (upstream.cold_until, upstream.is_ready) == (101.5, False)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'odd'},
+        {'slots': 0},
+        {'address': 'nowhere'},
+        {'address': '1:99999'},
+    ],
+)
+def test_misshapen_entry_is_refused(change):
+    entry = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'slots': 4,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'seq': 1,
+        **change,
+    }
+    with pytest.raises(ConfigError, match='e1'):
+        decode_entry('e1', json.dumps(entry).encode(), 0)
+
+
+def test_settings_error_names_the_file_and_the_field():
+    with pytest.raises(ConfigError, match='local.toml.*node'):
+        decode_settings(b'zone = "z"', where='local.toml')
+
+
+def test_prompt_of_a_call():
+    facts = headers.read_call(
+        {
+            'X-Request-Id': 'r',
+            'X-Token-Count': '1460,80',
+            'X-Length-Hint': '30',
+            'X-Prompt-Prefix': 'a:800,b:410,c:250',
+            'X-Request-Deadline': '1500',
+        }
+    )
+    assert facts.patience_seconds == 1.5
+    assert facts.prompt.affinity_key == 'b'
+    assert facts.prompt.expected_output == 30
+    assert [part.tokens for part in facts.prompt.shared_parts] == [800, 410]
+
+
+@pytest.mark.parametrize(
+    ('name', 'text'),
+    [
+        ('X-Token-Count', 'many'),
+        ('X-Prompt-Prefix', ',,:'),
+        ('X-Request-Deadline', 'soon'),
+        ('X-Server-Load', '1,2'),
+    ],
+)
+def test_unreadable_headers_say_nothing(name, text):
+    facts = headers.read_call({name: text})
+    assert facts.patience_seconds is None
+    assert facts.prompt is None
+    assert headers.read_answer(200, {name: text}).load is None
+
+
+def test_only_proof_means_not_run():
+    assert headers.read_answer(503, {'X-Not-Executed': '1'}).is_not_run
+    assert headers.read_answer(421, {}).is_not_run
+    assert not headers.read_answer(503, {}).is_not_run
+
+
+def test_wire_names_stay_in_the_platform_folder():
+    """The names of the platform's headers and fields are known there only."""
+    names = (
+        'X-Tenant|X-Expect-Instance|X-Not-Executed|X-Response-Stamp|X-Key|'
+        'X-Server-Load|X-Prompt-Prefix|X-Token-Count|Kv-|coldRemainingMs|'
+        'apiKeys|pathPrefix|keyed\\.|weightedBackends|maxAttempts'
+    )
+    found = subprocess.run(
+        ['grep', '-rlE', names, 'src', '--include=*.py'],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    outside = [
+        name
+        for name in found.stdout.split()
+        if not name.startswith('src/hickorymux/platform/')
+    ]
+    assert not outside
