Report loads through the zone's delegate; close refused connections

Change: reports go to the zone's delegate, which sends sums; a 503 closes its connection; the fallback waits at the store. A request leaves its home only for an engine that idles (few streams, nothing to read). Tests: decisions on the loads they answer, registry, cold share, health.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -159,7 +159,8 @@
         """Return what waits for a pool."""
         line = self.lines.get(pool)
         if line is None:
-            line = self.lines[pool] = WaitingLine()
+            line = WaitingLine()
+            self.lines[pool] = line
             self.rates[pool] = refusal.DrainRate(self.clock.monotonic())
         return line
 
@@ -262,14 +263,12 @@
         try:
             return await future
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
-                if future.exception() is None:
-                    future.result().release()
+            _give_back(future)
             raise
         finally:
-            if self.futures.pop(demand, None) is not None:
-                if demand in line.by_customer.get(demand.customer, ()):
-                    line.remove(demand)
+            self.futures.pop(demand, None)
+            if demand in line.by_customer.get(demand.customer, ()):
+                line.remove(demand)
 
     def _try_seat(self, demand: Demand, line: WaitingLine) -> Seat | None:
         now = self.clock.monotonic()
@@ -392,3 +391,11 @@
         self.pump_all()
         if any(line.by_customer for line in self.lines.values()):
             self._tick_later()
+
+
+def _give_back(future: 'asyncio.Future[Seat]') -> None:
+    """Release the seat of a request whose caller has left meanwhile."""
+    if not future.done() or future.cancelled():
+        return
+    if future.exception() is None:
+        future.result().release()
--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -13,6 +13,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Sequence
 from functools import singledispatchmethod
 from typing import Final, final
@@ -44,9 +45,10 @@
 PLAIN_OVERCOMMIT: Final = 2.0
 # What another zone costs a plain request, in seconds.
 FAR_SECONDS: Final = 0.004
-# Another engine than the home is used only if it begins within this share of
-# the time left, so that it is one that idles and not one that is less full.
-SPILL_SHARE: Final = 0.1
+# Another engine than the home is used only if it idles: nothing much to read,
+# and few streams that reading would hold up.
+IDLE_UNREAD_TOKENS: Final = 2000
+IDLE_RUNNING_SHARE: Final = 0.25
 LONG_TOKENS: Final = 12000
 LANE_SHARE: Final = 0.25
 
@@ -101,7 +103,7 @@
         now: float,
     ) -> Choice | None:
         best: Choice | None = None
-        best_seconds = 0.0
+        best_seconds = math.inf
         for upstream in candidates:
             running = self.board.total(upstream.upstream_id).running
             if running >= upstream.slots * PLAIN_OVERCOMMIT:
@@ -115,7 +117,7 @@
             ranked = seconds + running / upstream.slots / 1000
             if upstream.zone != self.zone:
                 ranked += FAR_SECONDS
-            if best is None or ranked < best_seconds:
+            if ranked < best_seconds:
                 best_seconds = ranked
                 load = EngineLoad(running=1)
                 best = Choice(
@@ -142,10 +144,9 @@
         home = self._offer(demand, own[0], source)
         if home is not None and home.expected_seconds <= left:
             return home
-        limit = left * SPILL_SHARE
         for upstream in [*own[1:], *other]:
             choice = self._offer(demand, upstream, source)
-            if choice is not None and choice.expected_seconds <= limit:
+            if choice is not None and _is_idle(choice):
                 return choice
         return home
 
@@ -187,6 +188,12 @@
         )
 
 
+def _is_idle(choice: Choice) -> bool:
+    slots = choice.upstream.slots
+    is_quiet = choice.running_before <= slots * IDLE_RUNNING_SHARE
+    return is_quiet and choice.unread_before <= IDLE_UNREAD_TOKENS
+
+
 def is_long(prompt: Prompt) -> bool:
     """Return whether reading the prompt holds up others for too long."""
     shared = sum(part.tokens for part in prompt.shared_parts)
--- a/src/hickorymux/_internal/coordination/engines/refusal.py
+++ b/src/hickorymux/_internal/coordination/engines/refusal.py
@@ -30,7 +30,7 @@
     __slots__ = ('rate', 'updated_at')
 
     def __init__(self, now: float) -> None:
-        self.rate = 0.0
+        self.rate: float = 0
         self.updated_at = now
 
     def add(self, cost: float, now: float) -> None:
--- a/src/hickorymux/_internal/coordination/engines/waiting.py
+++ b/src/hickorymux/_internal/coordination/engines/waiting.py
@@ -90,7 +90,7 @@
         self.mean_cost = 1.0
         self.by_customer: dict[str, list[Demand]] = {}
         self.meter = ServiceMeter()
-        self.queued_cost = 0.0
+        self.queued_cost: float = 0
 
     def __len__(self) -> int:
         """Return how many requests wait."""
--- a/src/hickorymux/_internal/coordination/keyed_follower.py
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -16,7 +16,11 @@
 from collections.abc import Callable
 from typing import Final, final
 
-from hickorymux._internal.coordination.ports import KeyedLog, KeyedRecord
+from hickorymux._internal.coordination.ports import (
+    KeyedLog,
+    KeyedPage,
+    KeyedRecord,
+)
 from hickorymux._internal.exceptions import LogTrimmed, LogUnavailable
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.json_logging import FIELDS
@@ -124,9 +128,7 @@
         self._note_answer(started_at)
         for record in page.records:
             self.take(record)
-        self.take_listing(
-            frozenset(record.key for record in page.records if record.value)
-        )
+        self.take_listing(_listed_keys(page))
         self.next_offset = page.next_offset
 
     def _note_answer(self, as_of: float) -> None:
@@ -165,5 +167,9 @@
         )
 
 
+def _listed_keys(page: KeyedPage) -> frozenset[str]:
+    return frozenset(record.key for record in page.records if record.value)
+
+
 def _finite(seconds: float) -> float | None:
     return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/hickorymux/_internal/coordination/load_exchange.py
+++ b/src/hickorymux/_internal/coordination/load_exchange.py
@@ -1,13 +1,14 @@
 """Tells the other routers what this one has placed, several times a second.
 
 A small fleet exchanges reports directly. In a larger one a report goes to the
-routers of the own availability zone; the zone's delegate sums them up for the
-delegates of the other zones, and passes their sums on in its own. A node's
-traffic then grows with the size of its zone and the number of zones.
+delegate of the own availability zone, which sends the sum to the routers of
+the zone and to the delegates of the other zones, and passes theirs on in its
+own. A router then sends one report and gets one for each zone, whatever the
+number of routers; a delegate's traffic grows with the size of its zone.
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Any, Final, final
 
 from hickorymux._internal.coordination.engines.allocator import Allocator
@@ -19,8 +20,8 @@
 from hickorymux._internal.utils.clock import Clock
 
 REPORT_SECONDS: Final = 0.05
-# Larger fleets report less often, so that a router's share stays the same.
-SECONDS_PER_RECEIVER: Final = 0.01
+# In a larger fleet each router adds little to the load of one upstream.
+ZONE_REPORT_SECONDS: Final = 0.2
 # An unchanged report is repeated after this, well before it is forgotten.
 REPEAT_SECONDS: Final = 0.5
 # Who was given what changes all the time and matters over seconds.
@@ -28,6 +29,7 @@
 # Up to so many routers exchange reports directly.
 FLAT_ROUTERS: Final = 16
 
+Uses = dict[tuple[str, str], CustomerUse]
 SendDatagram = Callable[[Member, Any], None]
 
 
@@ -41,6 +43,7 @@
         'last',
         'last_sent_at',
         'members',
+        'reported',
         'send',
         'use_due_at',
     )
@@ -57,78 +60,99 @@
         self.send = send
         self.clock = clock
         self.last: LoadReport | None = None
+        self.reported = LoadReport()
         self.last_sent_at = clock.monotonic()
         self.use_due_at = clock.monotonic()
 
     async def run(self) -> None:
         """Report for good."""
         while True:
-            receivers = self.tick()
-            pause = max(REPORT_SECONDS, receivers * SECONDS_PER_RECEIVER)
-            await self.clock.sleep(pause)
+            await self.clock.sleep(self.tick())
 
-    def tick(self) -> int:
-        """Send a report if it is due; return how many routers get reports."""
+    def tick(self) -> float:
+        """Send what is due; return the seconds until the next report."""
         now = self.clock.monotonic()
         self.allocator.board.expire(now)
-        live = self.members.live()
-        is_flat = len(live) <= FLAT_ROUTERS
-        near = live
-        if not is_flat:
-            near = self.members.live_in_zone(self.members.me.zone)
         has_uses = now >= self.use_due_at
         if has_uses:
             self.use_due_at = now + USE_SECONDS
             self.allocator.on_usage()
-        if not is_flat:
-            self._sum_up(has_uses=has_uses)
-        report = to_report(self.allocator.board.own)
-        is_due = report != self.last or has_uses
-        if is_due or now - self.last_sent_at >= REPEAT_SECONDS:
-            self.last = report
-            self.last_sent_at = now
-            if has_uses:
-                report = with_uses(report, self.allocator.uses())
-            self._send_all(near, report)
-        return len(near)
+        live = self.members.live()
+        if len(live) <= FLAT_ROUTERS:
+            self._send_own(live, now, has_uses=has_uses)
+            return REPORT_SECONDS
+        if self.members.is_delegate():
+            self._send_sums(has_uses=has_uses)
+        else:
+            self._send_own(self._at_home()[:1], now, has_uses=has_uses)
+        return ZONE_REPORT_SECONDS
 
     def on_message(self, sender_id: str, report: LoadReport) -> None:
         """Take a report of another router or of a zone."""
-        if report.zone == self.members.me.zone:
-            return
-        source = f'zone {report.zone}' if report.zone else sender_id
         now = self.clock.monotonic()
-        self.allocator.board.take_report(source, from_report(report), now)
-        if report.customers:
-            self.allocator.usage.take_report(source, uses_of(report), now)
-        if report.zone and self.members.is_delegate():
-            if sender_id not in self._ids_at_home():
-                self._send_all(self._at_home(), report)
+        zone = self.members.me.zone
+        rows, uses = from_report(report), uses_of(report)
+        if report.zone == zone:
+            # The sum of this zone counts this router too.
+            rows = less(rows, from_report(self.reported))
+            uses = less_uses(uses, uses_of(self.reported))
+        source = f'zone {report.zone}' if report.zone else sender_id
+        self.allocator.board.take_report(source, rows, now)
+        if uses:
+            self.allocator.usage.take_report(source, uses, now)
+        is_from_outside = report.zone and report.zone != zone
+        if is_from_outside and self.members.is_delegate():
+            self._send_all(self._at_home(), report)
         self.allocator.pump_all()
 
-    def _sum_up(self, *, has_uses: bool) -> None:
-        """Tell the other zones' delegates what this zone has placed."""
-        if not self.members.is_delegate():
+    def _send_own(
+        self,
+        members: Sequence[Member],
+        now: float,
+        *,
+        has_uses: bool,
+    ) -> None:
+        """Send what this router placed, unless it is known already."""
+        report = to_report(self.allocator.board.own)
+        is_known = report == self.last and not has_uses
+        if is_known and now - self.last_sent_at < REPEAT_SECONDS:
             return
-        home = self._ids_at_home()
+        self.last = report
+        self.last_sent_at = now
+        if has_uses:
+            report = with_uses(report, self.allocator.uses())
+            self.reported = report
+        else:
+            self.reported = dataclasses.replace(
+                report,
+                pools=self.reported.pools,
+                customers=self.reported.customers,
+                given=self.reported.given,
+                waiting=self.reported.waiting,
+            )
+        self._send_all(members, report)
+
+    def _send_sums(self, *, has_uses: bool) -> None:
+        """Tell this zone and the other delegates what the zone has placed."""
+        home = {member.router_id for member in self._at_home()}
         sums: dict[str, EngineLoad] = {}
         _add_all(sums, self.allocator.board.own)
         for source, peer in self.allocator.board.peers.items():
             if source in home:
                 _add_all(sums, peer.rows)
-        report = to_report(sums)
+        zone = self.members.me.zone
+        report = dataclasses.replace(to_report(sums), zone=zone)
         if has_uses:
             report = with_uses(report, self._uses_at_home(home))
-        zone = self.members.me.zone
-        report = dataclasses.replace(report, zone=zone)
-        for other in self.members.zones():
-            if other != zone:
-                self._send_all(self.members.live_in_zone(other)[:1], report)
+        others = [
+            member
+            for other in self.members.zones()
+            if other != zone
+            for member in self.members.live_in_zone(other)[:1]
+        ]
+        self._send_all([*self._at_home(), *others], report)
 
-    def _uses_at_home(
-        self,
-        home: frozenset[str],
-    ) -> dict[tuple[str, str], CustomerUse]:
+    def _uses_at_home(self, home: Collection[str]) -> Uses:
         sums = self.allocator.uses()
         for source, peer in self.allocator.usage.peers.items():
             if source not in home:
@@ -139,12 +163,9 @@
                 total.waiting += use.waiting
         return sums
 
-    def _at_home(self) -> Iterable[Member]:
+    def _at_home(self) -> Sequence[Member]:
         return self.members.live_in_zone(self.members.me.zone)
 
-    def _ids_at_home(self) -> frozenset[str]:
-        return frozenset(member.router_id for member in self._at_home())
-
     def _send_all(self, members: Iterable[Member], report: LoadReport) -> None:
         for member in members:
             if member.router_id != self.members.me.router_id:
@@ -205,6 +226,36 @@
     }
 
 
+def less(
+    rows: Mapping[str, EngineLoad],
+    own: Mapping[str, EngineLoad],
+) -> dict[str, EngineLoad]:
+    """Return the rows without a router's own part."""
+    left = dict(rows)
+    for upstream_id, load in own.items():
+        total = left.get(upstream_id)
+        if total is not None:
+            left[upstream_id] = EngineLoad(
+                max(0, total.running - load.running),
+                max(0, total.unread - load.unread),
+                max(0, total.memory - load.memory),
+            )
+    return left
+
+
+def less_uses(uses: Uses, own: Uses) -> Uses:
+    """Return the use without a router's own part."""
+    left = dict(uses)
+    for row, use in own.items():
+        total = left.get(row)
+        if total is not None:
+            left[row] = CustomerUse(
+                max(0, total.given - use.given),
+                max(0, total.waiting - use.waiting),
+            )
+    return left
+
+
 def _add_all(
     sums: dict[str, EngineLoad],
     rows: Mapping[str, EngineLoad],
--- a/src/hickorymux/_internal/coordination/shared_log.py
+++ b/src/hickorymux/_internal/coordination/shared_log.py
@@ -121,7 +121,11 @@
             return await self._read_for_all(topic, from_offset, wait_seconds)
         page = await self._ask(reader, topic, from_offset, wait_seconds)
         if page is None:
-            return await self.log.read(topic, from_offset)
+            return await self.log.read(
+                topic,
+                from_offset,
+                wait_seconds=wait_seconds,
+            )
         return page
 
     def on_message(self, sender_id: str, message: Any) -> None:
@@ -172,10 +176,11 @@
 
     def _answer(self, topic: _Topic, confirmed_at: float) -> None:
         """Answer all asks with what the store said as of a time."""
-        asked, topic.waiting = topic.waiting, []
+        asked = topic.waiting
+        topic.waiting = []
         for waiting in asked:
             records = topic.since(waiting.ask.offset)
-            lag = max(0.0, waiting.received_at - confirmed_at)
+            lag = max(0, waiting.received_at - confirmed_at)
             page = _to_message(
                 waiting.ask.number,
                 topic.next_offset,
--- a/src/hickorymux/_internal/state/upstream_registry.py
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -65,7 +65,7 @@
         self.pools: dict[str, tuple[RegisteredUpstream, ...]] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
         self.returned_zones: dict[str, float] = {}
-        self.grace_until = 0.0
+        self.grace_until: float = 0
         self.lapsing: set[str] = set()
 
     def put(self, upstream: RegisteredUpstream) -> None:
@@ -100,7 +100,8 @@
         """Drop entries that did not come back within the grace period."""
         if now < self.grace_until or not self.lapsing:
             return
-        lapsed, self.lapsing = self.lapsing, set()
+        lapsed = self.lapsing
+        self.lapsing = set()
         for upstream_id in lapsed:
             self.remove(upstream_id, now)
 
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -347,8 +347,9 @@
             ),
             text=f'{error.code}: {error.detail}\n',
         )
-        if isinstance(error, NotReady):
-            # Another router may be able to serve the caller.
+        if response.status == _STATUS_UNAVAILABLE:
+            # The caller comes back on a new connection, perhaps to another
+            # router; connections left open would pile up under overload.
             response.force_close()
         return response
 
--- a/src/hickorymux/_internal/utils/bounded_output.py
+++ b/src/hickorymux/_internal/utils/bounded_output.py
@@ -52,7 +52,8 @@
             self.left_out += 1
             return
         if self.left_out:
-            left_out, self.left_out = self.left_out, 0
+            left_out = self.left_out
+            self.left_out = 0
             self.emit(_left_out_record(left_out))
         self.buffer.append(f'{self.format(record)}\n'.encode())
         self.flush()
--- a/src/hickorymux/platform/engine_entries.py
+++ b/src/hickorymux/platform/engine_entries.py
@@ -43,9 +43,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ConfigError(str(error), where=upstream_id) from error
     _check(entry, upstream_id)
-    cold_until = 0.0
-    if entry.cold_remaining_ms > 0:
-        cold_until = now + entry.cold_remaining_ms / _MS_PER_SECOND
+    cold_seconds = entry.cold_remaining_ms / _MS_PER_SECOND
     return RegisteredUpstream(
         upstream_id=upstream_id,
         pool=entry.service,
@@ -53,7 +51,7 @@
         zone=entry.zone,
         slots=entry.slots,
         is_ready=entry.state == _READY,
-        cold_until=cold_until,
+        cold_until=now + cold_seconds if cold_seconds > 0 else 0,
         born_ms=entry.born,
     )
 
--- a/src/hickorymux/platform/manifest.py
+++ b/src/hickorymux/platform/manifest.py
@@ -115,10 +115,14 @@
     for row in manifest.routes:
         by_host.setdefault(row.host, []).append(_to_route(row, is_open))
     for routes in by_host.values():
-        routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        routes.sort(key=_prefix_length, reverse=True)
     return by_host
 
 
+def _prefix_length(route: HttpRoute) -> int:
+    return len(route.path_prefix)
+
+
 def _to_route(row: _Route, is_open: bool) -> HttpRoute:
     shares = tuple(
         PoolWeight(share.service, share.weight)
--- /dev/null
+++ b/tests/unit/engines/test_placement.py
@@ -0,0 +1,116 @@
+"""Where requests go, under the loads that the decisions are for."""
+
+import random
+
+import pytest
+
+from hickorymux._internal.coordination.engines.board import (
+    EngineLoad,
+    LoadBoard,
+)
+from hickorymux._internal.coordination.engines.placement import (
+    LONG_TOKENS,
+    Placement,
+    is_long,
+)
+from hickorymux._internal.coordination.engines.speeds import UpstreamSpeeds
+from tests.lib.demands import plain_demand, prompt_demand, upstream
+
+ENGINES = [upstream(number) for number in range(9)]
+
+
+@pytest.fixture
+def placement():
+    return Placement(LoadBoard(), UpstreamSpeeds(), 'z1')
+
+
+def place(placement, demand, engines=ENGINES, now=0.0):
+    choice = placement.choose(demand, engines, now)
+    if choice is not None:
+        placement.board.add(choice.upstream.upstream_id, choice.load)
+    return choice
+
+
+def test_like_prompts_go_to_one_engine_while_all_are_busy(placement):
+    """The worst load: every engine half full and reading, subjects at random.
+
+    Parts read again cost more than what a later start costs.
+    """
+    for engine in ENGINES:
+        placement.board.add(engine.upstream_id, EngineLoad(25, 20_000, 50_000))
+    chance = random.Random(7)
+    homes = {}
+    for _ in range(100):
+        subject = f's{chance.randrange(12)}'
+        choice = place(placement, prompt_demand(subject=subject, own=600))
+        if choice is not None:
+            homes.setdefault(subject, set()).add(choice.upstream.upstream_id)
+    assert all(len(engines) == 1 for engines in homes.values())
+
+
+def test_another_engine_only_if_idle_and_then_it_fetches(placement):
+    home = place(placement, prompt_demand()).upstream
+    placement.board.add(home.upstream_id, EngineLoad(10, 80_000, 10_000))
+    choice = place(placement, prompt_demand())
+    assert choice.upstream is not home
+    assert choice.fetch_from == home.address
+    assert choice.load.unread == 1000
+
+
+def test_home_fetches_nothing(placement):
+    assert not place(placement, prompt_demand()).fetch_from
+
+
+def test_long_prompts_do_not_hold_up_the_streams_of_others(placement):
+    """One in ten prompts is long; they share engines with no short one."""
+    for engine in ENGINES:
+        placement.board.add(engine.upstream_id, EngineLoad(20, 3000, 20_000))
+    chance = random.Random(3)
+    used = {True: set(), False: set()}
+    for number in range(200):
+        own = 20_000 if number % 10 == 0 else 800
+        demand = prompt_demand(subject=f's{chance.randrange(99)}', own=own)
+        choice = placement.choose(demand, ENGINES, 0)
+        used[is_long(demand.prompt)].add(choice.upstream.upstream_id)
+    assert not used[True] & used[False]
+    assert len(used[False]) > len(used[True])
+
+
+def test_long_prompts_use_idle_engines_on_a_quiet_day(placement):
+    """The engine for long prompts reads already, the others do nothing."""
+    first = place(placement, prompt_demand(own=LONG_TOKENS + 40_000))
+    place(placement, prompt_demand(own=LONG_TOKENS + 40_000))
+    third = place(placement, prompt_demand(own=LONG_TOKENS + 40_000))
+    assert third.upstream is not first.upstream
+
+
+def test_full_engines_get_nothing(placement):
+    for engine in ENGINES:
+        placement.board.add(engine.upstream_id, EngineLoad(60, 0, 1000))
+    assert place(placement, prompt_demand()) is None
+
+
+def test_engine_without_memory_gets_nothing(placement):
+    for engine in ENGINES:
+        placement.board.add(engine.upstream_id, EngineLoad(3, 0, 400_000))
+    assert place(placement, prompt_demand()) is None
+
+
+def test_plain_requests_go_where_they_end_first(placement):
+    engines = [upstream(n, 'plain', slots=6, zone=f'z{n}') for n in (1, 2)]
+    used = [place(placement, plain_demand(), engines) for _ in range(24)]
+    counts = [
+        sum(choice.upstream is engine for choice in used) for engine in engines
+    ]
+    assert used[0].upstream is engines[0]
+    assert abs(counts[0] - counts[1]) <= 6
+    assert place(placement, plain_demand(), engines) is None
+
+
+def test_slow_engine_is_avoided_by_its_learned_speed(placement):
+    engines = [upstream(n, 'plain', slots=6) for n in (1, 2)]
+    for _ in range(30):
+        placement.speeds.observe_service('e1', 1, 6, 0.4)
+        placement.speeds.observe_service('e2', 1, 6, 0.02)
+    for _ in range(5):
+        assert place(placement, plain_demand(), engines).upstream is engines[1]
--- /dev/null
+++ b/tests/unit/engines/test_upstream_choice.py
@@ -0,0 +1,116 @@
+"""Which upstreams may get requests: health, cold shares, registry, board."""
+
+from hickorymux._internal.coordination.engines.board import (
+    EngineLoad,
+    LoadBoard,
+)
+from hickorymux._internal.coordination.engines.cold_share import ColdShare
+from hickorymux._internal.coordination.engines.health import UpstreamHealth
+from tests.lib.demands import registry, upstream
+
+POOL = ['e1', 'e2', 'e3']
+
+
+def test_failed_connection_takes_an_upstream_out_at_once():
+    health = UpstreamHealth()
+    health.on_connect_failed('e1', 0)
+    assert not health.is_available('e1', 0.1)
+    assert health.is_available('e1', 0.6)
+    assert health.is_available('e2', 0.1)
+
+
+def test_one_request_tries_an_upstream_that_failed():
+    health = UpstreamHealth()
+    health.on_connect_failed('e1', 0)
+    health.on_sent('e1', 1)
+    assert not health.is_available('e1', 1.1)
+    health.on_success('e1')
+    assert health.is_available('e1', 1.2)
+
+
+def test_upstream_that_fails_more_than_its_pool_is_left_out():
+    """Four in ten answers fail while its own health check is good."""
+    health = UpstreamHealth()
+    for number in range(20):
+        now = number / 10
+        for name in POOL:
+            if name == 'e1' and number % 5 < 2:
+                health.on_failure(name, POOL, now)
+            else:
+                health.on_success(name)
+    for _ in range(5):
+        health.on_failure('e1', POOL, 3)
+    assert not health.is_available('e1', 3.1)
+    assert health.is_available('e2', 3.1)
+
+
+def test_failures_of_the_whole_pool_take_nobody_out():
+    health = UpstreamHealth()
+    for number in range(40):
+        for name in POOL:
+            health.on_failure(name, POOL, number / 10)
+    late = [name for name in POOL if health.is_available(name, 4)]
+    assert late
+
+
+def test_cold_bound_is_kept_by_all_routers_together():
+    """Every router has work for one cold engine, at any number of them."""
+    for count in (1, 2, 6, 7, 40, 86):
+        names = [f'router-{number}' for number in range(count)]
+        total = 0
+        for name in names:
+            share = ColdShare(name)
+            share.use_routers(names)
+            while share.may_send('e1#1', 29, 0):
+                share.on_sent('e1#1', 0)
+                total += 1
+        assert 0 < total <= 29, count
+
+
+def test_cold_bound_slides():
+    share = ColdShare('me')
+    share.use_routers({'me'})
+    while share.may_send('e1#1', 10, 0):
+        share.on_sent('e1#1', 0)
+    assert not share.may_send('e1#1', 10, 0.99)
+    assert share.may_send('e1#1', 10, 1.01)
+
+
+def test_router_that_knows_no_others_sends_nothing_to_cold_ones():
+    assert not ColdShare('me').may_send('e1#1', 29, 0)
+
+
+def test_entries_that_lapse_in_an_outage_are_held_for_a_while():
+    known = registry(2)
+    known.begin_grace(10)
+    known.remove('e0', 10.1)
+    assert 'e0' in known.upstreams
+    known.put(upstream(0))
+    known.expire(12.5)
+    assert 'e0' in known.upstreams
+    known.begin_grace(20)
+    known.keep_only(frozenset({'e1'}), 20.1)
+    known.expire(22.5)
+    assert 'e0' not in known.upstreams
+
+
+def test_zone_that_was_evacuated_comes_back_cold():
+    known = registry(1)
+    known.evacuate(frozenset({'z1'}), 0)
+    assert not list(known.of_pool('models'))
+    known.evacuate(frozenset(), 5)
+    assert known.is_cold(known.upstreams['e0'], 6)
+    assert not known.is_cold(known.upstreams['e0'], 8)
+
+
+def test_board_adds_and_forgets_other_routers():
+    board = LoadBoard()
+    board.add('e1', EngineLoad(1, 100, 200))
+    board.take_report('b', {'e1': EngineLoad(2, 50, 60)}, 0)
+    board.take_report('b', {'e1': EngineLoad(3, 70, 80)}, 1)
+    assert board.total('e1') == EngineLoad(4, 170, 280)
+    board.expire(3)
+    assert board.total('e1') == EngineLoad(1, 100, 200)
+    board.mark_read('e1', 100)
+    board.remove('e1', EngineLoad(1, 0, 200))
+    assert board.total('e1') == EngineLoad()
