Prepare the available upstreams once for many choices; pump together

Change: the list of available upstreams, the lane and the homes are kept for 20 ms; seats that come free within 4 ms are given away together; reports only change what the next look sees; the line's patience is worked out once.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -27,6 +27,7 @@
 )
 from hickorymux._internal.coordination.engines.health import UpstreamHealth
 from hickorymux._internal.coordination.engines.placement import (
+    Candidates,
     Choice,
     Placement,
 )
@@ -50,6 +51,10 @@
 
 # How often waiting requests are looked at when nothing else happens.
 TICK_SECONDS: Final = 0.02
+# Seats that come free within this time are given away together.
+PUMP_SECONDS: Final = 0.004
+# How long a list of available upstreams is used.
+PREPARED_SECONDS: Final = 0.02
 # A request that can only be late is placed where no more than this is unread,
 # so that it delays nobody who can still be in time.
 LATE_UNREAD_TOKENS: Final = READ_TOKENS_PER_SECOND * 0.3
@@ -110,8 +115,10 @@
         'health',
         'lines',
         'placement',
+        'prepared',
         'rates',
         'registry',
+        'soon',
         'speeds',
         'ticker',
         'region_of',
@@ -141,7 +148,9 @@
         self.rates: dict[str, refusal.DrainRate] = {}
         self.futures: dict[Demand, asyncio.Future[Seat]] = {}
         self.chance = random.Random()
+        self.prepared: dict[str, tuple[float, Candidates]] = {}
         self.ticker: asyncio.TimerHandle | None = None
+        self.soon: asyncio.TimerHandle | None = None
 
     async def acquire(self, demand: Demand) -> Seat:
         """Return a seat; raises ``NoCapacity`` when there will be none.
@@ -207,7 +216,7 @@
             seat.choice.unread_before + seat.choice.load.unread,
             self.clock.monotonic() - seat.taken_at,
         )
-        self.pump(seat.demand.pool.name)
+        self._pump_soon()
 
     def release(self, seat: Seat) -> None:
         """Free a seat."""
@@ -218,14 +227,32 @@
             self.board.mark_read(upstream_id, load.unread)
         load.unread = 0
         self.board.remove(upstream_id, load)
-        self.pump(seat.demand.pool.name)
+        self._pump_soon()
 
-    def candidates(
+    def candidates(self, demand: Demand, now: float) -> Candidates:
+        """Return the upstreams that may get the request now.
+
+        They are prepared once for all requests of a pool that may go to any.
+        """
+        if demand.tried or demand.regions:
+            return self.placement.candidates(self._available(demand, now))
+        pool = demand.pool.name
+        known = self.prepared.get(pool)
+        if known is not None and now - known[0] < PREPARED_SECONDS:
+            return known[1]
+        prepared = self.placement.candidates(self._available(demand, now))
+        self.prepared[pool] = (now, prepared)
+        return prepared
+
+    def forget_prepared(self) -> None:
+        """Look at the upstreams anew; one has come, gone or failed."""
+        self.prepared.clear()
+
+    def _available(
         self,
         demand: Demand,
         now: float,
     ) -> Sequence[RegisteredUpstream]:
-        """Return the upstreams that may get the request now."""
         found = [
             upstream
             for upstream in self.registry.of_pool(demand.pool.name)
@@ -258,7 +285,8 @@
         future = asyncio.get_running_loop().create_future()
         self.futures[demand] = future
         line.push(demand)
-        self.pump(demand.pool.name)
+        self._refuse_overdue(line)
+        self._shed(line)
         self._tick_later()
         try:
             return await future
@@ -286,6 +314,7 @@
         self.health.on_sent(upstream.upstream_id, now)
         if self.registry.is_cold(upstream, now):
             self.cold_share.on_sent(upstream.life, now)
+            self.forget_prepared()
         line.on_seated(demand, now)
         self.rates[demand.pool.name].add(cost_of(demand), now)
         return Seat(self, demand, choice, now)
@@ -352,19 +381,18 @@
 
     def _shed(self, line: WaitingLine) -> None:
         """Refuse at once what can't be served before it is given up."""
-        while line.by_customer:
-            now = self.clock.monotonic()
-            demand = line.most_served(now)
-            if demand is None:
-                return
+        now = self.clock.monotonic()
+        longest = max(
+            (refusal.give_up_at(other) - now for other in line.all_waiting()),
+            default=0,
+        )
+        demand = line.most_served(now)
+        while demand is not None:
             rate = self.rates[demand.pool.name]
-            wait = rate.seconds_for(line.queued_cost, now)
-            longest = max(
-                refusal.give_up_at(other) - now for other in line.all_waiting()
-            )
-            if wait <= longest:
+            if rate.seconds_for(line.queued_cost, now) <= longest:
                 return
             self._refuse(line, demand, 'the line is too long')
+            demand = line.most_served(now)
 
     def _refuse(self, line: WaitingLine, demand: Demand, why: str) -> None:
         now = self.clock.monotonic()
@@ -381,6 +409,16 @@
         )
         future.set_exception(NoCapacity(why, retry_after=seconds))
 
+    def _pump_soon(self) -> None:
+        """Pump once for all seats that come free at about the same time."""
+        if self.soon is None and self.futures:
+            loop = asyncio.get_running_loop()
+            self.soon = loop.call_later(PUMP_SECONDS, self._pump_now)
+
+    def _pump_now(self) -> None:
+        self.soon = None
+        self.pump_all()
+
     def _tick_later(self) -> None:
         if self.ticker is None:
             loop = asyncio.get_running_loop()
--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -13,9 +13,10 @@
 """
 
 import dataclasses
+
 import math
 from collections.abc import Sequence
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Final, final
 
 import xxhash
@@ -69,6 +70,39 @@
     fetch_from: str = ''
 
 
+@final
+class Candidates:
+    """Upstreams that may get a request, prepared for many choices.
+
+    ``idle`` are those that idled when they were prepared. A part of the
+    engines reads the long prompts; the others get everything else.
+    """
+
+    __slots__ = ('homes', 'idle', 'long', 'short', 'upstreams')
+
+    def __init__(
+        self,
+        upstreams: Sequence[RegisteredUpstream],
+        idle: Sequence[RegisteredUpstream],
+    ) -> None:
+        self.upstreams = upstreams
+        self.idle = idle
+        size = round(len(upstreams) * LANE_SHARE)
+        by_lane = sorted(upstreams, key=_lane_rank)
+        self.long = by_lane[:size] or by_lane
+        self.short = by_lane[size:] or by_lane
+        self.homes: dict[tuple[str, bool], RegisteredUpstream] = {}
+
+    def home(self, key: str, *, is_long: bool) -> RegisteredUpstream:
+        """Return the engine that prompts with this shared part go to."""
+        known = self.homes.get((key, is_long))
+        if known is None:
+            rank = partial(_rank, key)
+            known = max(self.long if is_long else self.short, key=rank)
+            self.homes[key, is_long] = known
+        return known
+
+
 @final
 class Placement:
     """Chooses among upstreams that may get a request."""
@@ -89,7 +123,7 @@
     def choose(
         self,
         demand: Demand,
-        candidates: Sequence[RegisteredUpstream],
+        candidates: 'Candidates',
         now: float,
     ) -> Choice | None:
         """Return where the request goes, ``None`` if nowhere is room."""
@@ -99,12 +133,12 @@
     def _(
         self,
         demand: PlainDemand,
-        candidates: Sequence[RegisteredUpstream],
+        candidates: 'Candidates',
         now: float,
     ) -> Choice | None:
         best: Choice | None = None
         best_seconds = math.inf
-        for upstream in candidates:
+        for upstream in candidates.upstreams:
             running = self.board.total(upstream.upstream_id).running
             if running >= upstream.slots * PLAIN_OVERCOMMIT:
                 continue
@@ -132,24 +166,41 @@
     def _(
         self,
         demand: PromptDemand,
-        candidates: Sequence[RegisteredUpstream],
+        candidates: 'Candidates',
         now: float,
     ) -> Choice | None:
-        ranked = _ranked(demand, candidates)
-        if not ranked:
+        if not candidates.upstreams:
             return None
-        own, other = split_lane(ranked, is_long=is_long(demand.prompt))
-        source = other[0] if is_long(demand.prompt) and other else own[0]
+        key = demand.prompt.affinity_key or demand.request_id
+        source = candidates.home(key, is_long=False)
+        first = source
+        if is_long(demand.prompt):
+            first = candidates.home(key, is_long=True)
         left = demand.due_at - now
-        home = self._offer(demand, own[0], source)
+        home = self._offer(demand, first, source)
         if home is not None and home.expected_seconds <= left:
             return home
-        for upstream in [*own[1:], *other]:
+        for upstream in candidates.idle:
             choice = self._offer(demand, upstream, source)
-            if choice is not None and _is_idle(choice):
+            if choice is not None and self._is_idle(upstream):
                 return choice
         return home
 
+    def candidates(
+        self,
+        upstreams: Sequence[RegisteredUpstream],
+    ) -> 'Candidates':
+        """Return upstreams prepared for many choices."""
+        return Candidates(
+            upstreams,
+            [one for one in upstreams if self._is_idle(one)],
+        )
+
+    def _is_idle(self, upstream: RegisteredUpstream) -> bool:
+        total = self.board.total(upstream.upstream_id)
+        is_quiet = total.running <= upstream.slots * IDLE_RUNNING_SHARE
+        return is_quiet and total.unread <= IDLE_UNREAD_TOKENS
+
     def _offer(
         self,
         demand: PromptDemand,
@@ -188,35 +239,14 @@
         )
 
 
-def _is_idle(choice: Choice) -> bool:
-    slots = choice.upstream.slots
-    is_quiet = choice.running_before <= slots * IDLE_RUNNING_SHARE
-    return is_quiet and choice.unread_before <= IDLE_UNREAD_TOKENS
-
-
 def is_long(prompt: Prompt) -> bool:
     """Return whether reading the prompt holds up others for too long."""
     shared = sum(part.tokens for part in prompt.shared_parts)
     return prompt.tokens - shared >= LONG_TOKENS
 
 
-def split_lane(
-    ranked: Sequence[RegisteredUpstream],
-    *,
-    is_long: bool,
-) -> tuple[
-    Sequence[RegisteredUpstream],
-    Sequence[RegisteredUpstream],
-]:
-    """Return the engines for prompts of this length, and the other ones."""
-    size = round(len(ranked) * LANE_SHARE)
-    if not size or size == len(ranked):
-        return ranked, ()
-    by_lane = sorted(ranked, key=_lane_rank)
-    lane = {upstream.upstream_id for upstream in by_lane[:size]}
-    inside = [one for one in ranked if one.upstream_id in lane]
-    outside = [one for one in ranked if one.upstream_id not in lane]
-    return (inside, outside) if is_long else (outside, inside)
+def _rank(key: str, upstream: RegisteredUpstream) -> int:
+    return xxhash.xxh3_64_intdigest(f'{key}\n{upstream.upstream_id}'.encode())
 
 
 def _lane_rank(upstream: RegisteredUpstream) -> int:
@@ -236,17 +266,3 @@
         return True
     limit = engine.memory_tokens * MEMORY_SHARE
     return total.memory + more.memory <= limit
-
-
-def _ranked(
-    demand: PromptDemand,
-    candidates: Sequence[RegisteredUpstream],
-) -> list[RegisteredUpstream]:
-    """Return the engines in the order in which they suit the prompt."""
-    key = demand.prompt.affinity_key or demand.request_id
-    return sorted(
-        candidates,
-        key=lambda upstream: xxhash.xxh3_64_intdigest(
-            f'{key}\n{upstream.upstream_id}'.encode()
-        ),
-    )
--- a/src/hickorymux/_internal/coordination/load_exchange.py
+++ b/src/hickorymux/_internal/coordination/load_exchange.py
@@ -103,7 +103,6 @@
         is_from_outside = report.zone and report.zone != zone
         if is_from_outside and self.members.is_delegate():
             self._send_all(self._at_home(), report)
-        self.allocator.pump_all()
 
     def _send_own(
         self,
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -311,6 +311,7 @@
         error: AttemptError,
     ) -> None:
         """Take what a failure tells of the upstream."""
+        self.allocator.forget_prepared()
         health = self.allocator.health
         upstream_id = seat.upstream.upstream_id
         now = self.clock.monotonic()
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -408,6 +408,7 @@
         return self.chance.choices(route.pools, weights)[0].pool
 
     def _on_change(self) -> None:
+        self.allocator.forget_prepared()
         self.allocator.pump_all()
 
     def _on_upstreams_return(self) -> None:
--- a/tests/unit/engines/test_allocator.py
+++ b/tests/unit/engines/test_allocator.py
@@ -96,6 +96,7 @@
     )
     await asyncio.sleep(0)
     seats.pop().release()
+    allocator.pump_all()
     waiting.cancel()
     await asyncio.gather(waiting, return_exceptions=True)
     for seat in seats:
--- a/tests/unit/engines/test_placement.py
+++ b/tests/unit/engines/test_placement.py
@@ -25,7 +25,7 @@
 
 
 def place(placement, demand, engines=ENGINES, now=0.0):
-    choice = placement.choose(demand, engines, now)
+    choice = placement.choose(demand, placement.candidates(engines), now)
     if choice is not None:
         placement.board.add(choice.upstream.upstream_id, choice.load)
     return choice
@@ -70,7 +70,7 @@
     for number in range(200):
         own = 20_000 if number % 10 == 0 else 800
         demand = prompt_demand(subject=f's{chance.randrange(99)}', own=own)
-        choice = placement.choose(demand, ENGINES, 0)
+        choice = placement.choose(demand, placement.candidates(ENGINES), 0)
         used[is_long(demand.prompt)].add(choice.upstream.upstream_id)
     assert not used[True] & used[False]
     assert len(used[False]) > len(used[True])
