Never vouch for a topic that is no longer read

The asker took an old table for the newest one, and would have trusted withdrawn keys for too long. Change: such a router declines at once and the asker reads the store.

--- a/src/hickorymux/_internal/coordination/shared_log.py
+++ b/src/hickorymux/_internal/coordination/shared_log.py
@@ -131,18 +131,22 @@
     def on_message(self, sender_id: str, message: Any) -> None:
         """Take an ask or the answer to one."""
         if isinstance(message, TopicAsk):
-            topic = self.topics.setdefault(message.topic, _Topic())
-            now = self.clock.monotonic()
-            topic.waiting.append(_Waiting(sender_id, message, now))
-            if self._reader() is not None:
-                # The sender takes another router for the reader than this.
-                topic.records.clear()
-                self._answer(topic, now)
+            self._take_ask(sender_id, message)
         elif isinstance(message, TopicPage):
             future = self.answers.get(message.number)
             if future is not None and not future.done():
                 future.set_result(message)
 
+    def _take_ask(self, sender_id: str, ask: TopicAsk) -> None:
+        if self._reader() is not None:
+            # The sender takes another router for the reader than this one,
+            # which can't vouch for what it may have read in the past.
+            self.sender.send(sender_id, TopicPage(ask.number))
+            return
+        topic = self.topics.setdefault(ask.topic, _Topic())
+        now = self.clock.monotonic()
+        topic.waiting.append(_Waiting(sender_id, ask, now))
+
     def _reader(self) -> str | None:
         """Return whom to ask, ``None`` if this router reads itself."""
         me = self.members.myself
--- a/tests/unit/engines/test_shared_log.py
+++ b/tests/unit/engines/test_shared_log.py
@@ -8,6 +8,7 @@
     Member,
 )
 from hickorymux._internal.coordination.shared_log import SharedLog
+from hickorymux._internal.coordination.topic_messages import TopicAsk
 from hickorymux._internal.protocol.peer_messages import default_codec
 from tests.lib.fake_clock import FakeClock
 
@@ -120,3 +121,26 @@
     page = await asking
     assert [record.value for record in page.records] == [b'1', b'2']
     assert zone.log.reads == 2
+
+
+class Asker:
+    """Keeps the answers to its asks."""
+
+    def __init__(self):
+        self.pages = []
+
+    def on_message(self, _sender_id, page):
+        self.pages.append(page)
+
+
+async def test_former_reader_does_not_vouch_for_what_it_no_longer_reads():
+    """After a roll the lowest id is back; the next one was the reader."""
+    zone = Zone('a', 'b')
+    zone.members = [zone.members[1]]
+    zone.log.records = [KeyedRecord('k', b'1', 0)]
+    await zone.routers['b'].read('t', 0)
+    zone.members = [Member('a', 1, 'z', '', 0), *zone.members]
+    zone.routers['c'] = asker = Asker()
+    zone.routers['b'].on_message('c', TopicAsk(1, 't', 1))
+    await asyncio.sleep(0.01)
+    assert not asker.pages[0].is_whole
