--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -1,6 +1,7 @@
 """An entry process in this event loop, with stand-ins around it."""
 
 import contextlib
+import errno
 import socket
 from collections.abc import AsyncIterator
 from typing import Any
@@ -14,6 +15,7 @@
 from tests.lib.platform_engine import PlatformEngine
 from tests.lib.platform_store import PlatformStore
 
+START_TRIES = 5
 HOST = 'api.example'
 KEY = 'key-of-ann'
 
@@ -131,21 +133,10 @@
     """Run an entry process with these routes."""
     store = PlatformStore()
     await store.start()
-    text = SETTINGS.format(
-        front=free_port(),
-        ready=free_port(),
-        peer=free_port(),
-        store=store.address,
-        revoke_ms=revoke_ms,
-        grace=grace,
-    )
-    settings = decode_settings(text.encode(), where='test')
-    settings = _with_metrics_port(settings, free_port())
-    process = EntryProcess.from_config(settings, PlatformDeployment())
-    fleet = PlatformFleet(process, store)
     if routes:
         await store.put('keyed.op', 'config', manifest(1, *routes))
-    await process.start()
+    process = await _start(store, revoke_ms, grace)
+    fleet = PlatformFleet(process, store)
     try:
         yield fleet
     finally:
@@ -157,6 +148,35 @@
         await store.close()
 
 
+async def _start(
+    store: PlatformStore,
+    revoke_ms: int,
+    grace: float,
+) -> EntryProcess:
+    """Start a process; a free port may be taken before it is listened on."""
+    for _ in range(START_TRIES):
+        text = SETTINGS.format(
+            front=free_port(),
+            ready=free_port(),
+            peer=free_port(),
+            store=store.address,
+            revoke_ms=revoke_ms,
+            grace=grace,
+        )
+        settings = decode_settings(text.encode(), where='test')
+        settings = _with_metrics_port(settings, free_port())
+        process = EntryProcess.from_config(settings, PlatformDeployment())
+        try:
+            await process.start()
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            await process.close()
+        else:
+            return process
+    raise RuntimeError('no free ports')
+
+
 def _with_metrics_port(settings: Any, port: int) -> Any:
     import dataclasses
 
