Drop what nothing calls: withdraw, the descriptor limit

Cause: reading the change again showed a store call and a setting without a user. Removed; what runs is the same.

--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -116,9 +116,6 @@
     async def announce(self, host: HostEntry) -> None:
         """Add this router to the list; raises ``LogUnavailable``."""
 
-    async def withdraw(self, router_id: str) -> None:
-        """Remove a router from the list; raises ``LogUnavailable``."""
-
     async def close(self) -> None:
         """Close all connections."""
 
--- a/src/hickorymux/_internal/transport/entry_settings.py
+++ b/src/hickorymux/_internal/transport/entry_settings.py
@@ -40,5 +40,4 @@
     store: Address
     region_of_zone: Mapping[str, str]
     bounds: ServiceBounds
-    max_descriptors: int
     fleet_key: bytes
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -44,11 +44,6 @@
     cold_slack: float = 5
 
 
-class _Limits(msgspec.Struct, rename='camel'):
-    memory_mb: float = 128
-    max_fds: int = 4096
-
-
 class _SettingsFile(msgspec.Struct, rename='camel'):
     node: str
     zone: str
@@ -60,7 +55,6 @@
     # Region by zone.
     zones: dict[str, str] = msgspec.field(default_factory=dict)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load_settings(environment: Mapping[str, str]) -> EntrySettings:
@@ -104,7 +98,6 @@
         store=_address(given.platform.address),
         region_of_zone={**given.zones, given.zone: given.region},
         bounds=_to_bounds(given.bounds),
-        max_descriptors=given.limits.max_fds,
         fleet_key=_fleet_key(given.platform.address),
     )
 
--- a/src/hickorymux/platform/store.py
+++ b/src/hickorymux/platform/store.py
@@ -152,10 +152,6 @@
         record = _RouterRecord(host.zone, host.host, host.port)
         await self._append(host.router_id, msgspec.json.encode(record))
 
-    async def withdraw(self, router_id: str) -> None:
-        """Remove what ``announce`` wrote."""
-        await self._append(router_id, b'')
-
     async def _append(self, key: str, value: bytes) -> None:
         name = key.encode()
         content = bytes((len(name),)) + name + value
