Encode peer messages as MessagePack on entry hosts, once for all recipients

A heartbeat or report was encoded and sealed anew for each recipient. The process also loaded the slot, claim and cold-start mechanisms, which it does not use, through two types that lived in their modules.

Change: PeerCodec is an interface with a thrift and a MessagePack codec; the frame's version octet tells them apart. send_datagram takes all recipients. HttpReply and Address have modules of their own.

The thrift codec stays for the product's own interface; all frame tests now run for both.

--- a/src/hickorymux/_internal/coordination/load_exchange.py
+++ b/src/hickorymux/_internal/coordination/load_exchange.py
@@ -8,14 +8,17 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
-from typing import Any, Final, final
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from typing import Final, final
 
 from hickorymux._internal.coordination.engines.allocator import Allocator
 from hickorymux._internal.coordination.engines.board import EngineLoad
 from hickorymux._internal.coordination.engines.waiting import CustomerUse
 from hickorymux._internal.coordination.load_messages import LoadReport
-from hickorymux._internal.coordination.membership import Membership
+from hickorymux._internal.coordination.membership import (
+    Membership,
+    SendDatagram,
+)
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.utils.clock import Clock
 
@@ -30,7 +33,6 @@
 FLAT_ROUTERS: Final = 16
 
 Uses = dict[tuple[str, str], CustomerUse]
-SendDatagram = Callable[[Member, Any], None]
 
 
 @final
@@ -166,9 +168,11 @@
         return self.members.live_in_zone(self.members.me.zone)
 
     def _send_all(self, members: Iterable[Member], report: LoadReport) -> None:
-        for member in members:
-            if member.router_id != self.members.me.router_id:
-                self.send(member, report)
+        me = self.members.me.router_id
+        self.send(
+            [member for member in members if member.router_id != me],
+            report,
+        )
 
 
 def to_report(rows: Mapping[str, EngineLoad]) -> LoadReport:
--- a/src/hickorymux/_internal/coordination/membership.py
+++ b/src/hickorymux/_internal/coordination/membership.py
@@ -36,7 +36,7 @@
 
 _logger = logging.getLogger(__name__)
 
-SendDatagram = Callable[[Member, Any], None]
+SendDatagram = Callable[[Iterable[Member], Any], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,8 +149,7 @@
         """Send what is due."""
         self._forget_silent()
         beat = _to_row(self.me)
-        for member in self._zone_peers():
-            self.send(member, beat)
+        self.send(self._zone_peers(), beat)
         if self.clock.monotonic() >= self.digest_due:
             self.digest_due += DIGEST_INTERVAL_SECONDS
             self._send_digests()
@@ -227,7 +226,7 @@
         if sender is None and message.speaker.router_id == sender_id:
             sender = _to_member(message.speaker)
         if sender is not None:
-            self.send(sender, request)
+            self.send((sender,), request)
 
     def _relay(self, message: ZoneDigest, sender_id: str) -> None:
         """Pass another zone's digest on inside the own zone.
@@ -238,13 +237,12 @@
         """
         if sender_id != message.speaker.router_id:
             return
-        for member in self._zone_peers():
-            self.send(member, message)
+        self.send(self._zone_peers(), message)
 
     def _answer(self, router_id: str, message: Any) -> None:
         member = self.find(router_id)
         if member is not None:
-            self.send(member, message)
+            self.send((member,), message)
 
     def _live_at_home(self) -> Sequence[Member]:
         oldest = self.clock.monotonic() - MEMBER_TIMEOUT_SECONDS
@@ -304,8 +302,7 @@
         if not self.is_delegate():
             return
         digest = self._own_digest(with_rows=False)
-        for member in self._other_delegates():
-            self.send(member, digest)
+        self.send(self._other_delegates(), digest)
 
     def _other_delegates(self) -> Sequence[Member]:
         """Return one router of each other zone, or its seeds if unknown."""
--- a/src/hickorymux/_internal/protocol/peer_codec.py
+++ b/src/hickorymux/_internal/protocol/peer_codec.py
@@ -1,10 +1,9 @@
-"""Thrift encoding of the messages between routers.
+"""What a codec of the messages between routers does.
 
-Messages are slotted dataclasses of the coordination layer. Each has a thrift
-struct of the same name whose fields carry the same names; the codec maps one
-to the other. Fields that the other side does not know are skipped by thrift,
-and fields that the other side did not send keep the dataclass default, so
-routers one version apart understand each other.
+Messages are slotted dataclasses of the coordination layer. Fields that the
+other side does not know are skipped, and fields that the other side did not
+send keep the dataclass default, so routers one version apart understand each
+other.
 
 Example::
 
@@ -13,158 +12,94 @@
 """
 
 import dataclasses
-import types
-import typing
-from collections.abc import Callable, Iterable
-from importlib import import_module, resources
+from collections.abc import Iterable
+from importlib import import_module
+from typing import Any, Protocol, final
 
-import thriftpy2
-from thriftpy2.protocol.compact import TCompactProtocolFactory
-from thriftpy2.utils import deserialize, serialize
-
-from hickorymux._internal.exceptions import FrameError
-
-_FACTORY = TCompactProtocolFactory()
 _COORDINATION = 'hickorymux._internal.coordination'
 _MESSAGES = '_messages'
 
-_Convert = Callable[[typing.Any], typing.Any]
-
-
-def load_idl(name: str) -> typing.Any:
-    """Load ``idl/<name>.thrift`` of this package as a module of structs."""
-    source = resources.files(__package__) / 'idl' / f'{name}.thrift'
-    with resources.as_file(source) as path:
-        return thriftpy2.load(str(path), module_name=f'{name}_thrift')
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Envelope:
+    """What surrounds a message: who sent it and in which order."""
 
-def _same(value: typing.Any) -> typing.Any:
-    return value
+    sender: str
+    incarnation: int
+    sequence: int
+    type_code: int
+    body: bytes
+    sent_at_ms: int = 0
 
 
-def _item_class(annotation: typing.Any) -> type | None:
-    """Return the dataclass that a field holds, directly or in a sequence."""
-    candidates = (annotation, *typing.get_args(annotation))
-    for candidate in candidates:
-        if dataclasses.is_dataclass(candidate):
-            return typing.cast(type, candidate)
-    return None
+class PeerCodec(Protocol):
+    """Encodes and decodes the messages that routers exchange.
 
+    ``frame_version`` tells frames of one codec from those of another.
+    """
 
-def _is_sequence(annotation: typing.Any) -> bool:
-    return typing.get_origin(annotation) in {list, tuple}
+    @property
+    def frame_version(self) -> int:
+        """Return the first octet of frames with this encoding."""
 
+    def encode(self, message: Any) -> tuple[int, bytes]:
+        """Return the type code and the octets of a message."""
 
-@typing.final
-class StructMapping:
-    """Maps one dataclass to its thrift struct and back."""
+    def decode(self, code: int, body: bytes) -> Any:
+        """Return the message; raises ``FrameError`` for malformed octets.
 
-    __slots__ = ('fields', 'message_class', 'struct')
-
-    def __init__(self, message_class: type, module: types.ModuleType) -> None:
-        self.message_class = message_class
-        self.struct = getattr(module, message_class.__name__)
-        hints = typing.get_type_hints(message_class)
-        self.fields = tuple(
-            (field.name, *_converters(hints[field.name], module))
-            for field in dataclasses.fields(message_class)
-        )
-
-    def to_struct(self, message: typing.Any) -> typing.Any:
-        """Return the thrift struct that carries the message."""
-        return self.struct(
-            **{
-                name: outward(getattr(message, name))
-                for name, outward, _ in self.fields
-            }
-        )
+        A type code that this version does not know gives ``None``.
+        """
 
-    def to_message(self, struct: typing.Any) -> typing.Any:
-        """Return the message; absent fields keep their defaults."""
-        present = {}
-        for name, _, inward in self.fields:
-            value = getattr(struct, name)
-            if value is not None:
-                present[name] = inward(value)
-        return self.message_class(**present)
+    def write_envelope(self, envelope: Envelope) -> bytes:
+        """Return the octets of an envelope."""
 
+    def read_envelope(self, content: bytes) -> Envelope:
+        """Return the envelope; raises ``FrameError`` for malformed octets."""
 
-def _converters(
-    annotation: typing.Any,
-    module: types.ModuleType,
-) -> tuple[_Convert, _Convert]:
-    nested = _item_class(annotation)
-    origin = typing.get_origin(annotation)
-    if nested is None:
-        return (list, origin) if _is_sequence(annotation) else (_same, _same)
-    mapping = StructMapping(nested, module)
-    if not _is_sequence(annotation):
-        return mapping.to_struct, mapping.to_message
-    return (
-        lambda rows: [mapping.to_struct(row) for row in rows],
-        lambda rows: origin(mapping.to_message(row) for row in rows),
-    )
 
+@final
+class MessageCatalog:
+    """Finds message classes by type code, loading each when first met.
 
-@typing.final
-class PeerCodec:
-    """Encodes and decodes all messages that routers exchange."""
+    A process then holds only what it exchanges.
+    """
 
-    __slots__ = ('by_class', 'by_code', 'known', 'names')
+    __slots__ = ('classes', 'codes', 'known', 'names')
 
     def __init__(self, registry: Iterable[tuple[int, str, str]]) -> None:
-        self.by_code: dict[int, StructMapping] = {}
-        self.by_class: dict[type, tuple[int, StructMapping]] = {}
-        self.known = {
-            (mechanism, class_name): code
+        self.names = {
+            code: (mechanism, class_name)
             for code, mechanism, class_name in registry
         }
-        self.names = {code: name for name, code in self.known.items()}
-
-    def encode(self, message: typing.Any) -> tuple[int, bytes]:
-        """Return the type code and the thrift bytes of a message."""
-        message_class = type(message)
-        if message_class not in self.by_class:
+        self.known = {name: code for code, name in self.names.items()}
+        self.classes: dict[int, type] = {}
+        self.codes: dict[type, int] = {}
+
+    def knows(self, code: int) -> bool:
+        """Return whether this version has a message of that code."""
+        return code in self.names
+
+    def code_of(self, message_class: type) -> int:
+        """Return the type code of a message class."""
+        code = self.codes.get(message_class)
+        if code is None:
             module = message_class.__module__.rpartition('.')[2]
             mechanism = module.removesuffix(_MESSAGES)
-            self._register(self.known[mechanism, message_class.__name__])
-        code, mapping = self.by_class[message_class]
-        return code, serialize(mapping.to_struct(message), _FACTORY)
-
-    def decode(self, code: int, body: bytes) -> typing.Any:
-        """Return the message; raises ``FrameError`` for malformed bytes.
-
-        A type code that this version does not know gives ``None``.
-        """
-        if code not in self.names:
-            return None
-        if code not in self.by_code:
-            self._register(code)
-        mapping = self.by_code[code]
-        return mapping.to_message(read_struct(mapping.struct(), body))
-
-    def _register(self, code: int) -> None:
-        """Load a message's class and struct when it is first met.
-
-        A process then holds only what it exchanges.
-        """
-        mechanism, class_name = self.names[code]
-        messages = import_module(f'{_COORDINATION}.{mechanism}{_MESSAGES}')
-        message_class = getattr(messages, class_name)
-        mapping = StructMapping(message_class, load_idl(mechanism))
-        self.by_code[code] = mapping
-        self.by_class[message_class] = (code, mapping)
-
-
-def read_struct(struct: typing.Any, body: bytes) -> typing.Any:
-    """Fill a thrift struct from bytes; raises ``FrameError`` if malformed."""
-    try:
-        return deserialize(struct, body, _FACTORY)
-    except Exception as error:
-        raise FrameError(f'malformed thrift body: {error!r}') from error
-
-
-def write_struct(struct: typing.Any) -> bytes:
-    """Return the compact thrift bytes of a struct."""
-    encoded: bytes = serialize(struct, _FACTORY)
-    return encoded
+            code = self.known[mechanism, message_class.__name__]
+            self.codes[message_class] = code
+        return code
+
+    def class_of(self, code: int) -> type:
+        """Return the message class of a known type code."""
+        found = self.classes.get(code)
+        if found is None:
+            mechanism, class_name = self.names[code]
+            module = f'{_COORDINATION}.{mechanism}{_MESSAGES}'
+            found = getattr(import_module(module), class_name)
+            self.classes[code] = found
+        return found
+
+    def mechanism_of(self, code: int) -> str:
+        """Return the mechanism that a known message belongs to."""
+        return self.names[code][0]
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -3,10 +3,6 @@
 Codes are never reused. A router skips codes that it does not know.
 """
 
-import functools
-
-from hickorymux._internal.protocol.peer_codec import PeerCodec
-
 MESSAGE_REGISTRY: tuple[tuple[int, str, str], ...] = (
     (1, 'membership', 'Heartbeat'),
     (2, 'membership', 'ZoneDigest'),
@@ -36,9 +32,3 @@
     (70, 'topic', 'TopicAsk'),
     (71, 'topic', 'TopicPage'),
 )
-
-
-@functools.cache
-def default_codec() -> PeerCodec:
-    """Return the codec for all messages of this version."""
-    return PeerCodec(MESSAGE_REGISTRY)
--- a/src/hickorymux/_internal/transport/caller_server.py
+++ b/src/hickorymux/_internal/transport/caller_server.py
@@ -31,9 +31,11 @@
 from hickorymux._internal.transport import calls
 from hickorymux._internal.transport.claiming import ClaimLike, Unclaimed
 from hickorymux._internal.transport.dispatcher import Dispatcher
+from hickorymux._internal.transport.http_reply import HttpReply
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.ids import new_request_id
+from hickorymux._internal.utils.tasks import read_exception
 
 MAX_REQUEST_ID_CHARACTERS: Final = 128
 BODY_TIMEOUT_SECONDS: Final = 30
@@ -61,59 +63,6 @@
     max_requests: int = 4096
 
 
-@final
-class HttpReply:
-    """The answer to one caller; implements ``relay.Reply``."""
-
-    __slots__ = ('request', 'response')
-
-    def __init__(self, request: web.BaseRequest) -> None:
-        self.request = request
-        self.response: web.StreamResponse | None = None
-
-    @property
-    def has_started(self) -> bool:
-        """Return whether the caller has been sent anything."""
-        return self.response is not None
-
-    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
-        """Send the status and headers of a streamed answer."""
-        self.response = web.StreamResponse(status=status, headers=headers)
-        await self.response.prepare(self.request)
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a part of the body, as fast as the caller takes it."""
-        await self._started().write(chunk)
-
-    async def finish(self) -> None:
-        """End the body: the answer is whole."""
-        await self._started().write_eof()
-
-    async def send_whole(
-        self,
-        status: int,
-        headers: CIMultiDict[str],
-        body: bytes,
-    ) -> None:
-        """Send a whole answer at once."""
-        self.response = web.Response(
-            status=status,
-            headers=headers,
-            body=body,
-        )
-
-    def abort(self) -> None:
-        """Cut the connection, so that a part is not taken for the whole."""
-        transport = self.request.transport
-        if transport is not None:
-            transport.abort()
-
-    def _started(self) -> web.StreamResponse:
-        if self.response is None:
-            raise RuntimeError('the answer has not been started')
-        return self.response
-
-
 @final
 class CallerServer:
     """Takes requests from callers and gives each to the dispatcher."""
@@ -410,9 +359,3 @@
             where=http.IDEMPOTENCY_KEY,
             hint='send a UUID of version 7 as the key',
         )
-
-
-def read_exception(work: 'asyncio.Task[None]') -> None:
-    """Read a task's error, so that one that nobody waits for is not lost."""
-    if not work.cancelled() and work.exception() is not None:
-        _logger.info('work without a caller ended: %r', work.exception())
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -53,14 +53,15 @@
     LogUnavailable,
 )
 from hickorymux._internal.protocol.frames import FrameSealer
+from hickorymux._internal.protocol.msgpack_codec import msgpack_codec
 from hickorymux._internal.protocol.upstream_http import Dialect
 from hickorymux._internal.state.routing import HttpRoute, PoolPolicy
+from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
 from hickorymux._internal.transport.entry_server import EntryServer, TableView
 from hickorymux._internal.transport.entry_settings import EntrySettings
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.peer_network import PeerNetwork
-from hickorymux._internal.transport.router_settings import Address
 from hickorymux._internal.transport.upstream_client import (
     UpstreamClient,
     UpstreamTimeouts,
@@ -289,7 +290,7 @@
         )
         self.network = PeerNetwork(
             me,
-            FrameSealer(settings.fleet_key),
+            FrameSealer(settings.fleet_key, msgpack_codec()),
             self.clock,
         )
         self.membership = Membership(
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -35,14 +35,12 @@
     RequestKind,
     RoutingTable,
 )
-from hickorymux._internal.transport.caller_server import (
-    HttpReply,
-    read_exception,
-)
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
+from hickorymux._internal.transport.http_reply import HttpReply
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.tasks import read_exception
 
 NOT_READY_RETRY_SECONDS: Final = 0.5
 # Another router can be reached at once.
--- a/src/hickorymux/_internal/transport/entry_settings.py
+++ b/src/hickorymux/_internal/transport/entry_settings.py
@@ -4,7 +4,7 @@
 import datetime as dt
 from collections.abc import Mapping
 
-from hickorymux._internal.transport.router_settings import Address
+from hickorymux._internal.transport.address import Address
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/src/hickorymux/_internal/transport/http_reply.py
@@ -0,0 +1,59 @@
+"""The answer to one caller, on its HTTP connection."""
+
+from typing import final
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+
+@final
+class HttpReply:
+    """The answer to one caller; implements ``relay.Reply``."""
+
+    __slots__ = ('request', 'response')
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self.request = request
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Return whether the caller has been sent anything."""
+        return self.response is not None
+
+    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Send the status and headers of a streamed answer."""
+        self.response = web.StreamResponse(status=status, headers=headers)
+        await self.response.prepare(self.request)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body, as fast as the caller takes it."""
+        await self._started().write(chunk)
+
+    async def finish(self) -> None:
+        """End the body: the answer is whole."""
+        await self._started().write_eof()
+
+    async def send_whole(
+        self,
+        status: int,
+        headers: CIMultiDict[str],
+        body: bytes,
+    ) -> None:
+        """Send a whole answer at once."""
+        self.response = web.Response(
+            status=status,
+            headers=headers,
+            body=body,
+        )
+
+    def abort(self) -> None:
+        """Cut the connection, so that a part is not taken for the whole."""
+        transport = self.request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _started(self) -> web.StreamResponse:
+        if self.response is None:
+            raise RuntimeError('the answer has not been started')
+        return self.response
--- a/src/hickorymux/_internal/transport/peer_network.py
+++ b/src/hickorymux/_internal/transport/peer_network.py
@@ -13,7 +13,7 @@
 import datetime as dt
 import logging
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, final
 
 from hickorymux._internal.coordination.ports import Member
@@ -22,10 +22,9 @@
     LENGTH_PREFIX,
     MAX_DATAGRAM_BYTES,
     MAX_FRAME_BYTES,
-    Envelope,
     FrameSealer,
 )
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.peer_codec import Envelope
 from hickorymux._internal.utils.clock import Clock
 
 CHALLENGE_BYTES = 16
@@ -136,7 +135,7 @@
         self.me = me
         self.sealer = sealer
         self.clock = clock
-        self.codec = default_codec()
+        self.codec = sealer.codec
         self.meter = TrafficMeter()
         self.find: FindMember = dict[str, Member]().get
         self.handler: MessageHandler = _drop_message
@@ -186,18 +185,24 @@
             return False
         return True
 
-    def send_datagram(self, member: Member, message: Any) -> None:
-        """Send a small message that may be lost, without a link."""
-        if self.datagrams is None:
+    def send_datagram(self, members: Iterable[Member], message: Any) -> None:
+        """Send a small message to some routers, without links.
+
+        It may be lost. It is encoded and sealed once for all of them.
+        """
+        to = tuple(members)
+        if self.datagrams is None or not to:
             return
         code, body = self.codec.encode(message)
         sent_at_ms = int(self.clock.wall().timestamp() * _MS_PER_SECOND)
         frame = self.sealer.seal(self._envelope(code, body, sent_at_ms))
         if len(frame) > MAX_DATAGRAM_BYTES:
-            self.send(member.router_id, message)
+            for member in to:
+                self.send(member.router_id, message)
             return
-        self.meter.sent(code, len(frame))
-        self.datagrams.sendto(frame, (member.host, member.port))
+        for member in to:
+            self.meter.sent(code, len(frame))
+            self.datagrams.sendto(frame, (member.host, member.port))
 
     def take_datagram(self, frame: bytes) -> None:
         """Open a datagram and deliver it, unless it is forged or replayed."""
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -43,9 +43,11 @@
     HostListUnavailable,
 )
 from hickorymux._internal.protocol.frames import FrameSealer
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from hickorymux._internal.state.customers import CustomerKeys
 from hickorymux._internal.state.tables import Tables, Upstream
 from hickorymux._internal.state.upstream_state import LoadReport, UpstreamBook
+from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.admin_server import AdminServer
 from hickorymux._internal.transport.assumed_load import (
     SILENT_INSTANCE,
@@ -61,7 +63,6 @@
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.peer_network import PeerNetwork
 from hickorymux._internal.transport.router_settings import (
-    Address,
     RouterSettings,
 )
 from hickorymux._internal.transport.upstream_client import UpstreamClient
@@ -205,7 +206,7 @@
         )
         self.network = PeerNetwork(
             me,
-            FrameSealer(settings.fleet_key),
+            FrameSealer(settings.fleet_key, thrift_codec()),
             self.clock,
         )
         self.membership = Membership(
--- a/src/hickorymux/_internal/transport/router_settings.py
+++ b/src/hickorymux/_internal/transport/router_settings.py
@@ -12,6 +12,7 @@
 from hickorymux._internal.coordination.claim_settings import ClaimSettings
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import ConfigError
+from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.caller_server import CallerLimits
 from hickorymux._internal.transport.upstream_client import UpstreamTimeouts
 from hickorymux._internal.utils import durations
@@ -30,18 +31,6 @@
     code = 'settings_invalid'
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Address:
-    """An IP number and a port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return ``host:port``."""
-        return f'{self.host}:{self.port}'
-
-
 @final
 @dataclasses.dataclass(slots=True, frozen=True)
 class RouterSettings:
--- a/src/hickorymux/_internal/utils/tasks.py
+++ b/src/hickorymux/_internal/utils/tasks.py
@@ -11,3 +11,9 @@
     if task.cancelled() or task.exception() is None:
         return
     _logger.error('a task of the router ended', exc_info=task.exception())
+
+
+def read_exception(work: 'asyncio.Task[None]') -> None:
+    """Read a task's error, so that one that nobody waits for is not lost."""
+    if not work.cancelled() and work.exception() is not None:
+        _logger.info('work without a caller ended: %r', work.exception())
--- a/src/hickorymux/platform/deployment.py
+++ b/src/hickorymux/platform/deployment.py
@@ -6,8 +6,8 @@
 from hickorymux._internal.protocol.upstream_http import Dialect
 from hickorymux._internal.state.routing import RoutingTable
 from hickorymux._internal.state.upstream_registry import RegisteredUpstream
+from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.entry_settings import EntrySettings
-from hickorymux._internal.transport.router_settings import Address
 from hickorymux.platform import engine_entries, headers, manifest
 from hickorymux.platform.settings import load_settings
 from hickorymux.platform.store import StoreClient
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from hickorymux._internal.exceptions import ConfigError
+from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.entry_settings import (
     EntrySettings,
     ServiceBounds,
 )
-from hickorymux._internal.transport.router_settings import Address
 
 SETTINGS_VARIABLE: Final = 'HICKORYMUX_CONFIG'
 # The port that deploy/system.toml names for metrics.
--- a/src/hickorymux/platform/store.py
+++ b/src/hickorymux/platform/store.py
@@ -19,8 +19,8 @@
     LogTrimmed,
     LogUnavailable,
 )
+from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.sockets import watch_silence
-from hickorymux._internal.transport.router_settings import Address
 
 CONNECT_SECONDS: Final = 0.4
 # Beside the wait that a read asks for. The store answers in 4 ms when well
--- a/tests/unit/coordination/test_claim_relay.py
+++ b/tests/unit/coordination/test_claim_relay.py
@@ -4,6 +4,7 @@
 import datetime as dt
 
 import pytest
+from lib.claim_fleet import SETTINGS, ClaimFleet, View, claim_fleet, uuid7_at
 
 from hickorymux._internal.coordination.claim_messages import (
     ClaimAnswer,
@@ -21,14 +22,13 @@
     KeyExpired,
     Ran,
 )
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from hickorymux._internal.state.claim_fold import (
     ClaimEntry,
     Standing,
     Verdict,
     encode_entries,
 )
-from lib.claim_fleet import SETTINGS, ClaimFleet, View, claim_fleet, uuid7_at
 
 KEY = 'order-1'
 
@@ -144,7 +144,7 @@
 def test_verdict_crosses_the_wire_and_never_knows_more() -> None:
     wall = dt.datetime(2026, 1, 1, 0, 0, 0, 1234, dt.UTC)
     verdict = Verdict(Standing.lost, b'body', 201, wall, wall)
-    codec = default_codec()
+    codec = thrift_codec()
     answer = ClaimAnswer(7, [encode_verdict(verdict)])
     received = codec.decode(*codec.encode(answer))
     assert received == answer
--- a/tests/unit/coordination/test_crash_suspects.py
+++ b/tests/unit/coordination/test_crash_suspects.py
@@ -3,12 +3,12 @@
 import asyncio
 
 import pytest
+from lib.claim_fleet import Link, View, YieldingClock
 
 from hickorymux._internal.coordination.crash_suspects import CrashSuspects
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import CrashSuspect, NoCapacity, Ran
-from hickorymux._internal.protocol.peer_messages import default_codec
-from lib.claim_fleet import Link, View, YieldingClock
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 
 KILLER = (1 << 64) - 1
 NEIGHBOUR = 2
@@ -64,7 +64,7 @@
     """A link whose messages are encoded and decoded."""
 
     def send(self, router_id: str, message: object) -> bool:
-        codec = default_codec()
+        codec = thrift_codec()
         received = codec.decode(*codec.encode(message))
         assert received == message
         return super().send(router_id, received)
--- a/tests/unit/engines/test_shared_log.py
+++ b/tests/unit/engines/test_shared_log.py
@@ -9,7 +9,7 @@
 )
 from hickorymux._internal.coordination.shared_log import SharedLog
 from hickorymux._internal.coordination.topic_messages import TopicAsk
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from tests.lib.fake_clock import FakeClock
 
 
@@ -62,7 +62,7 @@
     def send(self, router_id, message):
         if self.zone.is_cut:
             return False
-        codec = default_codec()
+        codec = thrift_codec()
         message = codec.decode(*codec.encode(message))
         router = self.zone.routers[router_id]
         asyncio.get_running_loop().call_soon(
--- a/tests/unit/test_config_messages.py
+++ b/tests/unit/test_config_messages.py
@@ -6,7 +6,7 @@
     ConfigOffer,
     ConfigRequest,
 )
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 
 
 @pytest.mark.parametrize(
@@ -16,6 +16,6 @@
 def test_messages_come_back_as_they_were(
     message: ConfigRequest | ConfigOffer,
 ) -> None:
-    codec = default_codec()
+    codec = thrift_codec()
     code, body = codec.encode(message)
     assert codec.decode(code, body) == message
--- a/tests/unit/test_counter_exchange.py
+++ b/tests/unit/test_counter_exchange.py
@@ -10,7 +10,7 @@
 from hickorymux._internal.coordination.pool_exchange import (
     LEAST_TERM_SECONDS,
 )
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from tools.fairness_model import Fleet, Load, Settings
 
 ZONES = (('a-1', 'a-2'), ('b-1', 'b-2'), ('c-1', 'c-2'), ('d-1',))
@@ -101,7 +101,7 @@
 
 def test_messages_take_no_more_bytes_than_reckoned():
     fleet = make_fleet()
-    codec = default_codec()
+    codec = thrift_codec()
     encoded = 0
 
     def count(router_id, message):
@@ -119,7 +119,7 @@
 
 def test_messages_survive_the_codec():
     fleet = make_fleet()
-    codec = default_codec()
+    codec = thrift_codec()
     deliver = fleet.deliver
 
     def through_codec(sender, router_id, message):
--- a/tests/unit/test_frames.py
+++ b/tests/unit/test_frames.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -13,20 +14,23 @@
 )
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import FrameError
-from hickorymux._internal.protocol import peer_codec
-from hickorymux._internal.protocol.frames import Envelope, FrameSealer
-from hickorymux._internal.protocol.peer_messages import (
-    MESSAGE_REGISTRY,
-    default_codec,
-)
+from hickorymux._internal.protocol.frames import FrameSealer
+from hickorymux._internal.protocol.peer_codec import Envelope
+from hickorymux._internal.protocol.peer_messages import MESSAGE_REGISTRY
+from hickorymux._internal.protocol.msgpack_codec import msgpack_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from hickorymux._internal.transport.peer_network import PeerNetwork
 
 KEY = b'the key of the fleet'
 UNKNOWN_CODE = 9999
 FEW = settings(derandomize=True, max_examples=200, deadline=None)
 
-codec = default_codec()
-sealer = FrameSealer(KEY)
+CODECS = (thrift_codec(), msgpack_codec())
+with_each_codec = pytest.mark.parametrize(
+    'codec',
+    CODECS,
+    ids=('thrift', 'msgpack'),
+)
 beats = st.builds(
     Heartbeat,
     router_id=st.text(max_size=20),
@@ -37,32 +41,43 @@
 )
 
 
-def seal(message=None, sequence=1, key=KEY, challenge=b'', **more) -> bytes:
+def seal(
+    codec,
+    message=None,
+    sequence=1,
+    key=KEY,
+    challenge=b'',
+    **more,
+) -> bytes:
     code, body = codec.encode(message or Heartbeat('a-1', 1, 'a'))
     fields = {'type_code': code, 'body': body, **more}
     envelope = Envelope('a-1', 1, sequence, **fields)
-    return FrameSealer(key).seal(envelope, challenge)
+    return FrameSealer(key, codec).seal(envelope, challenge)
 
 
+@with_each_codec
 @FEW
 @given(st.lists(beats, max_size=3), beats)
-def test_messages_survive_the_way(members, speaker) -> None:
+def test_messages_survive_the_way(codec, members, speaker) -> None:
     message = ZoneDigest('b', 7, speaker, members)
-    envelope = sealer.open(seal(message))
+    envelope = FrameSealer(KEY, codec).open(seal(codec, message))
     assert codec.decode(envelope.type_code, envelope.body) == message
 
 
+@with_each_codec
 @FEW
 @given(st.binary(max_size=300))
-def test_random_octets_are_refused(frame) -> None:
+def test_random_octets_are_refused(codec, frame) -> None:
     with pytest.raises(FrameError):
-        sealer.open(frame)
+        FrameSealer(KEY, codec).open(frame)
 
 
+@with_each_codec
 @FEW
 @given(st.data())
-def test_truncated_or_changed_frames_are_refused(data) -> None:
-    frame = seal()
+def test_truncated_or_changed_frames_are_refused(codec, data) -> None:
+    sealer = FrameSealer(KEY, codec)
+    frame = seal(codec)
     at = data.draw(st.integers(0, len(frame) - 1))
     change = data.draw(st.integers(1, 255))
     changed = frame[:at] + bytes((frame[at] ^ change,)) + frame[at + 1 :]
@@ -71,19 +86,22 @@
             sealer.open(wrong)
 
 
-def test_version_key_and_challenge_are_checked() -> None:
-    frame = seal(challenge=b'of this link')
+@with_each_codec
+def test_version_key_and_challenge_are_checked(codec) -> None:
+    sealer = FrameSealer(KEY, codec)
+    frame = seal(codec, challenge=b'of this link')
     assert sealer.open(frame, b'of this link').sender == 'a-1'
-    with pytest.raises(FrameError, match='version 2'):
-        sealer.open(b'\x02' + frame[1:], b'of this link')
+    with pytest.raises(FrameError, match='version 9'):
+        sealer.open(b'\x09' + frame[1:], b'of this link')
     for key, challenge in ((KEY, b'of another'), (b'a stranger', b'')):
         with pytest.raises(FrameError, match='tag'):
-            FrameSealer(key).open(frame, challenge)
+            FrameSealer(key, codec).open(frame, challenge)
 
 
+@with_each_codec
 @FEW
 @given(st.sampled_from(MESSAGE_REGISTRY), st.binary(max_size=200))
-def test_random_bodies_decode_or_are_refused(entry, body) -> None:
+def test_random_bodies_decode_or_are_refused(codec, entry, body) -> None:
     try:
         message = codec.decode(entry[0], body)
     except FrameError:
@@ -91,8 +109,27 @@
     assert type(message).__name__ == entry[2]
 
 
-def test_unknown_type_codes_and_fields_are_harmless() -> None:
+def test_frames_of_another_codec_are_refused() -> None:
+    frame = seal(thrift_codec())
+    with pytest.raises(FrameError, match='version 1'):
+        FrameSealer(KEY, msgpack_codec()).open(frame)
+
+
+@with_each_codec
+def test_unknown_type_codes_are_harmless(codec) -> None:
     assert codec.decode(UNKNOWN_CODE, b'anything') is None
+
+
+def test_msgpack_skips_unknown_fields_and_fills_absent_ones() -> None:
+    codec = msgpack_codec()
+    code, _ = codec.encode(Heartbeat())
+    newer = msgspec.msgpack.encode({'router_id': 'a-1', 'mood': 'new'})
+    assert codec.decode(code, newer) == Heartbeat('a-1')
+    assert codec.decode(code, b'\x80') == Heartbeat()
+
+
+def test_thrift_skips_unknown_fields_and_fills_absent_ones() -> None:
+    codec = thrift_codec()
     # A newer version's field 99, a text, before the end mark of the struct.
     code, body = codec.encode(Heartbeat('a-1', 3, 'a'))
     newer = bytes((0x08, 0xC6, 0x01, 3)) + b'new' + b'\x00'
@@ -101,18 +138,22 @@
     assert codec.decode(code, b'\x00') == Heartbeat()
 
 
-def test_all_messages_of_this_version_have_their_struct() -> None:
+@with_each_codec
+def test_all_messages_of_this_version_are_known(codec) -> None:
     for code, _, _ in MESSAGE_REGISTRY:
-        default = codec.by_code[code].message_class()
+        default = codec.catalog.class_of(code)()
         assert codec.decode(*codec.encode(default)) == default
 
 
+@with_each_codec
 class TestDatagrams:
     """A network without sockets, to which datagrams are given by hand."""
 
     @pytest.fixture(autouse=True)
-    def network(self) -> None:
+    def network(self, codec) -> None:
+        self.codec = codec
         self.clock = ManualClock()
+        sealer = FrameSealer(KEY, codec)
         me = Member('b-1', 1, 'b', '127.0.0.1', 1)
         self.network = PeerNetwork(me, sealer, self.clock)
         self.received: list[object] = []
@@ -120,10 +161,11 @@
         self.now_ms = int(self.clock.now * 1000)
 
     def take(self, **fields) -> int:
-        self.network.take_datagram(seal(**{'sent_at_ms': self.now_ms} | fields))
+        fields = {'sent_at_ms': self.now_ms} | fields
+        self.network.take_datagram(seal(self.codec, **fields))
         return len(self.received)
 
-    def test_replayed_old_and_foreign_ones_change_nothing(self) -> None:
+    def test_replayed_old_and_foreign_ones_change_nothing(self, codec) -> None:
         assert self.take(sequence=5) == 1
         assert self.take(sequence=5) == 1
         assert self.take(sequence=4) == 1
@@ -132,7 +174,7 @@
         assert self.network.meter.refused == 4
         assert self.take(sequence=8) == 2
 
-    def test_bad_bodies_and_unknown_codes_lose_nothing(self) -> None:
+    def test_bad_bodies_and_unknown_codes_lose_nothing(self, codec) -> None:
         assert self.take(sequence=1, body=b'\xff' * 9) == 0
         assert self.take(sequence=2, type_code=UNKNOWN_CODE) == 0
         assert self.network.meter.refused == 1
@@ -141,6 +183,6 @@
 
 def test_struct_errors_are_coded() -> None:
     with pytest.raises(FrameError) as caught:
-        peer_codec.read_struct(peer_codec.load_idl('envelope').Envelope(), b'')
+        thrift_codec().read_envelope(b'')
     assert caught.value.code == 'frame_invalid'
     assert not dataclasses.is_dataclass(caught.value)
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -1,6 +1,7 @@
 """Which routers are live, over a network in memory."""
 
 import dataclasses
+from collections.abc import Iterable
 
 from lib.manual_clock import ManualClock
 
@@ -32,10 +33,11 @@
     def add(self, name: str, incarnation: int = 1) -> Membership:
         me = Member(name, incarnation, name[0], name, 1)
 
-        def send(to: Member, message: object) -> None:
-            self.sent.append((name, to.router_id, message))
-            if to.router_id in self.routers:
-                self.routers[to.router_id].on_message(message, name)
+        def send(to: Iterable[Member], message: object) -> None:
+            for member in to:
+                self.sent.append((name, member.router_id, message))
+                if member.router_id in self.routers:
+                    self.routers[member.router_id].on_message(message, name)
 
         router = Membership(me, self.clock, send)
         self.routers[name] = router
--- a/tools/measure/messages.py
+++ b/tools/measure/messages.py
@@ -31,7 +31,7 @@
     SlotReturn,
 )
 from hickorymux._internal.protocol.frames import Envelope, FrameSealer
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from hickorymux._internal.state.claim_fold import ClaimEntry, encode_entries
 from hickorymux._internal.state.config_changes import (
     ConfigChange,
@@ -244,13 +244,13 @@
     }
 
 
-_SEALER = FrameSealer(b'measure')
+_SEALER = FrameSealer(b'measure', thrift_codec())
 _CHALLENGE = bytes(DIGEST_OCTETS)
 
 
 def seal(message: Any) -> bytes:
     """Return the frame of a message."""
-    code, body = default_codec().encode(message)
+    code, body = thrift_codec().encode(message)
     envelope = Envelope('zone-1-r1', 1_796_344_000_000, 1000, code, body)
     return _SEALER.seal(envelope, _CHALLENGE)
 
@@ -265,7 +265,7 @@
 
     def take() -> None:  # noqa: WPS430 (the work that is timed)
         envelope = _SEALER.open(frame, _CHALLENGE)
-        default_codec().decode(envelope.type_code, envelope.body)
+        thrift_codec().decode(envelope.type_code, envelope.body)
 
     return processor_us(take)
 
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -27,7 +27,7 @@
 from hickorymux._internal.coordination.claims import Claimer
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import RequestError
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from hickorymux._internal.state.claim_fold import (
     ClaimEntry,
     ClaimFold,
@@ -71,10 +71,10 @@
 
     def deliver(self, sender_id: str, router_id: str, message: Any) -> None:
         """Encode, count, decode and deliver a message."""
-        code, body = default_codec().encode(message)
+        code, body = thrift_codec().encode(message)
         self.messages += 1
         self.message_bytes += len(body)
-        received = default_codec().decode(code, body)
+        received = thrift_codec().decode(code, body)
         loop = asyncio.get_running_loop()
         loop.call_soon(self.routers[router_id].on_message, sender_id, received)
 
--- a/tools/measure_exchange.py
+++ b/tools/measure_exchange.py
@@ -24,7 +24,7 @@
 from hickorymux._internal.coordination.service_link import (
     MESSAGE_OVERHEAD_BYTES,
 )
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from tools.fairness_model import CHARGE_SECONDS, Fleet, Load, Settings
 
 REPEATS = 20
@@ -64,7 +64,7 @@
 def measure_update(customers: int) -> dict[str, Any]:
     """Return the size and the time of an update of all customers."""
     fleet = make_pair(customers)
-    codec = default_codec()
+    codec = thrift_codec()
     sender = fleet.routers['a-1'].exchange
     samples: list[tuple[int, int, float, float]] = []
     for round_number in range(REPEATS):
--- a/tools/measure_slots.py
+++ b/tools/measure_slots.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any, final
 
-from hickorymux._internal.protocol.peer_messages import default_codec
+from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from hickorymux._internal.state.tables import Upstream
 
 sys.path.insert(0, str(Path(__file__).parent.parent / 'tests'))
@@ -87,7 +87,7 @@
         """Count a message and pass it on."""
         if source != target:
             self.messages += 1
-            body = default_codec().encode(message)[1]
+            body = thrift_codec().encode(message)[1]
             self.octets += len(body) + FRAME_OCTETS
         return bool(self.deliver(source, target, message))
 
