Read topics that never rest at the reader's pace; run on uvloop

The interval is now the reader's and the ask waits for it; a unit test fails without. The list of routers is read every 30 s instead of 10.

--- a/src/hickorymux/_internal/coordination/keyed_follower.py
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -40,11 +40,12 @@
     """How a topic is read, in seconds.
 
     ``wait`` is how long the log may hold a read until a record comes.
-    ``pause`` lies between two reads, for topics that never rest.
+    ``interval`` is how long it takes before it reads, for topics that never
+    rest.
     """
 
     wait: float
-    pause: float = 0
+    interval: float = 0
 
 
 @final
@@ -120,8 +121,6 @@
         for record in page.records:
             self.take(record)
         self.next_offset = page.next_offset
-        if self.pace.pause:
-            await self.clock.sleep(self.pace.pause)
 
     async def _list(self, started_at: float) -> None:
         page = await self.log.newest(self.topic)
@@ -134,7 +133,7 @@
     def _note_answer(self, as_of: float) -> None:
         former_age = self.age()
         self.as_of = max(self.as_of, min(as_of, self.clock.monotonic()))
-        allowed = OUTAGE_SECONDS + self.pace.wait + self.pace.pause
+        allowed = OUTAGE_SECONDS + self.pace.wait + self.pace.interval
         if not self.is_lost and former_age <= allowed:
             return
         self.is_lost = False
--- a/src/hickorymux/_internal/coordination/shared_log.py
+++ b/src/hickorymux/_internal/coordination/shared_log.py
@@ -6,9 +6,12 @@
 older than the ask that is, so a router always knows how old its view may be.
 A router whose ask is not answered reads for itself.
 
+Topics that never rest are read at a pace: ``intervals`` gives the seconds
+between two reads of such a topic.
+
 Example::
 
-    log = SharedLog(store, members, sender, clock)
+    log = SharedLog(store, members, sender, clock, {'hosts': 0.5})
     page = await log.read('tables', 7, wait_seconds=1)
 """
 
@@ -16,7 +19,7 @@
 import collections
 import dataclasses
 import itertools
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, Final, final
 
 from hickorymux._internal.coordination.ports import (
@@ -32,7 +35,8 @@
 )
 from hickorymux._internal.utils.clock import Clock
 
-# Beside the time that the reader may wait for the store itself.
+# Beside the time until the reader has read, which is its interval and the
+# time that the store may hold a read.
 ASK_SECONDS: Final = 0.4
 # How long a reader that did not answer is not asked again.
 DISTRUST_SECONDS: Final = 5.0
@@ -81,6 +85,7 @@
         'answers',
         'clock',
         'distrusted',
+        'intervals',
         'log',
         'members',
         'numbers',
@@ -94,8 +99,10 @@
         members: MemberView,
         sender: PeerSender,
         clock: Clock,
+        intervals: Mapping[str, float],
     ) -> None:
         self.log = log
+        self.intervals = intervals
         self.members = members
         self.sender = sender
         self.clock = clock
@@ -121,11 +128,7 @@
             return await self._read_for_all(topic, from_offset, wait_seconds)
         page = await self._ask(reader, topic, from_offset, wait_seconds)
         if page is None:
-            return await self.log.read(
-                topic,
-                from_offset,
-                wait_seconds=wait_seconds,
-            )
+            return await self._read_log(topic, from_offset, wait_seconds)
         return page
 
     def on_message(self, sender_id: str, message: Any) -> None:
@@ -166,11 +169,7 @@
     ) -> KeyedPage:
         topic = self.topics.setdefault(topic_name, _Topic())
         started_at = self.clock.monotonic()
-        page = await self.log.read(
-            topic_name,
-            from_offset,
-            wait_seconds=wait_seconds,
-        )
+        page = await self._read_log(topic_name, from_offset, wait_seconds)
         if from_offset != topic.next_offset:
             topic.records.clear()
         topic.records.extend(page.records)
@@ -178,6 +177,25 @@
         self._answer(topic, started_at + page.valid_seconds)
         return page
 
+    async def _read_log(
+        self,
+        topic: str,
+        from_offset: int,
+        wait_seconds: float,
+    ) -> KeyedPage:
+        interval = self.intervals.get(topic, 0)
+        if interval:
+            await self.clock.sleep(interval)
+        page = await self.log.read(
+            topic,
+            from_offset,
+            wait_seconds=wait_seconds,
+        )
+        return dataclasses.replace(
+            page,
+            valid_seconds=page.valid_seconds + interval,
+        )
+
     def _answer(self, topic: _Topic, confirmed_at: float) -> None:
         """Answer all asks with what the store said as of a time."""
         asked = topic.waiting
@@ -205,7 +223,8 @@
         future = asyncio.get_running_loop().create_future()
         self.answers[number] = future
         try:
-            async with asyncio.timeout(wait_seconds + ASK_SECONDS):
+            interval = self.intervals.get(topic, 0)
+            async with asyncio.timeout(interval + wait_seconds + ASK_SECONDS):
                 self.sender.send(reader, TopicAsk(number, topic, offset))
                 page = await future
         except TimeoutError:
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -75,8 +75,9 @@
 # go unconfirmed while nothing changes.
 TABLE_PACE: Final = Pace(wait=1)
 # Entries are renewed all the time, so a read that waits would never rest.
-UPSTREAM_PACE: Final = Pace(wait=0, pause=0.5)
-ROUTER_LIST_SECONDS: Final = 10.0
+UPSTREAM_PACE: Final = Pace(wait=0, interval=0.5)
+# Routers that come later make themselves known by heartbeats.
+ROUTER_LIST_SECONDS: Final = 30.0
 ROUTERS_SECONDS: Final = 0.5
 # Kept of the age at which keys may no longer be trusted, for the request to
 # reach its upstream.
@@ -316,6 +317,7 @@
             self.membership,
             self.network,
             self.clock,
+            {deployment.upstream_topic: UPSTREAM_PACE.interval},
         )
         self.tables = KeyedFollower(
             self.shared_log,
--- a/src/hickorymux/platform/__main__.py
+++ b/src/hickorymux/platform/__main__.py
@@ -7,6 +7,8 @@
 import os
 import sys
 
+import uvloop
+
 from hickorymux._internal.exceptions import HickorymuxError
 from hickorymux._internal.transport.entry_process import EntryProcess
 from hickorymux._internal.utils.json_logging import configure_output
@@ -26,7 +28,8 @@
     """Serve until told to stop; return the exit status."""
     configure_output()
     try:
-        asyncio.run(_serve())
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_serve())
     except HickorymuxError as error:
         write_error(f'hickorymux: {error}')
         return _EXIT_INVALID_SETTINGS
--- a/tests/unit/engines/test_shared_log.py
+++ b/tests/unit/engines/test_shared_log.py
@@ -7,7 +7,10 @@
     KeyedRecord,
     Member,
 )
-from hickorymux._internal.coordination.shared_log import SharedLog
+from hickorymux._internal.coordination.shared_log import (
+    ASK_SECONDS,
+    SharedLog,
+)
 from hickorymux._internal.coordination.topic_messages import TopicAsk
 from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from tests.lib.fake_clock import FakeClock
@@ -45,7 +48,7 @@
         for member in self.members:
             view = View(self, member)
             self.routers[member.router_id] = SharedLog(
-                self.log, view, view, self.clock
+                self.log, view, view, self.clock, {'paced': 0.5}
             )
 
 
@@ -100,6 +103,18 @@
     assert abs((await asking).valid_seconds + 0.4) < 0.001
 
 
+async def test_ask_waits_for_the_next_read_of_a_paced_topic():
+    """Asks that come just after a read were given up before the next one."""
+    zone = Zone('a', 'b')
+    zone.log.records = [KeyedRecord('k', b'1', 0)]
+    asking = asyncio.create_task(zone.routers['b'].read('paced', 0))
+    await asyncio.sleep(ASK_SECONDS + 0.05)
+    assert not asking.done()
+    await zone.routers['a'].read('paced', 0)
+    assert (await asking).next_offset == 1
+    assert zone.log.reads == 1
+
+
 async def test_ask_without_an_answer_reads_the_store():
     zone = Zone('a', 'b')
     zone.is_cut = True
