Look at the whole waiting line only when a newcomer may be too much

Cause: in the profile of a busy router 1.6 of 19 s went into two scans of the line for each request that waits, and 0.9 s into a time limit around bodies that had already come.

Change: the line knows its rate, a newcomer that will be served in its own time needs no scan, overdue ones are found by the tick; a body that is there is read without a limit.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -116,7 +116,6 @@
         'lines',
         'placement',
         'prepared',
-        'rates',
         'registry',
         'soon',
         'speeds',
@@ -145,7 +144,6 @@
         self.region_of = region_of
         self.placement = Placement(self.board, self.speeds, zone)
         self.lines: dict[str, WaitingLine] = {}
-        self.rates: dict[str, refusal.DrainRate] = {}
         self.futures: dict[Demand, asyncio.Future[Seat]] = {}
         self.chance = random.Random()
         self.prepared: dict[str, tuple[float, Candidates]] = {}
@@ -168,9 +166,8 @@
         """Return what waits for a pool."""
         line = self.lines.get(pool)
         if line is None:
-            line = WaitingLine()
+            line = WaitingLine(self.clock.monotonic())
             self.lines[pool] = line
-            self.rates[pool] = refusal.DrainRate(self.clock.monotonic())
         return line
 
     def pump(self, pool: str) -> None:
@@ -285,8 +282,8 @@
         future = asyncio.get_running_loop().create_future()
         self.futures[demand] = future
         line.push(demand)
-        self._refuse_overdue(line)
-        self._shed(line)
+        if not self._clears_before(line, refusal.give_up_at(demand)):
+            self._shed(line)
         self._tick_later()
         try:
             return await future
@@ -316,7 +313,7 @@
             self.cold_share.on_sent(upstream.life, now)
             self.forget_prepared()
         line.on_seated(demand, now)
-        self.rates[demand.pool.name].add(cost_of(demand), now)
+        line.rate.add(cost_of(demand), now)
         return Seat(self, demand, choice, now)
 
     def _is_worth_it(
@@ -386,17 +383,20 @@
             (refusal.give_up_at(other) - now for other in line.all_waiting()),
             default=0,
         )
-        demand = line.most_served(now)
-        while demand is not None:
-            rate = self.rates[demand.pool.name]
-            if rate.seconds_for(line.queued_cost, now) <= longest:
-                return
-            self._refuse(line, demand, 'the line is too long')
-            demand = line.most_served(now)
+        while not self._clears_before(line, now + longest):
+            self._refuse(line, line.most_served(now), 'the line is too long')
+
+    def _clears_before(self, line: WaitingLine, moment: float) -> bool:
+        """Return whether all that waits is likely to leave before a time."""
+        if not line.by_customer:
+            return True
+        now = self.clock.monotonic()
+        wait = line.rate.seconds_for(line.queued_cost, now)
+        return now + wait <= moment
 
     def _refuse(self, line: WaitingLine, demand: Demand, why: str) -> None:
         now = self.clock.monotonic()
-        wait = self.rates[demand.pool.name].seconds_for(line.queued_cost, now)
+        wait = line.rate.seconds_for(line.queued_cost, now)
         line.remove(demand)
         future = self.futures[demand]
         if future.done():
--- a/src/hickorymux/_internal/coordination/engines/waiting.py
+++ b/src/hickorymux/_internal/coordination/engines/waiting.py
@@ -21,6 +21,7 @@
 from typing import Final, final
 
 from hickorymux._internal.coordination.engines.demands import Demand
+from hickorymux._internal.coordination.engines.refusal import DrainRate
 
 # Service counts half after this, so that no customer pays for old service.
 HALF_LIFE_SECONDS: Final = 3.0
@@ -84,9 +85,10 @@
 class WaitingLine:
     """The requests that wait for one pool."""
 
-    __slots__ = ('by_customer', 'mean_cost', 'meter', 'queued_cost')
+    __slots__ = ('by_customer', 'mean_cost', 'meter', 'queued_cost', 'rate')
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        self.rate = DrainRate(now)
         self.mean_cost = 1.0
         self.by_customer: dict[str, list[Demand]] = {}
         self.meter = ServiceMeter()
@@ -128,10 +130,11 @@
         for customer in customers:
             yield from sorted(self.by_customer[customer], key=by_urgency)
 
-    def most_served(self, now: float) -> Demand | None:
-        """Return whom to refuse first: the newest of who got most lately."""
-        if not self.by_customer:
-            return None
+    def most_served(self, now: float) -> Demand:
+        """Return whom to refuse first: the newest of who got most lately.
+
+        Raises ``ValueError`` if nobody waits.
+        """
         customer = max(
             self.by_customer,
             key=lambda name: self.meter.recent(name, now),
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -270,6 +270,9 @@
         if request.headers.get('Expect', '').lower() == '100-continue':
             await request.writer.write(_STATUS_CONTINUE)
         try:
+            if request.content.is_eof():
+                # All has come with the headers; a time limit has its cost.
+                return await request.read()
             async with asyncio.timeout(route.timeout.total_seconds()):
                 return await request.read()
         except web.HTTPRequestEntityTooLarge as error:
--- a/tests/unit/engines/test_waiting.py
+++ b/tests/unit/engines/test_waiting.py
@@ -21,7 +21,7 @@
 
 def test_hot_customer_waits_behind_a_small_one():
     """One customer sends ten times what the other does, all at once."""
-    line = WaitingLine()
+    line = WaitingLine(0)
     for _ in range(40):
         line.push(prompt_demand('hot'))
     for _ in range(4):
@@ -30,7 +30,7 @@
 
 
 def test_requests_that_can_be_in_time_go_before_late_ones():
-    line = WaitingLine()
+    line = WaitingLine(0)
     late = prompt_demand(now=0, objective=0.4)
     soon = prompt_demand(now=0.5, objective=0.4)
     later = prompt_demand(now=0.5, objective=0.6)
@@ -40,14 +40,14 @@
 
 
 def test_request_behind_a_blocked_one_is_seen_too():
-    line = WaitingLine()
+    line = WaitingLine(0)
     for _ in range(3):
         line.push(prompt_demand())
     assert len(list(line.in_turn(0))) == 3
 
 
 def test_most_served_is_refused_first():
-    line = WaitingLine()
+    line = WaitingLine(0)
     line.meter.add('hot', 1000, 0)
     line.push(prompt_demand('small', now=2))
     line.push(prompt_demand('hot', now=0))
@@ -57,13 +57,13 @@
 
 
 def test_old_service_counts_less():
-    line = WaitingLine()
+    line = WaitingLine(0)
     line.meter.add('ann', 1000, 0)
     assert line.meter.recent('ann', 6) == 250
 
 
 def test_customer_ahead_yields_to_one_that_waits_elsewhere():
-    line = WaitingLine()
+    line = WaitingLine(0)
     line.meter.add('hot', 90_000, 0)
     line.meter.elsewhere = {'small': CustomerUse(1000, 2)}
     assert line.meter.must_yield('hot', 20_000, 0)
