Refuse first thing while the event loop lags; a late view is no outage

Such a late view also counted as an outage of the store, so entries that were dropped stayed for 2 s more.

Ruled out: the zone's reader (its own view was current), the offsets of pages.

Change: LoopLag measures how late timers run; a router that is late twice in a row refuses new requests before anything is spent on them. A view counts as cut off only after 4 s, or when a read failed. Unit tests of both; the one of the outage fails without the change.

--- a/src/hickorymux/_internal/coordination/keyed_follower.py
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -26,8 +26,10 @@
 from hickorymux._internal.utils.json_logging import FIELDS
 
 RETRY_SECONDS: Final = 0.15
-# A view older than this was cut off from the log for a while.
-OUTAGE_SECONDS: Final = 1.5
+# A view older than this was cut off from the log for a while, though no read
+# failed, as when the process was frozen. Above what a change of the reader or
+# a busy process takes.
+OUTAGE_SECONDS: Final = 4.0
 
 _logger = logging.getLogger(__name__)
 
@@ -103,7 +105,7 @@
             except LogTrimmed:
                 self.next_offset = None
             except LogUnavailable as error:
-                self._note_lost(error)
+                self.note_lost(error)
                 await self.clock.sleep(RETRY_SECONDS)
 
     async def step(self) -> None:
@@ -122,6 +124,23 @@
             self.take(record)
         self.next_offset = page.next_offset
 
+    def note_lost(self, error: LogUnavailable) -> None:
+        """Take that a read failed, so that the view may be out of date."""
+        if self.is_lost:
+            return
+        self.is_lost = True
+        _logger.warning(
+            'log is lost',
+            extra={
+                FIELDS: {
+                    'event': 'dependency_lost',
+                    'topic': self.topic,
+                    'age_seconds': _finite(self.age()),
+                    'reason': str(error),
+                },
+            },
+        )
+
     async def _list(self, started_at: float) -> None:
         page = await self.log.newest(self.topic)
         self._note_answer(started_at)
@@ -149,22 +168,6 @@
             },
         )
 
-    def _note_lost(self, error: LogUnavailable) -> None:
-        if self.is_lost:
-            return
-        self.is_lost = True
-        _logger.warning(
-            'log is lost',
-            extra={
-                FIELDS: {
-                    'event': 'dependency_lost',
-                    'topic': self.topic,
-                    'age_seconds': _finite(self.age()),
-                    'reason': str(error),
-                },
-            },
-        )
-
 
 def _listed_keys(page: KeyedPage) -> frozenset[str]:
     return frozenset(record.key for record in page.records if record.value)
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -210,6 +210,7 @@
 
     async def start(self) -> None:
         """Listen and start all tasks."""
+        self.server.lag.start()
         peers = self.settings.peers
         await self.network.start(peers.host, peers.port)
         works = (
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import random
 from collections.abc import Callable
 from typing import Any, Final, final
 
@@ -38,6 +39,7 @@
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
 from hickorymux._internal.transport.http_reply import HttpReply
+from hickorymux._internal.transport.loop_lag import LoopLag
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.tasks import read_exception
@@ -45,6 +47,8 @@
 NOT_READY_RETRY_SECONDS: Final = 0.5
 # Another router can be reached at once.
 STOPPING_RETRY_SECONDS: Final = 0.1
+# Spread, so that those who come back do not do so together.
+BEHIND_RETRY_SECONDS: Final = (0.3, 0.9)
 # A view of the tables older than this can't tell that a route is missing.
 FRESH_TABLE_SECONDS: Final = 3.0
 # Longer than callers leave a connection idle, so that they close it first.
@@ -93,6 +97,7 @@
         'dialect',
         'dispatcher',
         'is_stopping',
+        'lag',
         'metrics',
         'refuse_from',
         'running',
@@ -112,6 +117,7 @@
         self.clock: Clock = dispatcher.clock
         self.decisions: DecisionLog = dispatcher.decisions
         self.metrics: RouterMetrics = dispatcher.metrics
+        self.lag = LoopLag(self.clock)
         self.running: set[asyncio.Task[Any]] = set()
         self.is_stopping = False
         self.refuse_from = math.inf
@@ -173,6 +179,7 @@
     ) -> None:
         arrived_at = self.clock.monotonic()
         self._check_not_leaving(arrived_at)
+        self._check_not_behind()
         table = self.view.table
         if table is None:
             raise NotReady(
@@ -226,6 +233,15 @@
             retry_after=STOPPING_RETRY_SECONDS,
         )
 
+    def _check_not_behind(self) -> None:
+        """Refuse before any work is spent while this process lags."""
+        if not self.lag.is_high:
+            return
+        raise NotReady(
+            f'the router is {self.lag.seconds:.2f} s behind with its work',
+            retry_after=random.uniform(*BEHIND_RETRY_SECONDS),
+        )
+
     def _match(self, table: RoutingTable, host: str, path: str) -> HttpRoute:
         route = table.match(host, path)
         if route is not None:
