Refuse new connections from their heads alone while the router is behind

Change: GatedServer gives new connections a protocol that reads the head, answers 503 with the time to come back and drops the body.

--- a/src/hickorymux/_internal/protocol/upstream_http.py
+++ b/src/hickorymux/_internal/protocol/upstream_http.py
@@ -61,6 +61,9 @@
     def read_call(self, headers: Mapping[str, str]) -> CallFacts:
         """Return what a caller's headers say of its request."""
 
+    def request_id_of(self, head: bytes) -> str:
+        """Return the id in the head of a request, empty if it has none."""
+
     def read_answer(
         self,
         status: int,
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -41,6 +41,7 @@
 from hickorymux._internal.transport.http_reply import HttpReply
 from hickorymux._internal.transport.loop_lag import LoopLag
 from hickorymux._internal.transport.metrics import RouterMetrics
+from hickorymux._internal.transport.quick_refusal import GatedServer
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.tasks import read_exception
 
@@ -124,8 +125,10 @@
 
     def server(self) -> web.Server:
         """Return the server to listen with."""
-        return web.Server(
+        return GatedServer(
             self.handle,
+            self._is_behind,
+            self._refuse_head,
             request_factory=self._make_request,
             handler_cancellation=True,
             access_log=None,
@@ -136,6 +139,25 @@
             lingering_time=LINGERING_SECONDS,
         )
 
+    def _is_behind(self) -> bool:
+        return self.lag.is_high
+
+    def _refuse_head(self, head: bytes) -> bytes:
+        """Return the refusal of a request of which only the head is read."""
+        request_id = self.dialect.request_id_of(head)
+        error = self._behind()
+        self._record_refusal(error, request_id)
+        text = f'{error.code}: {error.detail}\n'
+        lines = [
+            'HTTP/1.1 503 Service Unavailable',
+            'Connection: close',
+            'Content-Type: text/plain; charset=utf-8',
+            f'Content-Length: {len(text)}',
+        ]
+        headers = self.dialect.refusal_headers(request_id, error.retry_after)
+        lines.extend(f'{name}: {value}' for name, value in headers.items())
+        return '\r\n'.join((*lines, '', text)).encode()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         task = asyncio.current_task()
@@ -235,9 +257,11 @@
 
     def _check_not_behind(self) -> None:
         """Refuse before any work is spent while this process lags."""
-        if not self.lag.is_high:
-            return
-        raise NotReady(
+        if self.lag.is_high:
+            raise self._behind()
+
+    def _behind(self) -> NotReady:
+        return NotReady(
             f'the router is {self.lag.seconds:.2f} s behind with its work',
             retry_after=random.uniform(*BEHIND_RETRY_SECONDS),
         )
@@ -342,17 +366,7 @@
         request_id: str,
         reply: HttpReply,
     ) -> web.StreamResponse:
-        self.decisions.record(
-            request_id,
-            'refused',
-            str(error),
-            code=error.code,
-            ran=error.ran.value,
-            retry_after=error.retry_after,
-            table_version=self.view.table and self.view.table.version,
-            table_age_ms=round(1000 * min(self.view.age(), 1e6)),
-        )
-        self.metrics.count_outcome('', error.code)
+        self._record_refusal(error, request_id)
         if reply.response is not None:
             reply.abort()
             return reply.response
@@ -370,6 +384,19 @@
             response.force_close()
         return response
 
+    def _record_refusal(self, error: RequestError, request_id: str) -> None:
+        self.decisions.record(
+            request_id,
+            'refused',
+            str(error),
+            code=error.code,
+            ran=error.ran.value,
+            retry_after=error.retry_after,
+            table_version=self.view.table and self.view.table.version,
+            table_age_ms=round(1000 * min(self.view.age(), 1e6)),
+        )
+        self.metrics.count_outcome('', error.code)
+
     def _make_request(
         self,
         message: Any,
--- a/src/hickorymux/platform/headers.py
+++ b/src/hickorymux/platform/headers.py
@@ -37,6 +37,7 @@
 # Running requests, waiting requests, slots.
 LOAD: Final = 'X-Server-Load'
 
+_REQUEST_ID_NAME: Final = REQUEST_ID.lower().encode()
 _MS_PER_SECOND: Final = 1000
 _STATUS_WRONG_UPSTREAM: Final = 421
 _READY_PATH: Final = '/v1/ready'
@@ -78,6 +79,20 @@
     )
 
 
+def request_id_of(head: bytes) -> str:
+    """Return the id in the head of a request, empty if it has none.
+
+    One that holds control characters would spoil the answer and counts as
+    none.
+    """
+    for line in head.split(b'\r\n'):
+        name, _, value = line.partition(b':')
+        if name.lower() == _REQUEST_ID_NAME:
+            request_id = value.strip().decode('latin-1')
+            return request_id if request_id.isprintable() else ''
+    return ''
+
+
 def read_answer(status: int, headers: Mapping[str, str]) -> AnswerFacts:
     """Return what an upstream's headers say of its answer."""
     return AnswerFacts(
