Keep lanes, homes and cold shares from one preparation to the next

Change: they depend only on which upstreams and routers there are, and are kept while those stay. No decision changes.

--- a/src/hickorymux/_internal/coordination/engines/cold_share.py
+++ b/src/hickorymux/_internal/coordination/engines/cold_share.py
@@ -28,20 +28,28 @@
 class ColdShare:
     """Counts what this router sent to cold upstreams, by life."""
 
-    __slots__ = ('me', 'routers', 'sent')
+    __slots__ = ('allowances', 'me', 'routers', 'sent')
 
     def __init__(self, me: str) -> None:
         self.me = me
         self.routers: frozenset[str] = frozenset()
+        # By life and bound; worked out anew when the routers change.
+        self.allowances: dict[tuple[str, float], int] = {}
         self.sent: dict[str, collections.deque[float]] = {}
 
     def use_routers(self, routers: Collection[str]) -> None:
         """Take all routers that may be at work, this one included."""
-        self.routers = frozenset(routers)
+        taken = frozenset(routers)
+        if taken != self.routers:
+            self.routers = taken
+            self.allowances.clear()
 
     def may_send(self, life: str, bound: float, now: float) -> bool:
         """Return whether one more request now stays within the bound."""
-        allowance = self._allowance(life, bound * SAFE_SHARE)
+        allowance = self.allowances.get((life, bound))
+        if allowance is None:
+            allowance = self._allowance(life, bound * SAFE_SHARE)
+            self.allowances[life, bound] = allowance
         if not allowance:
             return False
         times = self.sent.get(life)
--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -56,6 +56,10 @@
 # The part of the engines that reads long prompts; they are a tenth of the
 # requests of the deployments in use and about a third of what is read.
 LANE_SHARE: Final = 0.25
+# Homes that are kept at hand; more than the shared parts in use at a time.
+MAX_KNOWN_HOMES: Final = 4000
+# Sets of engines whose lanes and homes are kept at hand.
+MAX_KNOWN_SETS: Final = 8
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -74,44 +78,64 @@
     fetch_from: str = ''
 
 
+@final
+class Lanes:
+    """The engines that read long prompts, and those for everything else.
+
+    They depend on nothing but which engines are there; so do the homes.
+    """
+
+    __slots__ = ('homes', 'long', 'short')
+
+    def __init__(self, upstream_ids: Sequence[str]) -> None:
+        by_lane = sorted(upstream_ids, key=_lane_rank)
+        size = round(len(by_lane) * LANE_SHARE)
+        self.long = by_lane[:size] or by_lane
+        self.short = by_lane[size:] or by_lane
+        self.homes: dict[tuple[str, bool], str] = {}
+
+    def home(self, key: str, *, is_long: bool) -> str:
+        """Return the engine that prompts with this shared part go to."""
+        known = self.homes.get((key, is_long))
+        if known is None:
+            lane = self.long if is_long else self.short
+            known = max(lane, key=partial(_rank, key))
+            if len(self.homes) >= MAX_KNOWN_HOMES:
+                self.homes.clear()
+            self.homes[key, is_long] = known
+        return known
+
+
 @final
 class Candidates:
     """Upstreams that may get a request, prepared for many choices.
 
-    ``idle`` are those that idled when they were prepared. A part of the
-    engines reads the long prompts; the others get everything else.
+    ``idle`` are those that idled when they were prepared.
     """
 
-    __slots__ = ('homes', 'idle', 'long', 'short', 'upstreams')
+    __slots__ = ('by_id', 'idle', 'lanes', 'upstreams')
 
     def __init__(
         self,
         upstreams: Sequence[RegisteredUpstream],
         idle: Sequence[RegisteredUpstream],
+        lanes: Lanes,
     ) -> None:
         self.upstreams = upstreams
         self.idle = idle
-        size = round(len(upstreams) * LANE_SHARE)
-        by_lane = sorted(upstreams, key=_lane_rank)
-        self.long = by_lane[:size] or by_lane
-        self.short = by_lane[size:] or by_lane
-        self.homes: dict[tuple[str, bool], RegisteredUpstream] = {}
+        self.lanes = lanes
+        self.by_id = {one.upstream_id: one for one in upstreams}
 
     def home(self, key: str, *, is_long: bool) -> RegisteredUpstream:
         """Return the engine that prompts with this shared part go to."""
-        known = self.homes.get((key, is_long))
-        if known is None:
-            rank = partial(_rank, key)
-            known = max(self.long if is_long else self.short, key=rank)
-            self.homes[key, is_long] = known
-        return known
+        return self.by_id[self.lanes.home(key, is_long=is_long)]
 
 
 @final
 class Placement:
     """Chooses among upstreams that may get a request."""
 
-    __slots__ = ('board', 'speeds', 'zone')
+    __slots__ = ('board', 'lanes', 'speeds', 'zone')
 
     def __init__(
         self,
@@ -122,6 +146,7 @@
         self.board = board
         self.speeds = speeds
         self.zone = zone
+        self.lanes: dict[tuple[str, ...], Lanes] = {}
 
     @singledispatchmethod
     def choose(
@@ -194,12 +219,28 @@
         self,
         upstreams: Sequence[RegisteredUpstream],
     ) -> 'Candidates':
-        """Return upstreams prepared for many choices."""
+        """Return upstreams of one pool prepared for many choices."""
         return Candidates(
             upstreams,
             [one for one in upstreams if self._is_idle(one)],
+            self._lanes_of(upstreams),
         )
 
+    def _lanes_of(self, upstreams: Sequence[RegisteredUpstream]) -> Lanes:
+        """Return the lanes of these upstreams, the same while they stay.
+
+        Cold upstreams come and go with every request that they may get, so
+        the lanes of some former sets are kept.
+        """
+        ids = tuple(upstream.upstream_id for upstream in upstreams)
+        known = self.lanes.get(ids)
+        if known is None:
+            if len(self.lanes) >= MAX_KNOWN_SETS:
+                self.lanes.clear()
+            known = Lanes(ids)
+            self.lanes[ids] = known
+        return known
+
     def _is_idle(self, upstream: RegisteredUpstream) -> bool:
         total = self.board.total(upstream.upstream_id)
         is_quiet = total.running <= upstream.slots * IDLE_RUNNING_SHARE
@@ -249,12 +290,12 @@
     return prompt.tokens - shared >= LONG_TOKENS
 
 
-def _rank(key: str, upstream: RegisteredUpstream) -> int:
-    return xxhash.xxh3_64_intdigest(f'{key}\n{upstream.upstream_id}'.encode())
+def _rank(key: str, upstream_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{key}\n{upstream_id}'.encode())
 
 
-def _lane_rank(upstream: RegisteredUpstream) -> int:
-    return xxhash.xxh3_64_intdigest(f'lane {upstream.upstream_id}'.encode())
+def _lane_rank(upstream_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'lane {upstream_id}'.encode())
 
 
 def has_room(
