--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -223,7 +223,7 @@
         )
         for work in works:
             self._spawn(work)
-        await self._listen(self.server.server(), self.settings.callers)
+        await self._listen(self.server.web_server, self.settings.callers)
         await self._listen(
             web.Server(self._answer_readiness, access_log=None),
             self.settings.readiness,
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -57,6 +57,9 @@
 # How long the rest of a body is read and dropped after an early answer.
 LINGERING_SECONDS: Final = 2.0
 MAX_HEADER_OCTETS: Final = 65536
+# Callers that leave more connections than this open are told to end them with
+# the next answer; each takes some 14 KB of a small host's memory.
+MAX_KEPT_CONNECTIONS: Final = 1000
 _STATUS_UNAVAILABLE: Final = 503
 _STATUS_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -103,6 +106,7 @@
         'refuse_from',
         'running',
         'view',
+        'web_server',
     )
 
     def __init__(
@@ -122,9 +126,9 @@
         self.running: set[asyncio.Task[Any]] = set()
         self.is_stopping = False
         self.refuse_from = math.inf
+        self.web_server = self._make_server()
 
-    def server(self) -> web.Server:
-        """Return the server to listen with."""
+    def _make_server(self) -> web.Server:
         return GatedServer(
             self.handle,
             self._is_behind,
@@ -174,7 +178,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         facts = self.dialect.read_call(request.headers)
-        reply = HttpReply(request)
+        is_crowded = len(self.web_server.connections) > MAX_KEPT_CONNECTIONS
+        reply = HttpReply(request, is_last=is_crowded or self.is_stopping)
         try:
             await self._serve(request, facts, reply)
         except RequestError as error:
--- a/src/hickorymux/_internal/transport/http_reply.py
+++ b/src/hickorymux/_internal/transport/http_reply.py
@@ -8,12 +8,21 @@
 
 @final
 class HttpReply:
-    """The answer to one caller; implements ``relay.Reply``."""
+    """The answer to one caller; implements ``relay.Reply``.
 
-    __slots__ = ('request', 'response')
+    With ``is_last`` the caller is told that its connection ends after it.
+    """
 
-    def __init__(self, request: web.BaseRequest) -> None:
+    __slots__ = ('is_last', 'request', 'response')
+
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        *,
+        is_last: bool = False,
+    ) -> None:
         self.request = request
+        self.is_last = is_last
         self.response: web.StreamResponse | None = None
 
     @property
@@ -24,6 +33,8 @@
     async def start(self, status: int, headers: CIMultiDict[str]) -> None:
         """Send the status and headers of a streamed answer."""
         self.response = web.StreamResponse(status=status, headers=headers)
+        if self.is_last:
+            self.response.force_close()
         await self.response.prepare(self.request)
 
     async def write(self, chunk: bytes) -> None:
@@ -46,6 +57,8 @@
             headers=headers,
             body=body,
         )
+        if self.is_last:
+            self.response.force_close()
 
     def abort(self) -> None:
         """Cut the connection, so that a part is not taken for the whole."""
--- a/tests/functional/test_platform_path.py
+++ b/tests/functional/test_platform_path.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import pytest
+import uvloop
 
 from tests.lib.platform_engine import (
     PlatformEngine,
@@ -20,6 +21,16 @@
 ONE_STREAM = route('/once/', 'streaming')
 
 
+@pytest.fixture(
+    scope='module',
+    params=(uvloop.EventLoopPolicy(), asyncio.DefaultEventLoopPolicy()),
+    ids=('uvloop', 'asyncio'),
+)
+def event_loop_policy(request):
+    """Run each test on the loop of the entry process, and on the usual."""
+    return request.param
+
+
 async def refuse(received: Received) -> None:
     """Prove that the request did not run."""
     received.writer.write(
