--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,7 +17,7 @@
     Received,
     reset_connection,
 )
-from tests.lib.platform_fleet import HOST, free_port, route
+from tests.lib.platform_fleet import free_port, route
 from tests.lib.platform_store import PlatformStore
 from tests.soak.judge import EVENTS, Run, body_of, events_of
 from tests.soak.loopback_proxy import LoopbackProxy
