Explain a request from the logs of many hosts

Every line now carries the router's id. A test replays the three kinds of failure of docs/OPERATIONS.md from the log of a real entry process; before, context lines named no router, so merged logs could not be told apart.

--- a/src/hickorymux/_internal/commands/explain.py
+++ b/src/hickorymux/_internal/commands/explain.py
@@ -1,15 +1,25 @@
 """The command ``explain``."""
 
 import dataclasses
-from typing import Any, final
+import itertools
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final, final
 
 import aiohttp
 import msgspec
 
+from hickorymux._internal.exceptions import UsageError
+from hickorymux._internal.state.log_story import Story, read_story
 from hickorymux._internal.transport.admin_client import AdminClient
 from hickorymux._internal.utils.durations import parse_duration
 from hickorymux._internal.utils.terminal import write_line
 
+_STANDARD_INPUT: Final = Path('-')
+# Fields that say the same in each line of a story, or twice.
+_HIDDEN: Final = frozenset(('level', 'logger', 'message', 'request_id'))
+
 
 @final
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -18,15 +28,24 @@
 
     :param request_id: the id that the answer carried in X-Request-Id
     :param router: URL of the router that took the request
+    :param logs: log files of one or more routers to read instead, - for
+        standard input
     :param timeout: how long to wait for the router, as in 5s
     """
 
     request_id: str = dataclasses.field(kw_only=False)
-    router: str
+    router: str = ''
+    logs: list[Path] = dataclasses.field(default_factory=list)
     timeout: str = '5s'
 
     async def run(self) -> None:
         """Write one line for each decision, oldest first."""
+        if bool(self.router) == bool(self.logs):
+            raise UsageError('give either --router or --logs')
+        if self.logs:
+            rows = itertools.chain.from_iterable(map(_read_rows, self.logs))
+            _write_story(read_story(self.request_id, rows))
+            return
         timeout = parse_duration(self.timeout)
         async with aiohttp.ClientSession() as session:
             client = AdminClient(self.router, session, timeout)
@@ -34,6 +53,33 @@
                 write_line(_format(decision))
 
 
+def _read_rows(path: Path) -> Iterator[bytes]:
+    if path == _STANDARD_INPUT:
+        yield from sys.stdin.buffer
+        return
+    try:
+        with path.open('rb') as opened:
+            yield from opened
+    except OSError as error:
+        raise UsageError(str(error), where=str(path)) from error
+
+
+def _write_story(story: Story) -> None:
+    if story.before:
+        write_line('shortly before, at the same routers:')
+        for line in story.before:
+            write_line(f'  {_format(_shown(line))}')
+        write_line('the request:')
+    for line in story.lines:
+        write_line(f'  {_format(_shown(line))}')
+    if story.skipped:
+        write_line(f'{story.skipped} lines are no JSON objects')
+
+
+def _shown(line: Any) -> dict[str, Any]:
+    return {name: field for name, field in line.items() if name not in _HIDDEN}
+
+
 def _format(decision: Any) -> str:
     """Return a decision as one line: its time and its fields."""
     if not isinstance(decision, dict):
--- a/src/hickorymux/_internal/utils/json_logging.py
+++ b/src/hickorymux/_internal/utils/json_logging.py
@@ -11,6 +11,7 @@
 import datetime as dt
 import logging
 import sys
+from collections.abc import Mapping
 from typing import Any, TextIO, final
 
 import msgspec
@@ -36,9 +37,14 @@
 class JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object on one line.
 
-    A record whose only extra is ``fields`` is formatted fastest.
+    A record whose only extra is ``fields`` is formatted fastest. ``common``
+    is in every line.
     """
 
+    def __init__(self, common: Mapping[str, Any] | None = None) -> None:
+        super().__init__()
+        self.common = dict(common or {})
+
     def format(self, record: logging.LogRecord) -> str:
         """Return the line, without its end."""
         line: dict[str, Any] = {
@@ -46,6 +52,7 @@
             'level': record.levelname.lower(),
             'logger': record.name.rpartition('.')[2],
             'message': record.getMessage(),
+            **self.common,
         }
         fields = record.__dict__.get(FIELDS)
         line.update(_extras(record) if fields is None else fields)
@@ -75,12 +82,18 @@
     _skip_unused_record_fields()
 
 
-def configure_output(level: str = 'info') -> None:
-    """Send all loggers as JSON lines to standard output, never blocking."""
+def configure_output(
+    common: Mapping[str, Any],
+    level: str = 'info',
+) -> None:
+    """Send all loggers as JSON lines to standard output, never blocking.
+
+    ``common`` is in every line.
+    """
     root = logging.getLogger()
     for former in root.handlers.copy():
         root.removeHandler(former)
-    root.addHandler(BoundedOutput.from_config(JsonFormatter()))
+    root.addHandler(BoundedOutput.from_config(JsonFormatter(common)))
     root.setLevel(logging.WARNING)
     logging.getLogger('hickorymux').setLevel(level.upper())
     _skip_unused_record_fields()
--- a/src/hickorymux/platform/__main__.py
+++ b/src/hickorymux/platform/__main__.py
@@ -21,12 +21,12 @@
 
 async def _serve() -> None:
     settings = load_settings(os.environ)
+    configure_output({'router': settings.router_id})
     await EntryProcess.from_config(settings, PlatformDeployment()).run()
 
 
 def main() -> int:
     """Serve until told to stop; return the exit status."""
-    configure_output()
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(_serve())
--- /dev/null
+++ b/tests/functional/test_explained_failures.py
@@ -0,0 +1,128 @@
+"""From a request's id to its cause, by the steps of ``docs/OPERATIONS.md``.
+
+The log is that of a real entry process; the commands are those of the page.
+"""
+
+import asyncio
+import logging
+
+import pytest
+
+from hickorymux._internal.commands.explain import ExplainCommand
+from hickorymux._internal.exceptions import DecisionsNotFound, UsageError
+from hickorymux._internal.utils.json_logging import JsonFormatter
+from tests.lib.platform_engine import PlatformEngine, reset_connection
+from tests.lib.platform_fleet import platform_fleet, route
+
+READ = route('/read/', 'idempotent')
+WRITE = route('/write/', 'non_idempotent')
+
+
+@pytest.fixture
+def log(tmp_path):
+    """Write the log of the process in this loop to a file."""
+    path = tmp_path / 'front-1.log'
+    handler = logging.FileHandler(path)
+    handler.setFormatter(JsonFormatter({'router': 'front-1'}))
+    logger = logging.getLogger('hickorymux')
+    former = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    yield path
+    logger.removeHandler(handler)
+    logger.setLevel(former)
+    handler.close()
+
+
+async def explain(request_id, log, capsys):
+    await ExplainCommand(request_id, logs=[log]).run()
+    return capsys.readouterr().out
+
+
+async def send(fleet, request_id, path='/read/x'):
+    headers = {'X-Request-Id': request_id}
+    async with fleet.request('POST', path, headers=headers) as answer:
+        await answer.read()
+        return answer.status
+
+
+async def test_refused_for_load(log, capsys):
+    """The placed line of the same engine shows that it was full."""
+    async with platform_fleet(READ) as fleet:
+        stuck = asyncio.Event()
+
+        async def wait(_received):
+            await stuck.wait()
+
+        await fleet.add_engine(PlatformEngine('e1', wait), slots=1)
+        await fleet.until_ready()
+        held = [
+            asyncio.create_task(send(fleet, f'held-{number}'))
+            for number in range(2)
+        ]
+        await asyncio.sleep(0.2)
+        assert await send(fleet, 'late') == 503
+        for task in held:
+            task.cancel()
+    told = await explain('late', log, capsys)
+    assert 'event=refused' in told
+    assert 'code=no_capacity' in told
+    assert 'ran=no ' in told
+    placed = await explain('held-0', log, capsys)
+    assert 'event=placed' in placed
+    assert 'upstream=e1' in placed
+
+
+async def test_failed_at_an_upstream(log, capsys):
+    """The attempt's reason, that it was sent, and that the engine changed."""
+    async with platform_fleet(WRITE) as fleet:
+
+        async def crash(received):
+            reset_connection(received)
+            await asyncio.sleep(1)
+
+        await fleet.add_engine(PlatformEngine('e1', crash))
+        await fleet.until_ready()
+        assert await send(fleet, 'cut', '/write/x') == 502
+    told = await explain('cut', log, capsys)
+    assert 'event=upstream_changed' in told.partition('the request:')[0]
+    failed = next(line for line in told.splitlines() if 'event=failed' in line)
+    assert 'upstream_cut' in failed
+    assert 'sent=true' in failed
+
+
+async def test_refused_though_proper(log, capsys):
+    """The keys are too old, and why: the store was lost before."""
+    async with platform_fleet(READ, revoke_ms=800) as fleet:
+        await fleet.add_engine(PlatformEngine('e1'))
+        await fleet.until_ready()
+        fleet.store.mode = 'busy'
+        await asyncio.sleep(1.5)
+        assert await send(fleet, 'proper') == 503
+    told = await explain('proper', log, capsys)
+    before, _, own = told.partition('the request:')
+    assert 'event=dependency_lost' in before
+    assert 'the keys were last confirmed' in own
+    assert 'code=not_ready' in own
+    assert 'table_age_ms=' in own
+
+
+async def test_lines_of_other_hosts_and_of_none(log, capsys, tmp_path):
+    other = tmp_path / 'front-2.log'
+    other.write_text(
+        '{"time":"2026-01-01T00:00:01+00:00","router":"front-2",'
+        '"event":"refused","request_id":"r"}\nnot JSON\n'
+        '{"time":"2026-01-01T00:00:00+00:00","router":"front-3",'
+        '"event":"dependency_lost"}\n'
+    )
+    await ExplainCommand('r', logs=[log, other]).run()
+    told = capsys.readouterr().out
+    assert 'front-2' in told
+    assert 'dependency_lost' not in told
+    assert '1 lines are no JSON objects' in told
+    with pytest.raises(DecisionsNotFound):
+        await ExplainCommand('s', logs=[other]).run()
+    with pytest.raises(UsageError):
+        await ExplainCommand('r', logs=[tmp_path / 'none']).run()
+    with pytest.raises(UsageError):
+        await ExplainCommand('r').run()
