Cut requests at 0.88 of the shutdown time and close all listeners together

Three listeners were closed one after the other, each with up to 0.5 s, of which 0.5 s in all were left. The soak now judges the same of real processes.

--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -101,8 +101,11 @@
 # When a stopping router begins to refuse: by then the balancer sends no new
 # connections, and what comes on kept ones would be cut off.
 REFUSE_SECONDS: Final = 2.5
-# What is left of the shutdown time for the last writes.
-LAST_WRITES_SECONDS: Final = 0.5
+# The share of the shutdown time after which requests that still run are cut.
+# Callers may expect them to last five sixths of it; the rest is for closing.
+CUT_SHARE: Final = 0.88
+# How long connections may take to end once nothing runs any more.
+CLOSING_SECONDS: Final = 0.2
 DRAIN_POLL_SECONDS: Final = 0.05
 LISTEN_BACKLOG: Final = 1024
 
@@ -253,7 +256,7 @@
         self.membership.update_myself(is_leaving=True)
         self.membership.tick()
         limit = self.settings.bounds.shutdown.total_seconds()
-        end_at = started_at + limit - LAST_WRITES_SECONDS
+        end_at = started_at + limit * CUT_SHARE
         await self.clock.sleep(NOTICE_SECONDS)
         while self.server.running and self.clock.monotonic() < end_at:
             await self.clock.sleep(DRAIN_POLL_SECONDS)
@@ -266,8 +269,7 @@
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
-        for runner in self.runners:
-            await runner.cleanup()
+        await asyncio.gather(*(runner.cleanup() for runner in self.runners))
         await self.network.close()
         await self.client.close()
         await self.store.close()
@@ -496,7 +498,7 @@
     ) -> None:
         runner = web.ServerRunner(
             server,
-            shutdown_timeout=LAST_WRITES_SECONDS,
+            shutdown_timeout=CLOSING_SECONDS,
         )
         await runner.setup()
         self.runners.append(runner)
--- a/tests/functional/test_platform_path.py
+++ b/tests/functional/test_platform_path.py
@@ -416,3 +416,29 @@
         async with fleet.request('GET', '/read/x') as answer:
             assert answer.status == 503
         await stopping
+
+
+async def test_stopping_process_is_gone_in_time_though_upstreams_hang():
+    patient = route('/write/', 'non_idempotent', timeoutMs=9000)
+    async with platform_fleet(patient, grace=3.6) as fleet:
+        await fleet.add_engine(PlatformEngine('e1', never))
+        await fleet.until_ready()
+        hanging = [
+            asyncio.create_task(_outcome(fleet, number)) for number in range(5)
+        ]
+        await asyncio.sleep(0.2)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        await fleet.process.shut_down()
+        # Five sixths of the time are the callers'.
+        assert 3 <= loop.time() - started_at < 3.6
+        assert set(await asyncio.gather(*hanging)) == {'cut'}
+
+
+async def _outcome(fleet, number):
+    headers = {'X-Request-Id': f'r{number}', 'X-Request-Deadline': '9000'}
+    try:
+        async with fleet.request('POST', '/write/x', headers=headers) as answer:
+            return answer.status
+    except aiohttp.ClientError:
+        return 'cut'
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -26,6 +26,7 @@
         self.chance = random.Random(seed)
         self.revoked: list[Revocation] = []
         self.told: list[str] = []
+        self.late: list[str] = []
 
     async def run(self, seconds: float) -> None:
         """Start a fault now and then; return when all are over."""
@@ -66,8 +67,12 @@
     async def roll_router(self) -> None:
         """Let a process end by itself and start it again."""
         router = self._router()
+        former = router.process
         router.signal(signal.SIGTERM)
         await asyncio.sleep(GRACE_SECONDS)
+        is_former = router.is_running() and router.process is former
+        if is_former and not router.was_frozen:
+            self.late.append(router.node)
         await _restart(router)
 
     async def reload_router(self) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,10 @@
             callers.sent, world.runs, faults.revoked, CUSTOMER_OF_KEY
         )
     )
+    broken.extend(
+        f'stop: {node} was still there at the end of its shutdown time'
+        for node in faults.late
+    )
     broken.extend(
         f'ended: {router.node} ended by itself'
         for router in world.routers
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -78,10 +78,12 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.own_exits = 0
         self.is_told_to_end = False
+        self.was_frozen = False
 
     def start(self) -> None:
         """Start the process, adding to its log."""
         self.is_told_to_end = False
+        self.was_frozen = False
         with self.log.open('ab') as output:
             self.process = subprocess.Popen(
                 (sys.executable, '-m', 'hickorymux.platform'),
@@ -94,6 +96,7 @@
         """Send a signal, if the process is there."""
         if self.is_running():
             self.is_told_to_end |= number in {signal.SIGTERM, signal.SIGKILL}
+            self.was_frozen |= number is signal.SIGSTOP
             assert self.process is not None
             self.process.send_signal(number)
 
