--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import subprocess
 import time
 from collections.abc import Awaitable, Callable
 
@@ -60,9 +61,10 @@
     async def kill_router(self) -> None:
         """Kill a process and start it again."""
         router = self._router()
+        former = router.process
         router.signal(signal.SIGKILL)
         await asyncio.sleep(self.chance.uniform(0.1, 1))
-        await _restart(router)
+        await _restart(router, former)
 
     async def roll_router(self) -> None:
         """Let a process end by itself and start it again."""
@@ -73,7 +75,7 @@
         is_former = router.is_running() and router.process is former
         if is_former and not router.was_frozen:
             self.late.append(router.node)
-        await _restart(router)
+        await _restart(router, former)
 
     async def reload_router(self) -> None:
         """Ask a process to read its settings again."""
@@ -119,11 +121,16 @@
         return self.chance.choice(self.world.routers)
 
 
-async def _restart(router: Router) -> None:
-    """Start a process again once the former one is gone."""
-    while router.is_running():
-        if router.is_told_to_end:
-            router.signal(signal.SIGCONT)
+async def _restart(
+    router: Router,
+    former: 'subprocess.Popen[bytes] | None',
+) -> None:
+    """Start a process again once the former one is gone.
+
+    Another fault may have done so already.
+    """
+    while router.is_running() and router.process is former:
+        router.signal(signal.SIGCONT)
         await asyncio.sleep(0.05)
     if router.process is None:
         router.start()
