--- a/src/hickorymux/_internal/coordination/engines/cold_share.py
+++ b/src/hickorymux/_internal/coordination/engines/cold_share.py
@@ -57,16 +57,14 @@
             return True
         while times and times[0] <= now - WINDOW_SECONDS:
             times.popleft()
+        if not times:
+            self.sent.pop(life)
         return len(times) < allowance
 
     def on_sent(self, life: str, now: float) -> None:
         """Count a request that goes to the upstream now."""
         self.sent.setdefault(life, collections.deque()).append(now)
 
-    def forget(self, life: str) -> None:
-        """Drop the count of an upstream that is warm or gone."""
-        self.sent.pop(life, None)
-
     def _allowance(self, life: str, bound: float) -> int:
         """Return this router's part; 0 if it is not an owner."""
         if self.me not in self.routers:
--- a/src/hickorymux/_internal/state/routing.py
+++ b/src/hickorymux/_internal/state/routing.py
@@ -81,7 +81,6 @@
     """
 
     name: str
-    max_connections: int
     cold_period: dt.timedelta
     cold_rate: float
     engine: EngineModel | None = None
--- a/src/hickorymux/platform/manifest.py
+++ b/src/hickorymux/platform/manifest.py
@@ -53,8 +53,6 @@
 
 class _Service(msgspec.Struct, rename='camel'):
     name: str
-    # The limit of one upstream for all callers together.
-    max_connections: int = 0
     cold_start_s: float = 0
     # Requests a second that a cold upstream bears, from all callers together.
     cold_per_s: float = 0
@@ -146,7 +144,6 @@
 def _to_pool(service: _Service) -> PoolPolicy:
     return PoolPolicy(
         name=service.name,
-        max_connections=service.max_connections,
         cold_period=dt.timedelta(seconds=service.cold_start_s),
         cold_rate=service.cold_per_s,
         engine=_to_engine(service.engine),
--- a/tests/lib/demands.py
+++ b/tests/lib/demands.py
@@ -17,9 +17,9 @@
 )
 
 MODELS = PoolPolicy(
-    'models', 100, dt.timedelta(seconds=3), 16, EngineModel(64, 500_000)
+    'models', dt.timedelta(seconds=3), 16, EngineModel(64, 500_000)
 )
-PLAIN = PoolPolicy('plain', 100, dt.timedelta(), 0)
+PLAIN = PoolPolicy('plain', dt.timedelta(), 0)
 
 
 def prompt(
