Take no new requests in the turn after a long one; ask a lost store less

A request takes some five turns of the event loop until it is sent; each turn took 0.1 s of new ones beside all that was under way, and grew to a second.

Change: the lateness of the turn before counts too, and the bound is 50 ms.

--- a/src/hickorymux/_internal/coordination/keyed_follower.py
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -25,7 +25,10 @@
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.json_logging import FIELDS
 
+# A failed read is repeated after the first of these, then after twice as long
+# each time, up to the last.
 RETRY_SECONDS: Final = 0.15
+MAX_RETRY_SECONDS: Final = 0.6
 # A view older than this was cut off from the log for a while, though no read
 # failed, as when the process was frozen. Above what a change of the reader or
 # a busy process takes.
@@ -99,6 +102,7 @@
 
     async def run(self) -> None:
         """Follow the topic for good."""
+        pause = RETRY_SECONDS
         while True:
             try:
                 await self.step()
@@ -106,7 +110,10 @@
                 self.next_offset = None
             except LogUnavailable as error:
                 self.note_lost(error)
-                await self.clock.sleep(RETRY_SECONDS)
+                await self.clock.sleep(pause)
+                pause = min(2 * pause, MAX_RETRY_SECONDS)
+            else:
+                pause = RETRY_SECONDS
 
     async def step(self) -> None:
         """Read once, from the listing or from where the last read ended."""
--- a/src/hickorymux/_internal/transport/loop_lag.py
+++ b/src/hickorymux/_internal/transport/loop_lag.py
@@ -2,9 +2,10 @@
 
 Load pattern: more requests come to one router than its processor can even
 refuse. Whatever waits for the event loop then waits unseen: answers, reports
-of other routers, news of the store. A turn of the loop that lasts too long
-takes no new requests any more; they are refused before anything is spent on
-them, and the loop comes round to what waits.
+of other routers, news of the store. A request takes several turns of the loop
+until it is sent on, and each turn lasts as long as all that is under way. So a
+turn that lasts too long takes no new requests any more, and neither does the
+next one; they are refused before anything is spent on them.
 """
 
 import asyncio
@@ -14,19 +15,21 @@
 
 # How often the loop should come round to the probe.
 PROBE_SECONDS: Final = 0.02
-# Most of the shortest time in which callers expect an answer is left then.
-MAX_LAG_SECONDS: Final = 0.1
+# About five turns pass until a request is sent on; they must fit into the
+# 400 ms in which callers of model engines expect an answer to begin.
+MAX_LAG_SECONDS: Final = 0.05
 
 
 @final
 class LoopLag:
     """Knows by how much a timer of the event loop is late right now."""
 
-    __slots__ = ('clock', 'due_at')
+    __slots__ = ('clock', 'due_at', 'former_seconds')
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.due_at = clock.monotonic()
+        self.former_seconds: float = 0
 
     def start(self) -> None:
         """Probe for as long as the event loop runs."""
@@ -35,12 +38,14 @@
 
     def note(self) -> None:
         """Take that the probe runs now."""
-        self.due_at = self.clock.monotonic() + PROBE_SECONDS
+        now = self.clock.monotonic()
+        self.former_seconds = max(0, now - self.due_at)
+        self.due_at = now + PROBE_SECONDS
 
     @property
     def seconds(self) -> float:
-        """Return by how much the probe is late."""
-        return max(0, self.clock.monotonic() - self.due_at)
+        """Return by how much the probe is late, or the one before was."""
+        return max(self.former_seconds, self.clock.monotonic() - self.due_at)
 
     @property
     def is_high(self) -> bool:
--- a/tests/unit/engines/test_keyed_follower.py
+++ b/tests/unit/engines/test_keyed_follower.py
@@ -1,5 +1,7 @@
 """When a follower takes its log to be back after an outage."""
 
+import asyncio
+
 import pytest
 
 from hickorymux._internal.coordination.keyed_follower import (
@@ -16,11 +18,14 @@
 
     def __init__(self):
         self.is_down = False
+        self.reads = 0
 
     async def newest(self, topic):
         return KeyedPage((), 0)
 
     async def read(self, topic, from_offset, *, wait_seconds=0):
+        self.reads += 1
+        await asyncio.sleep(0)
         if self.is_down:
             raise LogUnavailable('down')
         return KeyedPage((), from_offset)
@@ -78,3 +83,22 @@
     log.is_down = False
     await follower.step()
     assert counted
+
+
+async def test_lost_log_is_asked_ever_less_and_its_return_soon_seen(
+    clock, log, returns
+):
+    """Many routers that lose the store at once must not press it."""
+    follower, counted = returns
+    log.is_down = True
+    following = asyncio.create_task(follower.run())
+    started_at = clock.monotonic()
+    while clock.monotonic() < started_at + 9:
+        await asyncio.sleep(0)
+    assert 9 <= log.reads <= 20
+    log.is_down = False
+    back_at = clock.monotonic()
+    while not counted:
+        await asyncio.sleep(0)
+    assert counted[0] - back_at <= 1
+    following.cancel()
