--- /dev/null
+++ b/tests/functional/test_settings_reload.py
@@ -0,0 +1,72 @@
+"""SIGHUP: the settings that may change are taken, wrong ones are not."""
+
+import asyncio
+import logging
+import os
+import signal
+
+import pytest
+
+from hickorymux._internal.utils.json_logging import FIELDS
+from tests.lib.platform_fleet import SETTINGS, platform_fleet, route
+
+READ = route('/read/', 'idempotent')
+
+
+def settings_text(process, revoke_ms):
+    settings = process.settings
+    return SETTINGS.format(
+        front=settings.callers.port,
+        ready=settings.readiness.port,
+        peer=settings.peers.port,
+        store=settings.store,
+        revoke_ms=revoke_ms,
+        grace=8,
+    )
+
+
+@pytest.fixture
+def events():
+    """Collect what the process logs."""
+    seen = []
+
+    class Collector(logging.Handler):
+        def emit(self, record):
+            seen.append(getattr(record, FIELDS, {}))
+
+    logger = logging.getLogger('hickorymux')
+    former, handler = logger.level, Collector()
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    yield seen
+    logger.removeHandler(handler)
+    logger.setLevel(former)
+
+
+async def test_hangup_takes_new_bounds_and_refuses_a_torn_file(
+    events, monkeypatch, tmp_path
+):
+    file = tmp_path / 'local.toml'
+    monkeypatch.setenv('HICKORYMUX_CONFIG', str(file))
+    async with platform_fleet(READ, revoke_ms=5000) as fleet:
+        process = fleet.process
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, process.reload)
+        try:
+            former = process.server.view.max_key_age
+            file.write_text(settings_text(process, 2000))
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0.05)
+            assert process.server.view.max_key_age == pytest.approx(former - 3)
+            file.write_text('node = ')
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0.05)
+            assert process.server.view.max_key_age == pytest.approx(former - 3)
+        finally:
+            loop.remove_signal_handler(signal.SIGHUP)
+    told = [event.get('event') for event in events]
+    assert told.index('reloaded') < told.index('reload_refused')
+    refused = next(
+        event for event in events if event.get('event') == 'reload_refused'
+    )
+    assert str(file) in refused['reason']
