Say once what stood twice, and name the last bare numbers

Found when reading the whole change again: - the time after which a silent router counts as idle stood in board and usage; - the tokens of a prompt that are its own were worked out in two places on the path of each choice, now Prompt.own_tokens; - CrashSuspects.check only called _refuse, now one method; - the soak had its own copy of the settings text of the fleet's tests; - numbers without a name in refusal (spread, least time, least rate), placement (what decides between equals) and the log lines (milliseconds, the greatest age shown).

No behaviour changes: values, bounds and assertions are the same.

--- a/src/hickorymux/_internal/coordination/crash_suspects.py
+++ b/src/hickorymux/_internal/coordination/crash_suspects.py
@@ -138,7 +138,7 @@
         """
         if self._standing(fingerprint) is Suspicion.clear:
             return Admission(fingerprint)
-        self._refuse(fingerprint)
+        self.check(fingerprint)
         try:
             turn = await self.turns.take(seconds)
         except TimeoutError as error:
@@ -148,7 +148,7 @@
             ) from error
         admission = Admission(fingerprint, alone=True, turn=turn)
         try:
-            self._refuse(fingerprint)
+            self.check(fingerprint)
         except CrashSuspect:
             self.end(admission)
             raise
@@ -156,7 +156,11 @@
 
     def check(self, fingerprint: int) -> None:
         """Raise ``CrashSuspect`` for a request that took upstreams down."""
-        self._refuse(fingerprint)
+        if self._standing(fingerprint) is Suspicion.refused:
+            raise CrashSuspect(
+                'the request was in flight when upstreams crashed',
+                hint='change the request before you send it again',
+            )
 
     def end(self, admission: Admission) -> None:
         """End what ``admit`` began, however the request ended."""
@@ -206,13 +210,6 @@
     def _standing(self, fingerprint: int) -> Suspicion:
         return self.table.standing(fingerprint, self.clock.monotonic())
 
-    def _refuse(self, fingerprint: int) -> None:
-        if self._standing(fingerprint) is Suspicion.refused:
-            raise CrashSuspect(
-                'the request was in flight when upstreams crashed',
-                hint='change the request before you send it again',
-            )
-
     def _add(self, crash: str, fingerprints: Iterable[int]) -> None:
         now = self.clock.monotonic()
         for fingerprint in fingerprints:
--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -44,6 +44,9 @@
 # Places beyond the slots of a plain service; an answer is then waited for at
 # most as long again as it takes.
 PLAIN_OVERCOMMIT: Final = 2.0
+# What a full upstream costs more than an empty one of the same speed, in
+# seconds; it only decides between equals.
+TIE_SECONDS: Final = 0.001
 # What another zone costs a plain request, in seconds.
 FAR_SECONDS: Final = 0.004
 # Another engine than the home is used only if it idles: nothing much to read,
@@ -176,8 +179,7 @@
                 running,
                 upstream.slots,
             )
-            # Ties go to the emptier one.
-            ranked = seconds + running / upstream.slots / 1000
+            ranked = seconds + running / upstream.slots * TIE_SECONDS
             if upstream.zone != self.zone:
                 ranked += FAR_SECONDS
             if ranked < best_seconds:
@@ -259,8 +261,8 @@
         """
         prompt = demand.prompt
         total = self.board.total(upstream.upstream_id)
-        shared = sum(part.tokens for part in prompt.shared_parts)
-        unread = prompt.tokens - shared
+        unread = prompt.own_tokens
+        shared = prompt.tokens - unread
         load = EngineLoad(
             running=1,
             unread=unread,
@@ -286,8 +288,7 @@
 
 def is_long(prompt: Prompt) -> bool:
     """Return whether reading the prompt holds up others for too long."""
-    shared = sum(part.tokens for part in prompt.shared_parts)
-    return prompt.tokens - shared >= LONG_TOKENS
+    return prompt.own_tokens >= LONG_TOKENS
 
 
 def _rank(key: str, upstream_id: str) -> int:
--- a/src/hickorymux/_internal/coordination/engines/prompts.py
+++ b/src/hickorymux/_internal/coordination/engines/prompts.py
@@ -39,6 +39,11 @@
         """Return the name of the last shared part, empty if there is none."""
         return self.parts[-2].name if len(self.parts) > 1 else ''
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the tokens that no other request may share."""
+        return self.tokens - sum(part.tokens for part in self.shared_parts)
+
     @property
     def memory_tokens(self) -> int:
         """Return what the request occupies by the time it ends."""
--- a/src/hickorymux/_internal/coordination/engines/refusal.py
+++ b/src/hickorymux/_internal/coordination/engines/refusal.py
@@ -17,6 +17,12 @@
 MAX_WAIT_SHARE: Final = 0.4
 MIN_RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 2.0
+# A time to come back is drawn between these shares of the expected wait.
+RETRY_SPREAD: Final = (0.5, 1.5)
+# Nobody is told to come back at once, however little time is left.
+LEAST_RETRY_SECONDS: Final = 0.05
+# A line that did not move lately is taken to move this fast, in cost a second.
+LEAST_RATE: Final = 1e-6
 # Clients heed a time to come back of up to a third of what they have left.
 HEEDED_SHARE: Final = 0.33
 # Weight of a second's dispatches in the rate at which a line moves.
@@ -41,7 +47,7 @@
     def seconds_for(self, cost: float, now: float) -> float:
         """Return how long so much work takes to leave the line."""
         self._decay(now)
-        return cost / max(self.rate, 1e-6)
+        return cost / max(self.rate, LEAST_RATE)
 
     def _decay(self, now: float) -> None:
         age = now - self.updated_at
@@ -62,7 +68,7 @@
     chance: random.Random,
 ) -> float:
     """Return when to come back: when room is expected, spread out."""
-    spread = chance.uniform(0.5, 1.5)
+    spread = chance.uniform(*RETRY_SPREAD)
     seconds = max(MIN_RETRY_SECONDS, expected_wait) * spread
     heeded = (demand.deadline - now) * HEEDED_SHARE
-    return max(0.05, min(seconds, MAX_RETRY_SECONDS, heeded))
+    return max(LEAST_RETRY_SECONDS, min(seconds, MAX_RETRY_SECONDS, heeded))
--- a/src/hickorymux/_internal/coordination/engines/usage.py
+++ b/src/hickorymux/_internal/coordination/engines/usage.py
@@ -7,13 +7,13 @@
 
 import dataclasses
 from collections.abc import Mapping
-from typing import Final, final
+from typing import final
 
+from hickorymux._internal.coordination.engines.board import (
+    PEER_TIMEOUT_SECONDS,
+)
 from hickorymux._internal.coordination.engines.waiting import CustomerUse
 
-# A router that is silent for longer is taken to serve nobody.
-PEER_TIMEOUT_SECONDS: Final = 1.5
-
 UseRows = Mapping[tuple[str, str], CustomerUse]
 
 
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -47,6 +47,7 @@
 ALIVE_SECONDS: Final = 0.3
 # What a refusal asks for when an upstream had no room.
 FULL_RETRY_SECONDS: Final = 0.3
+_MS_PER_SECOND: Final = 1000
 _STATUS_SERVER_ERROR: Final = 500
 _STATUS_OK: Final = 200
 _FIRST_NOT_OK: Final = 300
@@ -163,8 +164,8 @@
             pool=call.demand.pool.name,
             upstream=seat.upstream.upstream_id,
             attempt=call.sends + 1,
-            waited_ms=round(1000 * waited, 1),
-            expected_ms=round(1000 * choice.expected_seconds, 1),
+            waited_ms=_milliseconds(waited),
+            expected_ms=_milliseconds(choice.expected_seconds),
             unread_before=choice.unread_before,
             running_before=choice.running_before,
         )
@@ -217,7 +218,7 @@
             status=answer.status,
             upstream=seat.upstream.upstream_id,
             began_ms=self._began_ms(call),
-            took_ms=round(1000 * spent, 1),
+            took_ms=_milliseconds(spent),
         )
 
     async def _relay(
@@ -292,7 +293,7 @@
     def _began_ms(self, call: EntryCall) -> float | None:
         if call.began_at is None:
             return None
-        return round(1000 * (call.began_at - call.demand.arrived_at), 1)
+        return _milliseconds(call.began_at - call.demand.arrived_at)
 
     def _learn_service_time(self, seat: Seat) -> None:
         self.allocator.speeds.observe_service(
@@ -412,6 +413,11 @@
         return NoCapacity('out of time', retry_after=FULL_RETRY_SECONDS)
 
 
+def _milliseconds(seconds: float) -> float:
+    """Return a duration as log lines show it."""
+    return round(seconds * _MS_PER_SECOND, 1)
+
+
 def _count_send(call: EntryCall) -> None:
     """Count an upstream as reached; runs just before the first octet."""
     call.sends += 1
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -57,9 +57,12 @@
 # How long the rest of a body is read and dropped after an early answer.
 LINGERING_SECONDS: Final = 2.0
 MAX_HEADER_OCTETS: Final = 65536
+# The age of a view that was never confirmed is infinite, which JSON lacks.
+MAX_SHOWN_AGE_SECONDS: Final = 1e6
 # Callers that leave more connections than this open are told to end them with
 # the next answer; each takes some 14 KB of a small host's memory.
 MAX_KEPT_CONNECTIONS: Final = 1000
+_MS_PER_SECOND: Final = 1000
 _STATUS_UNAVAILABLE: Final = 503
 _STATUS_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -398,7 +401,9 @@
             ran=error.ran.value,
             retry_after=error.retry_after,
             table_version=self.view.table and self.view.table.version,
-            table_age_ms=round(1000 * min(self.view.age(), 1e6)),
+            table_age_ms=round(
+                _MS_PER_SECOND * min(self.view.age(), MAX_SHOWN_AGE_SECONDS)
+            ),
         )
         self.metrics.count_outcome('', error.code)
 
--- a/tests/functional/test_settings_reload.py
+++ b/tests/functional/test_settings_reload.py
@@ -16,6 +16,8 @@
 def settings_text(process, revoke_ms):
     settings = process.settings
     return SETTINGS.format(
+        node=settings.router_id,
+        ip=settings.callers.host,
         front=settings.callers.port,
         ready=settings.readiness.port,
         peer=settings.peers.port,
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -20,16 +20,16 @@
 KEY = 'key-of-ann'
 
 SETTINGS = """
-node = "front-1"
+node = "{node}"
 zone = "z1"
 region = "r1"
-ip = "127.0.0.1"
+ip = "{ip}"
 internalPortRange = [{peer}, {peer}]
 [zones]
 z1 = "r1"
 [listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
 [limits]
 maxFds = 4096
 [bounds]
@@ -156,6 +156,8 @@
     """Start a process; a free port may be taken before it is listened on."""
     for _ in range(START_TRIES):
         text = SETTINGS.format(
+            node='front-1',
+            ip='127.0.0.1',
             front=free_port(),
             ready=free_port(),
             peer=free_port(),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,7 +17,7 @@
     Received,
     reset_connection,
 )
-from tests.lib.platform_fleet import free_port, route
+from tests.lib.platform_fleet import SETTINGS, free_port, route
 from tests.lib.platform_store import PlatformStore
 from tests.soak.judge import EVENTS, Run, body_of, events_of
 from tests.soak.loopback_proxy import LoopbackProxy
@@ -33,24 +33,6 @@
     route('/write/', 'non_idempotent'),
     route('/stream/', 'streaming', resumable=True, maxAttempts=2),
 )
-_SETTINGS = """
-node = "{node}"
-zone = "z1"
-region = "r1"
-ip = "{ip}"
-internalPortRange = [{peer}, {peer}]
-[zones]
-z1 = "r1"
-[listen]
-front = "{callers}"
-ready = "{readiness}"
-[bounds]
-graceS = {grace}
-strictRevocation = true
-revokeMs = {revoke_ms}
-[platform]
-address = "{store}"
-"""
 
 
 class Router:
@@ -59,16 +41,17 @@
     def __init__(self, number: int, folder: pathlib.Path, store: str) -> None:
         ip = f'127.0.{random.SystemRandom().randint(1, 250)}.{number + 1}'
         self.node = f'front-{number}'
-        self.callers = f'{ip}:{free_port()}'
-        self.readiness = f'{ip}:{free_port()}'
+        front, ready = free_port(), free_port()
+        self.callers = f'{ip}:{front}'
+        self.readiness = f'{ip}:{ready}'
         self.settings = folder / f'{self.node}.toml'
         self.settings.write_text(
-            _SETTINGS.format(
+            SETTINGS.format(
                 node=self.node,
                 ip=ip,
                 peer=free_port(),
-                callers=self.callers,
-                readiness=self.readiness,
+                front=front,
+                ready=ready,
                 grace=GRACE_SECONDS,
                 revoke_ms=int(REVOKE_SECONDS * 1000),
                 store=store,
