Log how customers share a pool while some of them are refused

The log could not tell the hypotheses apart: a refusal names no customer, a deferred slot leaves no line, and what a router knows of the service elsewhere is not shown.

Change: at most one line a second and pool, customer_shares, and only if requests were refused. By customer it has the requests served and refused, the tries that were blocked and by what (full, late, deferred), the service here and at the peers, and the requests that wait there. At most eight customers a line, the least and the most served. No decision changes.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -31,6 +31,10 @@
     Choice,
     Placement,
 )
+from hickorymux._internal.coordination.engines.share_log import (
+    Outcome,
+    ShareLog,
+)
 from hickorymux._internal.coordination.engines.speeds import (
     PREFILL_TOKENS_PER_SECOND,
     UpstreamSpeeds,
@@ -134,6 +138,7 @@
         'placement',
         'candidate_cache',
         'registry',
+        'share_log',
         'dispatch_timer',
         'speeds',
         'tick_timer',
@@ -156,6 +161,7 @@
         self.speeds = UpstreamSpeeds()
         self.health = UpstreamHealth()
         self.usage_tracker = UsageTracker()
+        self.share_log = ShareLog()
         self.cold_share = cold_share
         self.cold_rate_limit = cold_rate_limit
         self.region_of = region_of
@@ -219,6 +225,11 @@
         for pool, queue in self.wait_queues.items():
             queue.meter.peer_usage = usage.get(pool, {})
 
+    def log_shares(self) -> None:
+        """Log how the customers shared the pools that refused requests."""
+        meters = {pool: queue.meter for pool, queue in self.wait_queues.items()}
+        self.share_log.write_due(meters, self.clock.monotonic())
+
     def dispatch_all(self) -> None:
         """Dispatch waiting requests of all pools.
 
@@ -338,10 +349,16 @@
             self.candidates(demand, now),
             now,
         )
-        if choice is None or not self._is_feasible(demand, choice, now):
+        if choice is None:
+            self._count(demand, Outcome.full)
+            return None
+        if not self._is_feasible(demand, choice, now):
+            self._count(demand, Outcome.late)
             return None
         if self._must_defer_to_peer(demand, choice, queue, now):
+            self._count(demand, Outcome.deferred)
             return None
+        self._count(demand, Outcome.served)
         upstream = choice.upstream
         self.load_tracker.add(upstream.upstream_id, choice.load)
         self.health.on_sent(upstream.upstream_id, now)
@@ -352,6 +369,11 @@
         queue.rate.add(cost_of(demand), now)
         return Reservation(self, demand, choice, now)
 
+    def _count(self, demand: Demand, outcome: Outcome) -> None:
+        self.share_log.count(
+            demand.pool.name, demand.customer, outcome, self.clock.monotonic()
+        )
+
     def _is_feasible(
         self,
         demand: Demand,
@@ -444,6 +466,7 @@
         now = self.clock.monotonic()
         wait = queue.rate.seconds_to_clear(queue.queued_cost, now)
         queue.remove(demand)
+        self._count(demand, Outcome.refused)
         future = self.futures[demand]
         if future.done():
             return
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -492,7 +492,8 @@
     async def _update_router_shares(self) -> None:
         """Keep the shares of limits that hold for all routers up to date.
 
-        Also expires upstreams and reports changes of the readiness.
+        Also expires upstreams and logs changes of the readiness and how
+        customers share the pools.
         """
         while True:
             if self.listed_routers:
@@ -501,6 +502,7 @@
                 self._apply_bounds()
             self.view.registry.expire(self.clock.monotonic())
             self._report_readiness()
+            self.allocator.log_shares()
             await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
 
     def _report_readiness(self) -> None:
