Keep load reports of peers when a row of theirs is empty

The report in hand was lost with its usage by customer, a delegate did not pass it on to its zone, and what the former report had added to the totals of other engines stayed there for good: those engines looked fuller than they were.

Cause: a total was dropped when it became zero, though a source with an empty row for that upstream was still to be subtracted from it. Empty rows come from subtracting a router's own part from the sum of its zone.

Change: empty rows are not kept, so a total exists as long as any source contributes to it. The usage table sums its reports anew each time and has no such fault.

--- a/src/hickorymux/_internal/coordination/engines/load_tracker.py
+++ b/src/hickorymux/_internal/coordination/engines/load_tracker.py
@@ -34,6 +34,12 @@
     unprocessed_tokens: int = 0
     memory_tokens: int = 0
 
+    def is_any(self) -> bool:
+        """Return whether there is any work."""
+        return bool(
+            self.running or self.unprocessed_tokens or self.memory_tokens
+        )
+
     def add(self, other: 'EngineLoad') -> None:
         """Add another load to this one, in place."""
         self.running += other.running
@@ -105,8 +111,11 @@
         ``rows`` has the load that it placed on each upstream.
         """
         self._forget(source)
-        self.peer_reports[source] = _PeerReport(rows, now)
-        for upstream_id, load in rows.items():
+        # An upstream without load from any peer has no total to subtract an
+        # empty row from.
+        loaded = {each: load for each, load in rows.items() if load.is_any()}
+        self.peer_reports[source] = _PeerReport(loaded, now)
+        for upstream_id, load in loaded.items():
             self.peer_totals.setdefault(upstream_id, EngineLoad()).add(load)
 
     def expire(self, now: float) -> None:
@@ -126,9 +135,5 @@
         for upstream_id, load in former.rows.items():
             remaining = self.peer_totals[upstream_id]
             remaining.subtract(load)
-            if not (
-                remaining.running
-                or remaining.unprocessed_tokens
-                or remaining.memory_tokens
-            ):
+            if not remaining.is_any():
                 self.peer_totals.pop(upstream_id)
