Hold customers to their max-min share at every load of an engine

A customer that asked for 1,356,336 tokens in six seconds and waited all through got 526,849, another 8,553,850.

Cause: the rule between routers had two gaps. A customer that was ahead deferred only on engines with 0.4 of their slots in use, while no request may use more than 0.6: two thirds of all capacity were first come, first served, and went to whoever sent most. And it deferred only to a customer that had a request waiting at a peer at the moment of a report. A request waits 0.24 s at most and is mostly refused within milliseconds, so a customer that was refused all the time hardly ever counted as waiting (in 1 of 104 lines of the modelled fleet).

The customer_shares lines of the modelled fleet show few deferrals (16 for 1,578 tries on a full pool). Deferring from an earlier load on, or remembering the refused, each alone left starved spans in the modelled fleet.

Change: routers report the unmet demand by customer, the cost of what waits and of what was refused lately, in place of the number of waiting requests (a new field; the old one is not reused). From service and unmet demand each router derives the max-min share. A customer beyond it may fill an engine only up to the part of its service that it is due, by slots or by prompts to process, so the rest stays free for others at any router, and no engine idles while it waits. Recent service halves in 2 s, not 3: the former service of a customer that has just become large held it below its share for seconds.

Replaced test: test_customer_ahead_defers_to_one_that_waits_at_a_peer asked for a method that is gone; test_customer_beyond_its_share_is_due_less_... checks the new rule, with both sides, and max-min is checked by cases.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -28,6 +28,7 @@
 from hickorymux._internal.coordination.engines.load_tracker import LoadTracker
 from hickorymux._internal.coordination.engines.placement import (
     Candidates,
+    MAX_RUNNING_SHARE,
     Choice,
     Placement,
 )
@@ -63,12 +64,9 @@
 # many unprocessed prompt tokens, so that it doesn't delay requests that can
 # still be in time.
 MAX_LATE_UNPROCESSED_TOKENS: Final = PREFILL_TOKENS_PER_SECOND * 0.3
-# An engine with less than this share of its slots in use has room for all
-# customers, so fairness between customers is not enforced there.
-LOW_LOAD_SHARE: Final = 0.4
-# How many requests a customer may be ahead of one that waits at a peer. It is
-# more than one because reports of peers arrive with a delay.
-MAX_LEAD_REQUESTS: Final = 3.0
+# Engines that are less utilized than this have room for all customers, also
+# for those far beyond their fair share.
+LOW_UTILIZATION: Final = 0.1
 
 # Returns the requests that all routers together may send to one cold upstream
 # of a pool in any second.
@@ -221,9 +219,12 @@
 
     def update_peer_usage(self) -> None:
         """Pass the usage that peers reported on to the wait queues."""
-        usage = self.usage_tracker.usage_by_pool(self.clock.monotonic())
+        now = self.clock.monotonic()
+        usage = self.usage_tracker.usage_by_pool(now)
         for pool, queue in self.wait_queues.items():
-            queue.meter.peer_usage = usage.get(pool, {})
+            queue.meter.update_peer_usage(
+                usage.get(pool, {}), queue.usage_by_customer(now)
+            )
 
     def log_shares(self) -> None:
         """Log how the customers shared the pools that refused requests."""
@@ -355,7 +356,7 @@
         if not self._is_feasible(demand, choice, now):
             self._count(demand, Outcome.late)
             return None
-        if self._must_defer_to_peer(demand, choice, queue, now):
+        if self._must_defer(demand, choice, queue, now):
             self._count(demand, Outcome.deferred)
             return None
         self._count(demand, Outcome.served)
@@ -388,24 +389,23 @@
             return True
         return choice.unprocessed_before <= MAX_LATE_UNPROCESSED_TOKENS
 
-    def _must_defer_to_peer(
+    def _must_defer(
         self,
         demand: Demand,
         choice: Choice,
         queue: WaitQueue,
         now: float,
     ) -> bool:
-        """Return whether to leave the slot to a customer waiting at a peer.
+        """Return whether to leave the slot to customers that are due more.
 
-        That customer has been served less lately. On an engine with low load
-        the answer is no, as there is room for both.
+        A customer beyond its fair share may use only a part of each engine,
+        the smaller the further it is beyond. The rest stays free for requests
+        of other customers, which may arrive at any router.
         """
         if not isinstance(demand, PromptDemand):
             return False
-        if choice.running_before < choice.upstream.slots * LOW_LOAD_SHARE:
-            return False
-        max_lead = MAX_LEAD_REQUESTS * max(queue.mean_cost, demand.cost)
-        return queue.meter.must_defer_to_peer(demand.customer, max_lead, now)
+        due = queue.meter.due_share(demand.customer, now)
+        return _utilization(demand, choice) >= max(due, LOW_UTILIZATION)
 
     def _dispatch_next(self, queue: WaitQueue) -> bool:
         now = self.clock.monotonic()
@@ -466,6 +466,7 @@
         now = self.clock.monotonic()
         wait = queue.rate.seconds_to_clear(queue.queued_cost, now)
         queue.remove(demand)
+        queue.on_refused(demand, now)
         self._count(demand, Outcome.refused)
         future = self.futures[demand]
         if future.done():
@@ -502,6 +503,18 @@
             self._tick_later()
 
 
+def _utilization(demand: Demand, choice: Choice) -> float:
+    """Return which part of the work that an engine may have it has already.
+
+    It is by slots or by the prompts that the request would wait for, whichever
+    is more.
+    """
+    usable_slots = choice.upstream.slots * MAX_RUNNING_SHARE
+    max_wait = demand.start_deadline - demand.arrived_at
+    wait = choice.unprocessed_before / PREFILL_TOKENS_PER_SECOND
+    return max(choice.running_before / usable_slots, wait / max_wait)
+
+
 def _release_unclaimed(future: 'asyncio.Future[Reservation]') -> None:
     """Release a reservation made for a caller that has disconnected."""
     if not future.done() or future.cancelled():
--- a/src/hickorymux/_internal/coordination/engines/share_log.py
+++ b/src/hickorymux/_internal/coordination/engines/share_log.py
@@ -117,9 +117,10 @@
         peers = meter.peer_usage.get(customer)
         yield {
             'customer': customer,
-            'own_service': round(meter.own_service(customer, now)),
+            'own_service': round(meter.served.total(customer, now)),
             'peer_service': round(peers.service) if peers else None,
-            'waiting_at_peers': peers.waiting if peers else None,
+            'unmet_at_peers': round(peers.unmet) if peers else None,
+            'due_share': round(meter.due_share(customer, now), 2),
             **{
                 outcome.value: count
                 for outcome, count in interval.outcomes[customer].items()
--- a/src/hickorymux/_internal/coordination/engines/usage_tracker.py
+++ b/src/hickorymux/_internal/coordination/engines/usage_tracker.py
@@ -1,4 +1,4 @@
-"""Tracks the service and waiting requests of each customer at the peers.
+"""Tracks the service and the unmet demand of each customer at the peers.
 
 Load pattern: one customer sends many times its share through all routers,
 while a small customer uses a single router. No router alone can see that the
@@ -53,5 +53,5 @@
                 by_customer = pools.setdefault(pool, {})
                 total = by_customer.setdefault(customer, CustomerUsage())
                 total.service += use.service
-                total.waiting += use.waiting
+                total.unmet += use.unmet
         return pools
--- a/src/hickorymux/_internal/coordination/engines/wait_queue.py
+++ b/src/hickorymux/_internal/coordination/engines/wait_queue.py
@@ -17,7 +17,7 @@
 import dataclasses
 import functools
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Final, final
 
 from hickorymux._internal.coordination.engines.demands import Demand
@@ -25,73 +25,97 @@
 
 # The weight of past service halves in this time, so that customers are not
 # held back for service that they received long ago.
-HALF_LIFE_SECONDS: Final = 3.0
+HALF_LIFE_SECONDS: Final = 2.0
 # Weight of the newest request in the moving average of the cost.
 MEAN_COST_WEIGHT: Final = 0.05
 
 
 @dataclasses.dataclass(slots=True)
 class CustomerUsage:
-    """Recent service of a customer, and how many of its requests wait.
+    """Recent service of a customer, and its recent demand that was not met.
 
-    ``service`` is in the cost unit of the pool, with older service discounted.
+    Both are in the cost unit of the pool, with older requests discounted.
+    ``unmet`` covers the requests that wait and those that were refused, whose
+    callers are likely to return.
     """
 
     service: float = 0
-    waiting: int = 0
+    unmet: float = 0
 
 
 @final
-class ServiceMeter:
-    """The recent service of each customer, in the cost of its requests.
+class RecentCosts:
+    """The cost of recent requests by customer.
 
-    ``peer_usage`` is what the peers reported, summed up by customer.
+    Older requests are discounted exponentially.
     """
 
-    __slots__ = ('peer_usage', 'service', 'updated_at')
+    __slots__ = ('costs', 'updated_at')
 
     def __init__(self) -> None:
-        self.service: dict[str, float] = {}
+        self.costs: dict[str, float] = {}
         self.updated_at: dict[str, float] = {}
-        self.peer_usage: Mapping[str, CustomerUsage] = {}
 
     def add(self, customer: str, cost: float, now: float) -> None:
-        """Add the cost of a request that is dispatched now."""
-        self.service[customer] = self.own_service(customer, now) + cost
+        """Add the cost of a request."""
+        self.costs[customer] = self.total(customer, now) + cost
         self.updated_at[customer] = now
 
+    def total(self, customer: str, now: float) -> float:
+        """Return the discounted cost of all requests of a customer."""
+        cost = self.costs.get(customer)
+        if cost is None:
+            return 0
+        elapsed = now - self.updated_at[customer]
+        return cost * math.exp2(-elapsed / HALF_LIFE_SECONDS)
+
+
+@final
+class ServiceMeter:
+    """The recent service and unmet demand of each customer of a pool.
+
+    ``peer_usage`` is what the peers reported, summed up by customer.
+    ``fair_service`` is the most service that any customer is due, by max-min
+    fairness over the customers' demand at all routers.
+    """
+
+    __slots__ = ('fair_service', 'peer_usage', 'refused', 'served')
+
+    def __init__(self) -> None:
+        self.served = RecentCosts()
+        self.refused = RecentCosts()
+        self.peer_usage: Mapping[str, CustomerUsage] = {}
+        self.fair_service = math.inf
+
     def total_service(self, customer: str, now: float) -> float:
         """Return the recent service of a customer at all routers."""
         at_peers = self.peer_usage.get(customer)
-        own = self.own_service(customer, now)
+        own = self.served.total(customer, now)
         return own if at_peers is None else own + at_peers.service
 
-    def must_defer_to_peer(
-        self, customer: str, max_lead: float, now: float
-    ) -> bool:
-        """Return whether a less-served customer waits at a peer.
-
-        A customer may be ahead of another one by up to ``max_lead`` of service
-        before it must defer.
-        """
-        limit = self.total_service(customer, now) - max_lead
-        return any(
-            use.waiting
-            and other != customer
-            and self.total_service(other, now) < limit
-            for other, use in self.peer_usage.items()
-        )
-
-    def own_service(self, customer: str, now: float) -> float:
-        """Return the recent service of a customer at this router.
+    def due_share(self, customer: str, now: float) -> float:
+        """Return which part of its service a customer is due, at most 1.
 
-        Older service is discounted exponentially.
+        It is below 1 for a customer that has got more than its fair share
+        while others have demand that is not met.
         """
-        service = self.service.get(customer)
-        if service is None:
-            return 0
-        elapsed = now - self.updated_at[customer]
-        return service * math.exp2(-elapsed / HALF_LIFE_SECONDS)
+        service = self.total_service(customer, now)
+        if service <= self.fair_service:
+            return 1
+        return self.fair_service / service
+
+    def update_peer_usage(
+        self,
+        peer_usage: Mapping[str, CustomerUsage],
+        own_usage: Mapping[str, CustomerUsage],
+    ) -> None:
+        """Replace the usage at the peers, and derive the fair service."""
+        self.peer_usage = peer_usage
+        totals = [
+            _add(own_usage.get(customer), peer_usage.get(customer))
+            for customer in own_usage.keys() | peer_usage.keys()
+        ]
+        self.fair_service = max_min_service(totals)
 
 
 @final
@@ -118,9 +142,13 @@
     def on_dispatched(self, demand: Demand, now: float) -> None:
         """Record the cost of a request that got a reservation."""
         cost = cost_of(demand)
-        self.meter.add(demand.customer, cost, now)
+        self.meter.served.add(demand.customer, cost, now)
         self.mean_cost += MEAN_COST_WEIGHT * (cost - self.mean_cost)
 
+    def on_refused(self, demand: Demand, now: float) -> None:
+        """Record a request that left the queue without a reservation."""
+        self.meter.refused.add(demand.customer, cost_of(demand), now)
+
     def push(self, demand: Demand) -> None:
         """Add a request to the queue."""
         self.by_customer.setdefault(demand.customer, []).append(demand)
@@ -164,18 +192,20 @@
         )
 
     def usage_by_customer(self, now: float) -> dict[str, CustomerUsage]:
-        """Return recent service and waiting requests by customer.
-
-        Only this router's are counted.
-        """
+        """Return the usage of each customer at this router alone."""
+        customers = self.meter.served.costs.keys() | self.by_customer.keys()
         return {
             customer: CustomerUsage(
-                self.meter.own_service(customer, now),
-                len(self.by_customer.get(customer, ())),
+                self.meter.served.total(customer, now),
+                self._unmet_demand(customer, now),
             )
-            for customer in self.meter.service.keys() | self.by_customer.keys()
+            for customer in customers | self.meter.refused.costs.keys()
         }
 
+    def _unmet_demand(self, customer: str, now: float) -> float:
+        waiting = map(cost_of, self.by_customer.get(customer, ()))
+        return self.meter.refused.total(customer, now) + sum(waiting)
+
     def all_waiting(self) -> Iterator[Demand]:
         """Yield all waiting requests, in no particular order."""
         for demands in self.by_customer.values():
@@ -188,6 +218,33 @@
     return cost
 
 
+def max_min_service(usage: Iterable[CustomerUsage]) -> float:
+    """Return the service that no customer is due more of.
+
+    The service that all customers got together is divided by max-min
+    fairness: a customer with less demand than an even part of it is due all of
+    its demand, and the others share the rest evenly. Returns infinity without
+    customers.
+    """
+    rows = list(usage)
+    left = sum(each.service for each in rows)
+    demands = sorted(each.service + each.unmet for each in rows)
+    for index, demand in enumerate(demands):
+        even_part = left / (len(demands) - index)
+        if demand >= even_part:
+            return even_part
+        left -= demand
+    return math.inf
+
+
+def _add(*usage: CustomerUsage | None) -> CustomerUsage:
+    known = [each for each in usage if each is not None]
+    return CustomerUsage(
+        sum(each.service for each in known),
+        sum(each.unmet for each in known),
+    )
+
+
 def _urgency(demand: Demand, now: float) -> tuple[bool, float]:
     is_late = demand.start_deadline <= now
     return is_late, demand.start_deadline
--- a/src/hickorymux/_internal/coordination/load_exchange.py
+++ b/src/hickorymux/_internal/coordination/load_exchange.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import itertools
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final, final
 
@@ -152,7 +153,7 @@
                 pools=self.sent_report.pools,
                 customers=self.sent_report.customers,
                 given=self.sent_report.given,
-                waiting=self.sent_report.waiting,
+                unmet=self.sent_report.unmet,
             )
         self._send_all(members, report)
 
@@ -184,7 +185,7 @@
             for row, usage in peer.rows.items():
                 total = totals.setdefault(row, CustomerUsage())
                 total.service += usage.service
-                total.waiting += usage.waiting
+                total.unmet += usage.unmet
         return totals
 
     def _zone_members(self) -> Sequence[Member]:
@@ -233,24 +234,28 @@
         pools=[pool for pool, _ in usage_rows],
         customers=[customer for _, customer in usage_rows],
         given=[int(usage.service) for usage in usage_rows.values()],
-        waiting=[usage.waiting for usage in usage_rows.values()],
+        unmet=[int(usage.unmet) for usage in usage_rows.values()],
     )
 
 
 def usage_from_report(
     report: LoadReport,
 ) -> dict[tuple[str, str], CustomerUsage]:
-    """Return the usage of a report by pool and customer."""
+    """Return the usage of a report by pool and customer.
+
+    Routers of the previous version do not send the unmet demand.
+    """
+    unmet_costs: Iterable[int] = report.unmet or itertools.repeat(0)
     columns = zip(
         report.pools,
         report.customers,
         report.given,
-        report.waiting,
+        unmet_costs,
         strict=False,
     )
     return {
-        (pool, customer): CustomerUsage(given, waiting)
-        for pool, customer, given, waiting in columns
+        (pool, customer): CustomerUsage(given, unmet)
+        for pool, customer, given, unmet in columns
     }
 
 
@@ -281,7 +286,7 @@
         if total is not None:
             remaining[row] = CustomerUsage(
                 max(0, total.service - usage.service),
-                max(0, total.waiting - usage.waiting),
+                max(0, total.unmet - usage.unmet),
             )
     return remaining
 
--- a/src/hickorymux/_internal/coordination/load_messages.py
+++ b/src/hickorymux/_internal/coordination/load_messages.py
@@ -11,7 +11,7 @@
     The first has a row for each upstream: its id, the requests running there,
     their unprocessed prompt tokens and the tokens that they occupy in the
     engine's memory. The second has a row for each pool and customer: the
-    recent service of the customer and its waiting requests.
+    recent service of the customer and its recent demand that was not met.
     """
 
     zone: str = ''
@@ -22,4 +22,4 @@
     pools: list[str] = dataclasses.field(default_factory=list)
     customers: list[str] = dataclasses.field(default_factory=list)
     given: list[int] = dataclasses.field(default_factory=list)
-    waiting: list[int] = dataclasses.field(default_factory=list)
+    unmet: list[int] = dataclasses.field(default_factory=list)
--- a/src/hickorymux/_internal/protocol/idl/load.thrift
+++ b/src/hickorymux/_internal/protocol/idl/load.thrift
@@ -1,5 +1,5 @@
 // Load that routers have placed on upstreams (fields 2 to 5), and usage by pool
-// and customer (fields 6 to 9), each as columns of equal length.
+// and customer (fields 6 to 10), each as columns of equal length.
 // coordination/load_messages.py has the same names and documents the fields.
 
 struct LoadReport {
@@ -11,5 +11,6 @@
   6: optional list<string> pools = [],
   7: optional list<string> customers = [],
   8: optional list<i64> given = [],
-  9: optional list<i32> waiting = [],
+  // Field 9 was the number of waiting requests.
+  10: optional list<i64> unmet = [],
 }
--- a/tests/unit/engines/test_share_log.py
+++ b/tests/unit/engines/test_share_log.py
@@ -24,7 +24,7 @@
 
 def test_refused_customer_is_logged_beside_the_one_that_was_served(lines):
     log, meter = ShareLog(), ServiceMeter()
-    meter.add('large', 9000, 0)
+    meter.served.add('large', 9000, 0)
     meter.peer_usage = {'small': CustomerUsage(500, 2)}
     log.count('models', 'large', Outcome.served, 0)
     log.count('models', 'small', Outcome.full, 0)
@@ -37,7 +37,8 @@
         'customer': 'small',
         'own_service': 0,
         'peer_service': 500,
-        'waiting_at_peers': 2,
+        'unmet_at_peers': 2,
+        'due_share': 1,
         'full': 1,
         'refused': 1,
     }
@@ -60,7 +61,7 @@
 def test_line_is_bounded_however_many_customers_there_are(lines):
     log, meter = ShareLog(), ServiceMeter()
     for number in range(200):
-        meter.add(f'c{number}', number, 0)
+        meter.served.add(f'c{number}', number, 0)
         log.count('models', f'c{number}', Outcome.refused, 0)
     log.write_due({'models': meter}, LOG_INTERVAL_SECONDS)
     customers = [row['customer'] for row in lines()[0]['customers']]
--- a/tests/unit/engines/test_waiting.py
+++ b/tests/unit/engines/test_waiting.py
@@ -1,9 +1,15 @@
 """Tests of the wait queue and of the usage that routers exchange."""
 
+import math
+
+import pytest
+
 from hickorymux._internal.coordination.engines.usage_tracker import UsageTracker
 from hickorymux._internal.coordination.engines.wait_queue import (
+    HALF_LIFE_SECONDS,
     CustomerUsage,
     WaitQueue,
+    max_min_service,
 )
 from tests.lib.demands import prompt_demand
 
@@ -48,7 +54,7 @@
 
 def test_most_served_is_refused_first():
     queue = WaitQueue(0)
-    queue.meter.add('hot', 1000, 0)
+    queue.meter.served.add('hot', 1000, 0)
     queue.push(prompt_demand('small', now=2))
     queue.push(prompt_demand('hot', now=0))
     newest = prompt_demand('hot', now=1)
@@ -58,18 +64,46 @@
 
 def test_old_service_counts_less():
     queue = WaitQueue(0)
-    queue.meter.add('ann', 1000, 0)
-    assert queue.meter.total_service('ann', 6) == 250
+    queue.meter.served.add('ann', 1000, 0)
+    assert queue.meter.total_service('ann', 2 * HALF_LIFE_SECONDS) == 250
+
+
+def test_customer_beyond_its_share_is_due_less_while_others_are_not_served():
+    queue = WaitQueue(0)
+    queue.meter.served.add('large', 90_000, 0)
+    own = queue.usage_by_customer(0)
+    at_peers = {'small': CustomerUsage(10_000, unmet=200_000)}
+    queue.meter.update_peer_usage(at_peers, own)
+    assert queue.meter.due_share('large', 0) == pytest.approx(50 / 90)
+    assert queue.meter.due_share('small', 0) == 1
+    queue.meter.update_peer_usage({'small': CustomerUsage(10_000)}, own)
+    assert queue.meter.due_share('large', 0) == 1
 
 
-def test_customer_ahead_defers_to_one_that_waits_at_a_peer():
+def test_refused_request_forgotten_until_its_caller_returns():
     queue = WaitQueue(0)
-    queue.meter.add('hot', 90_000, 0)
-    queue.meter.peer_usage = {'small': CustomerUsage(1000, 2)}
-    assert queue.meter.must_defer_to_peer('hot', 20_000, 0)
-    assert not queue.meter.must_defer_to_peer('hot', 100_000, 0)
-    queue.meter.peer_usage = {'small': CustomerUsage(1000, 0)}
-    assert not queue.meter.must_defer_to_peer('hot', 20_000, 0)
+    demand = prompt_demand('small')
+    queue.push(demand)
+    assert queue.usage_by_customer(0)['small'].unmet == demand.cost
+    queue.remove(demand)
+    queue.on_refused(demand, 0)
+    assert queue.usage_by_customer(0)['small'].unmet == demand.cost
+    assert queue.usage_by_customer(60)['small'].unmet < 1
+
+
+@pytest.mark.parametrize(
+    ('usage', 'level'),
+    [
+        ([], math.inf),
+        ([CustomerUsage(70)], 70),
+        ([CustomerUsage(70, 30), CustomerUsage(10)], 70),
+        ([CustomerUsage(70, 30), CustomerUsage(10, 5)], 65),
+        ([CustomerUsage(70), CustomerUsage(10, 90)], 40),
+        ([CustomerUsage(60), CustomerUsage(20, 90), CustomerUsage(4)], 40),
+    ],
+)
+def test_max_min_service(usage, level):
+    assert max_min_service(usage) == pytest.approx(level)
 
 
 def test_usage_of_silent_routers_expires():
