Do not refuse a customer within its share by the rate of its own router

A small customer whose requests reach one router was refused within milliseconds while large customers were served at others.

Cause: a router refuses at once what its queue is not expected to clear in time, by the rate at which it dispatched itself in the last second. In a large fleet a router has few requests of its own and so a rate near zero; every request that found its engine full was refused, though a slot falls free there several times a second. What is shed was decided by what one router knows. That the engines leave room for a customer within its share does not show in that rate.

Change: such a request is kept until it gives up as before, if any engine of the pool is available. Customers beyond their share are still refused at once.

Result: the new test of test_allocator.py failed before (refused at once).

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -439,7 +439,9 @@
         """Refuse requests until the rest can be served in time.
 
         That is when the queue is expected to clear before the last of its
-        requests gives up.
+        requests gives up. A request of a customer within its fair share is
+        kept, since the routers leave room for it on the engines, which the
+        dispatch rate of this router does not show.
         """
         now = self.clock.monotonic()
         longest_wait = max(
@@ -447,9 +449,18 @@
             default=0,
         )
         while not self._clears_by(queue, now + longest_wait):
-            self._refuse(
-                queue, queue.next_to_refuse(now), 'the wait queue is too long'
-            )
+            demand = queue.next_to_refuse(now)
+            if self._is_due_room(queue, demand, now):
+                break
+            self._refuse(queue, demand, 'the wait queue is too long')
+
+    def _is_due_room(
+        self, queue: WaitQueue, demand: Demand, now: float
+    ) -> bool:
+        """Return whether other customers must leave room for the request."""
+        if queue.meter.due_share(demand.customer, now) < 1:
+            return False
+        return bool(self.candidates(demand, now).upstreams)
 
     def _clears_by(self, queue: WaitQueue, deadline: float) -> bool:
         """Return whether the whole queue is expected to clear by a deadline.
--- a/tests/unit/engines/test_allocator.py
+++ b/tests/unit/engines/test_allocator.py
@@ -7,9 +7,13 @@
 
 from hickorymux._internal.coordination.engines.allocator import Allocator
 from hickorymux._internal.coordination.engines.cold_share import ColdShare
+from hickorymux._internal.coordination.engines.load_tracker import EngineLoad
 from hickorymux._internal.coordination.engines.placement import (
     MAX_RUNNING_SHARE,
 )
+from hickorymux._internal.coordination.engines.wait_queue import (
+    CustomerUsage,
+)
 from hickorymux._internal.exceptions import NoCapacity
 from tests.lib.demands import prompt_demand, registry
 from tests.lib.fake_clock import FakeClock
@@ -61,6 +65,41 @@
     assert reservation.demand.customer == 'small'
 
 
+async def test_customer_within_its_share_refused_by_the_rate_of_its_router():
+    """The engine is full with requests of a large customer at a peer."""
+    allocator, clock = make_allocator()
+    allocator.wait_queue_of('models')
+    full = {'e0': EngineLoad(running=MAX_RUNNING)}
+    allocator.load_tracker.replace_report('peer', full, 0)
+    large = {('models', 'large'): CustomerUsage(500_000, unmet=100_000)}
+    allocator.usage_tracker.replace_report('peer', large, 0)
+    allocator.update_peer_usage()
+    waiting = asyncio.create_task(
+        allocator.acquire(prompt_demand('small', own=10, now=0))
+    )
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    allocator.load_tracker.replace_report('peer', {}, 0)
+    clock.advance(0.1)
+    allocator.dispatch_all()
+    reservation = await waiting
+    assert reservation.demand.customer == 'small'
+
+
+async def test_customer_beyond_its_share_is_refused_at_once():
+    allocator, clock = make_allocator()
+    queue = allocator.wait_queue_of('models')
+    full = {'e0': EngineLoad(running=MAX_RUNNING)}
+    allocator.load_tracker.replace_report('peer', full, 0)
+    queue.meter.served.add('large', 500_000, 0)
+    small = {('models', 'small'): CustomerUsage(1000, unmet=300_000)}
+    allocator.usage_tracker.replace_report('peer', small, 0)
+    allocator.update_peer_usage()
+    with pytest.raises(NoCapacity):
+        await allocator.acquire(prompt_demand('large', own=10, now=0))
+    assert clock.monotonic() == 0
+
+
 async def test_request_that_waited_long_is_refused_with_a_retry_time():
     allocator, clock = make_allocator()
     await reserve_all_slots(allocator, clock)
