Log what was in flight at a crashed engine, with its prompt parts

Change: a line upstream_crashed for each request that was cut, with the engine's incarnation, whether the answer had begun, and the shared parts of the prompt. No decision changes.

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -306,6 +306,7 @@
         events: int,
     ) -> None:
         """Record when a model engine begins to stream its answer."""
+        reservation.is_answer_begun = True
         if not reservation.is_prompt_processed:
             now = self.clock.monotonic()
             call.answer_started_at = now
@@ -358,6 +359,18 @@
         """Report the request as a crash suspect if its upstream is down."""
         if await _is_listening(reservation.upstream.address):
             return
+        prompt = getattr(call.demand, 'prompt', None)
+        self.decisions.record(
+            call.request_id,
+            'upstream_crashed',
+            'the connection was cut and the upstream refuses new ones',
+            upstream=reservation.upstream.upstream_id,
+            incarnation=reservation.upstream.incarnation,
+            has_answer_begun=reservation.is_answer_begun,
+            shared_parts=[part.name for part in prompt.shared_parts]
+            if prompt
+            else [],
+        )
         self.allocator.health.on_connect_failed(
             reservation.upstream.upstream_id,
             self.clock.monotonic(),
