Refuse requests with a prompt part that crashes engines

Cause: a request that crashes engines was known by a hash of the whole request. Where only a part of the prompt recurs, every request is a stranger, and each was sent to two engines. Class of fault: evidence was kept for a larger unit than the one that causes the failure, so it never added up.

Change: routers count crashes by shared prompt part. A part is a suspect if it was in a request whose answer had not begun. After three crashes with two different requests it is refused (503, not run), unless an answer with it has begun since, which a deadly part never lets happen; that clears parts that sound requests share. A crash that a refused part explains does not count against the other parts, and a part that was answered before needs five crashes. Crashes and clearances go to all routers; refused parts go to three random peers every 0.5 s, so a router that restarted or missed a message learns of them. One router tries a refused part again with one request, not repeated, at intervals from 8 s on. It is checked before each attempt and once more before the first byte.

--- a/src/hickorymux/_internal/coordination/crash_suspects.py
+++ b/src/hickorymux/_internal/coordination/crash_suspects.py
@@ -32,6 +32,8 @@
     TurnEnd,
     TurnGrant,
     TurnRequest,
+    signed_fingerprint,
+    unsigned_fingerprint,
 )
 from hickorymux._internal.coordination.suspect_permits import SuspectPermits
 from hickorymux._internal.exceptions import CrashSuspect, NoCapacity
@@ -49,7 +51,6 @@
 # Routers of each other zone that receive a crash report and forward it.
 DELEGATES_PER_ZONE = 2
 RETRY_AFTER_SECONDS = 5.0
-_UNSIGNED_BITS = 64
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -82,16 +83,6 @@
     permit_number: int = 0
 
 
-def _to_signed(fingerprint: int) -> int:
-    if fingerprint >> (_UNSIGNED_BITS - 1):
-        return fingerprint - (1 << _UNSIGNED_BITS)
-    return fingerprint
-
-
-def _to_unsigned(number: int) -> int:
-    return number % (1 << _UNSIGNED_BITS)
-
-
 @final
 class CrashSuspects:
     """The crash suspects that this router knows, shared with its peers."""
@@ -183,7 +174,7 @@
         if not admission.is_suspect:
             return
         self.table.clear_suspect(admission.fingerprint)
-        cleared = SuspectCleared(_to_signed(admission.fingerprint))
+        cleared = SuspectCleared(signed_fingerprint(admission.fingerprint))
         for member in self.members.live():
             if member.router_id != self.members.myself.router_id:
                 self.sender.send(member.router_id, cleared)
@@ -203,7 +194,9 @@
         crash = f'{upstream}#{instance}'
         self._add_crash(crash, fingerprints)
         number = next(self.report_numbers)
-        signed = [_to_signed(fingerprint) for fingerprint in fingerprints]
+        signed = [
+            signed_fingerprint(fingerprint) for fingerprint in fingerprints
+        ]
         report = CrashReport(number, crash, signed[:MAX_REPORTED_FINGERPRINTS])
         self._report_to_other_zones(report)
         await self._report_to_zone(report)
@@ -217,7 +210,7 @@
         elif isinstance(message, CrashReceipt):
             self.missing_receipts.get(message.number, set()).discard(sender_id)
         elif isinstance(message, SuspectCleared):
-            self.table.clear_suspect(_to_unsigned(message.fingerprint))
+            self.table.clear_suspect(unsigned_fingerprint(message.fingerprint))
 
     def _suspicion(self, fingerprint: int) -> Suspicion:
         return self.table.suspicion_of(fingerprint, self.clock.monotonic())
@@ -237,7 +230,9 @@
             )
 
     def _on_report(self, sender_id: str, report: CrashReport) -> None:
-        self._add_crash(report.crash, map(_to_unsigned, report.fingerprints))
+        self._add_crash(
+            report.crash, map(unsigned_fingerprint, report.fingerprints)
+        )
         self.sender.send(sender_id, CrashReceipt(report.number))
         if report.for_zone:
             forwarded = dataclasses.replace(report, for_zone=False)
--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -77,15 +77,13 @@
 class Reservation:
     """A request's slot at an upstream, held until it is released.
 
-    ``acquired_at`` is in monotonic seconds. ``is_answer_begun`` tells that the
-    upstream has sent part of the answer.
+    ``acquired_at`` is in monotonic seconds.
     """
 
     __slots__ = (
         'allocator',
         'choice',
         'demand',
-        'is_answer_begun',
         'is_prompt_processed',
         'acquired_at',
     )
@@ -101,7 +99,6 @@
         self.demand = demand
         self.choice = choice
         self.acquired_at = acquired_at
-        self.is_answer_begun = False
         self.is_prompt_processed = not choice.load.unprocessed_tokens
 
     @property
--- a/src/hickorymux/_internal/coordination/suspect_messages.py
+++ b/src/hickorymux/_internal/coordination/suspect_messages.py
@@ -5,6 +5,9 @@
 """
 
 import dataclasses
+from typing import Final
+
+_UNSIGNED_BITS: Final = 64
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -55,3 +58,42 @@
     """Releases the permit, or withdraws the request for it."""
 
     number: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PartCrash:
+    """A request that was lost when an upstream crashed, and its prompt parts.
+
+    ``crash`` names the upstream and its instance, as in ``engine-1#i7``.
+    ``request`` and ``parts`` are fingerprints.
+    """
+
+    crash: str = ''
+    request: int = 0
+    parts: list[int] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PartsCleared:
+    """Suspect prompt parts with which an upstream has begun an answer."""
+
+    parts: list[int] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PartsRefused:
+    """Prompt parts that the sender refuses, as they crash upstreams."""
+
+    parts: list[int] = dataclasses.field(default_factory=list)
+
+
+def signed_fingerprint(fingerprint: int) -> int:
+    """Return the signed integer with the same 64 bits."""
+    if fingerprint >> (_UNSIGNED_BITS - 1):
+        return fingerprint - (1 << _UNSIGNED_BITS)
+    return fingerprint
+
+
+def unsigned_fingerprint(number: int) -> int:
+    """Return the unsigned integer with the same 64 bits."""
+    return number % (1 << _UNSIGNED_BITS)
--- a/src/hickorymux/_internal/protocol/idl/suspect.thrift
+++ b/src/hickorymux/_internal/protocol/idl/suspect.thrift
@@ -27,3 +27,17 @@
 struct TurnEnd {
   1: optional i64 number = 0
 }
+
+struct PartCrash {
+  1: optional string crash = "",
+  2: optional i64 request = 0,
+  3: optional list<i64> parts
+}
+
+struct PartsCleared {
+  1: optional list<i64> parts
+}
+
+struct PartsRefused {
+  1: optional list<i64> parts
+}
--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -20,7 +20,10 @@
     ``may_have_run`` is set once an upstream got the request and did not
     declare that it did not run it. ``answer_started_at`` is when a model
     engine began to stream its answer, in monotonic seconds. ``relay`` is the
-    stream to the caller; the attempts that resume the stream share it.
+    stream to the caller; the attempts that resume the stream share it, and
+    ``events_before_attempt`` is how many events the earlier ones relayed.
+    ``is_trial`` is set for a request that tries a refused prompt part and so
+    is sent once only.
     """
 
     facts: RequestHeaders
@@ -35,12 +38,29 @@
     may_have_run: bool = False
     answer_started_at: float | None = None
     relay: EventRelay | None = None
+    events_before_attempt: int = 0
+    is_trial: bool = False
 
     @property
     def request_id(self) -> str:
         """Return the request id that the caller chose."""
         return self.facts.request_id
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the names of the prompt parts that others may share."""
+        prompt = self.facts.prompt
+        if prompt is None:
+            return ()
+        return tuple(part.name for part in prompt.shared_parts)
+
+    @property
+    def attempt_events(self) -> int:
+        """Return how many events the present attempt has relayed."""
+        if self.relay is None:
+            return 0
+        return self.relay.event_count - self.events_before_attempt
+
     @property
     def last_event_id(self) -> str:
         """Return the id of the last event that the caller has.
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -20,9 +20,11 @@
     Reservation,
 )
 from hickorymux._internal.coordination.engines.demands import PlainDemand
+from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.retry_budget import RetryBudget
 from hickorymux._internal.exceptions import (
     AnswerCut,
+    CrashSuspect,
     NoCapacity,
     Ran,
     RequestError,
@@ -51,6 +53,9 @@
 # Connect timeout of the check whether an upstream that cut an answer is still
 # running.
 LISTENING_CHECK_SECONDS: Final = 0.3
+# From this many events on, an answer proves that the engine can run the prompt.
+# The first one may have been sent before the engine crashed.
+MIN_PROOF_EVENTS: Final = 2
 # Retry-After of a request that was not run for lack of a usable upstream.
 NO_CAPACITY_RETRY_SECONDS: Final = 0.3
 _MS_PER_SECOND: Final = 1000
@@ -91,6 +96,7 @@
         'decisions',
         'dialect',
         'metrics',
+        'part_guard',
         'retry_budget',
         'suspects',
     )
@@ -101,6 +107,7 @@
         client: UpstreamClient,
         dialect: Dialect,
         suspects: CrashSuspects,
+        part_guard: PartGuard,
         retry_budget: RetryBudget,
         decisions: DecisionLog,
         metrics: RouterMetrics,
@@ -110,6 +117,7 @@
         self.client = client
         self.dialect = dialect
         self.suspects = suspects
+        self.part_guard = part_guard
         self.retry_budget = retry_budget
         self.decisions = decisions
         self.metrics = metrics
@@ -122,7 +130,6 @@
         Its ``ran`` tells whether the request may have run.
         """
         self.retry_budget.count_request(call.demand.pool.name)
-        self.suspects.raise_if_refused(call.fingerprint)
         seconds = call.demand.deadline - self.clock.monotonic()
         is_answered = False
         try:
@@ -134,8 +141,11 @@
 
     async def _run_attempt(self, call: EntryCall, reply: Reply) -> bool:
         """Run one attempt; return whether the whole answer was relayed."""
+        self._raise_if_refused(call)
         reservation = await self._acquire(call)
         attempt = self._new_attempt(call, reservation)
+        if call.relay is not None:
+            call.events_before_attempt = call.relay.event_count
         try:
             await self._exchange(call, reservation, attempt, reply)
         except AttemptError as error:
@@ -147,8 +157,21 @@
         finally:
             reservation.release()
         self.allocator.health.on_success(reservation.upstream.upstream_id)
+        self.part_guard.on_answer_begun(call.shared_parts)
         return True
 
+    def _raise_if_refused(self, call: EntryCall) -> None:
+        """Raise if the request or a part of its prompt crashes upstreams."""
+        if call.is_trial:
+            return
+        try:
+            self.suspects.raise_if_refused(call.fingerprint)
+            call.is_trial = self.part_guard.admit(call.shared_parts)
+        except CrashSuspect as error:
+            if call.may_have_run:
+                raise UpstreamFailed(error.detail, ran=Ran.unknown) from error
+            raise
+
     async def _acquire(self, call: EntryCall) -> Reservation:
         arrived_at = self.clock.monotonic()
         try:
@@ -201,9 +224,18 @@
             body=call.body,
             may_reuse_connection=is_stream or call.route.is_repeatable,
             verify_connection=_accept_any_connection,
-            check_before_send=functools.partial(_count_send, call),
+            check_before_send=functools.partial(self._check_send, call),
         )
 
+    def _check_send(self, call: EntryCall) -> None:
+        """Check and count an attempt just before its first byte is sent.
+
+        A part of the prompt may have been refused since the attempt began to
+        wait for its slot and its connection.
+        """
+        self._raise_if_refused(call)
+        call.sent_attempts += 1
+
     async def _exchange(
         self,
         call: EntryCall,
@@ -306,7 +338,9 @@
         events: int,
     ) -> None:
         """Record when a model engine begins to stream its answer."""
-        reservation.is_answer_begun = True
+        former_events = call.attempt_events - events
+        if former_events < MIN_PROOF_EVENTS <= call.attempt_events:
+            self.part_guard.on_answer_begun(call.shared_parts)
         if not reservation.is_prompt_processed:
             now = self.clock.monotonic()
             call.answer_started_at = now
@@ -359,22 +393,25 @@
         """Report the request as a crash suspect if its upstream is down."""
         if await _is_listening(reservation.upstream.address):
             return
-        prompt = getattr(call.demand, 'prompt', None)
         self.decisions.record(
             call.request_id,
             'upstream_crashed',
             'the connection was cut and the upstream refuses new ones',
             upstream=reservation.upstream.upstream_id,
             incarnation=reservation.upstream.incarnation,
-            has_answer_begun=reservation.is_answer_begun,
-            shared_parts=[part.name for part in prompt.shared_parts]
-            if prompt
-            else [],
+            events=call.attempt_events,
+            shared_parts=call.shared_parts,
         )
         self.allocator.health.on_connect_failed(
             reservation.upstream.upstream_id,
             self.clock.monotonic(),
         )
+        if call.attempt_events < MIN_PROOF_EVENTS:
+            self.part_guard.on_crash(
+                reservation.upstream.incarnation,
+                call.fingerprint,
+                call.shared_parts,
+            )
         await self.suspects.on_crash(
             reservation.upstream.upstream_id,
             str(reservation.upstream.born_ms),
@@ -440,7 +477,11 @@
                 pool
             )
         is_safe = call.route.is_repeatable or not call.may_have_run
-        if not is_safe or call.sent_attempts >= call.route.max_attempts:
+        if (
+            call.is_trial
+            or not is_safe
+            or call.sent_attempts >= call.route.max_attempts
+        ):
             return False
         if _is_unresumable(call):
             return False
@@ -476,11 +517,6 @@
     return round(seconds * _MS_PER_SECOND, 1)
 
 
-def _count_send(call: EntryCall) -> None:
-    """Count an attempt; runs just before its first byte is sent."""
-    call.sent_attempts += 1
-
-
 async def _accept_any_connection(_protocol: Any) -> None:
     """Accept any connection.
 
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -34,6 +34,7 @@
 from hickorymux._internal.coordination.load_exchange import LoadExchange
 from hickorymux._internal.coordination.load_messages import LoadReport
 from hickorymux._internal.coordination.membership import Membership
+from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.ports import (
     HostEntry,
     KeyedLog,
@@ -44,6 +45,11 @@
     RetrySettings,
 )
 from hickorymux._internal.coordination.shared_log import SharedLog
+from hickorymux._internal.coordination.suspect_messages import (
+    PartCrash,
+    PartsCleared,
+    PartsRefused,
+)
 from hickorymux._internal.coordination.topic_messages import (
     TopicAsk,
     TopicPage,
@@ -165,6 +171,7 @@
         'membership',
         'metrics',
         'network',
+        'part_guard',
         'retry_budget',
         'runners',
         'server',
@@ -232,6 +239,7 @@
             self.upstream_follower.run(),
             self.membership.run(),
             self.load_exchange.run(),
+            self.part_guard.run(),
             self._refresh_router_list(),
             self._update_router_shares(),
         )
@@ -332,6 +340,9 @@
             self.clock,
             SuspectSettings(crashes_until_refused=CRASHES_UNTIL_REFUSED),
         )
+        self.part_guard = PartGuard(
+            self.membership, self.network.send_datagram, self.clock, self.rng
+        )
 
     def _build_request_path(self) -> None:
         settings, deployment = self.settings, self.deployment
@@ -392,6 +403,7 @@
                 self.client,
                 deployment.dialect,
                 self.suspects,
+                self.part_guard,
                 self.retry_budget,
                 self.decisions,
                 self.metrics,
@@ -455,6 +467,8 @@
             self.load_exchange.on_message(sender_id, message)
         elif isinstance(message, TopicAsk | TopicPage):
             self.shared_log.on_message(sender_id, message)
+        elif isinstance(message, PartCrash | PartsCleared | PartsRefused):
+            self.part_guard.on_message(sender_id, message)
         elif type(message).__module__ == membership_messages.__name__:
             self.membership.on_message(message, sender_id)
         else:
--- /dev/null
+++ b/tests/unit/coordination/test_part_guard.py
@@ -0,0 +1,142 @@
+"""Tests of routers that keep a deadly prompt part from the engines together."""
+
+import random
+
+import pytest
+
+from hickorymux._internal.coordination.part_guard import PartGuard
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.exceptions import CrashSuspect
+from hickorymux._internal.state.part_suspects import FIRST_TRIAL_SECONDS
+from tests.lib.claim_fleet import StaticMemberView
+from tests.lib.manual_clock import ManualClock
+
+ROUTERS = 7
+DEADLY = ('system', 'subject', 'deadly')
+SOUND = ('system', 'subject')
+
+
+class GuardFleet:
+    """Guards that exchange messages at once.
+
+    A message is lost with probability ``loss``.
+    """
+
+    def __init__(self, seed: int = 0, loss: float = 0) -> None:
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.members = [
+            Member(f'r{number}', 1, 'msasani', '127.0.0.1', number)
+            for number in range(ROUTERS)
+        ]
+        self.guards: dict[str, PartGuard] = {}
+        self.crashes = 0
+        for member in self.members:
+            self.start(member)
+
+    def start(self, member: Member) -> PartGuard:
+        """Start a router; it replaces an earlier one with the same id."""
+
+        def send(members, message):
+            for peer in members:
+                if self.rng.random() >= self.loss:
+                    self.guards[peer.router_id].on_message(
+                        member.router_id, message
+                    )
+
+        view = StaticMemberView(member, self.members)
+        guard = PartGuard(view, send, self.clock, self.rng)
+        self.guards[member.router_id] = guard
+        return guard
+
+    def request(self, parts: tuple[str, ...]) -> bool:
+        """Send a request to a random router; return whether it was sent on.
+
+        One with the deadly part crashes an engine, at which another router
+        has a sound request.
+        """
+        router_id = self.rng.choice(self.members).router_id
+        guard = self.guards[router_id]
+        try:
+            guard.admit(parts)
+        except CrashSuspect:
+            return False
+        if 'deadly' in parts:
+            self.crashes += 1
+            crash = f'e{self.crashes}#1'
+            guard.on_crash(crash, self.crashes, parts)
+            other = self.guards[self.rng.choice(self.members).router_id]
+            other.on_crash(crash, -self.crashes % 1000, SOUND)
+        else:
+            guard.on_answer_begun(parts)
+        return True
+
+    def run(self, seconds: int) -> tuple[int, int]:
+        """Send 2 deadly and 4 sound requests a second.
+
+        Returns how many of the deadly and of the sound ones were sent on.
+        """
+        deadly = sound = 0
+        for _ in range(2 * seconds):
+            self.clock.advance(0.5)
+            for guard in self.guards.values():
+                guard.tick()
+            deadly += self.request(DEADLY)
+            sound += self.request(SOUND) + self.request(SOUND)
+        return deadly, sound
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_deadly_part_sent_on_after_it_is_known(seed):
+    fleet = GuardFleet(seed, loss=0.05)
+    early, sound = fleet.run(5)
+    late, more_sound = fleet.run(25)
+    assert early <= 5
+    assert late <= 3
+    assert sound + more_sound >= 0.9 * 120
+
+
+def test_router_that_restarts_forgets_the_deadly_part():
+    fleet = GuardFleet(1)
+    fleet.run(4)
+    member = fleet.members[2]
+    guard = fleet.start(member)
+    for _ in range(4):
+        for other in fleet.guards.values():
+            other.tick()
+    with pytest.raises(CrashSuspect):
+        guard.admit(DEADLY)
+    assert not guard.admit(SOUND)
+
+
+def test_one_router_tries_a_refused_part_with_one_request():
+    fleet = GuardFleet(1)
+    fleet.run(4)
+    fleet.clock.advance(FIRST_TRIAL_SECONDS)
+    sent = 0
+    for guard in [*fleet.guards.values()] * 3:
+        try:
+            sent += guard.admit(DEADLY)
+        except CrashSuspect:
+            continue
+    assert sent == 1
+
+
+def test_sound_part_that_one_router_refuses_is_cleared_by_its_peers():
+    fleet = GuardFleet(1)
+    guard = fleet.guards['r3']
+    for peer in fleet.guards.values():
+        peer.on_answer_begun(SOUND)
+    for part in guard.table.answered_at:
+        guard.table.refuse(part, fleet.clock.monotonic())
+    guard.tick()
+    assert not guard.admit(SOUND)
+
+
+def test_refused_part_that_is_answered_in_a_trial_is_admitted_everywhere():
+    fleet = GuardFleet(1)
+    fleet.run(4)
+    fleet.guards['r0'].on_answer_begun(DEADLY)
+    for guard in fleet.guards.values():
+        assert not guard.admit(DEADLY)
