Treat a stream that ends inside an event as broken off

A caller would get part of an event and the stream marked as complete.

Cause: an answer with neither a length nor chunks ends with its connection, and the HTTP library can't tell its end from a cut. The relay passed on whatever was left over as the last event.

Change: a rest that is no whole event raises UpstreamCut, so the stream is resumed where the route allows it, and aborted otherwise. Whole unframed answers and streams were passed on as complete before and are.

Replaced check: test_a_stream_of_a_service_needs_no_end_mark expected the rest b'rest' of a service's event stream to be passed on. That contradicts the rule. It now ends after a whole event, and a test of its own expects the cut.

Result: test_unframed_stream_that_ends_inside_an_event_* and the unit test failed before (no error; body ending in 'data: ') and pass; whole_answers pass.

--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -84,17 +84,19 @@
     async def run(self, chunks: AsyncIterator[bytes]) -> None:
         """Relay the events of one answer.
 
-        Raises ``UpstreamCut`` if the end marker is needed and missing. An
-        event that an earlier answer left incomplete is dropped, since the
-        resumed stream repeats it from its start.
+        Raises ``UpstreamCut`` if the answer ends inside an event, or if the
+        end marker is needed and missing. An answer without a length may end
+        like that and look complete to the HTTP library. An event that an
+        earlier answer left incomplete is dropped, since the resumed stream
+        repeats it from its start.
         """
         self.partial_event = b''
         async for chunk in chunks:
             await self._forward(chunk)
         if self.needs_end_marker and not self.has_end_marker:
             raise UpstreamCut('stream ended without its end marker')
-        if self.partial_event:
-            await self._write(self.partial_event)
+        if self.partial_event.strip():
+            raise UpstreamCut('stream ended inside an event')
 
     async def finish(self) -> None:
         """End the stream to the caller and mark it as complete."""
