--- a/src/hickorymux/_internal/coordination/engines/wait_queue.py
+++ b/src/hickorymux/_internal/coordination/engines/wait_queue.py
@@ -25,7 +25,7 @@
 
 # The weight of past service halves in this time, so that customers are not
 # held back for service that they received long ago.
-HALF_LIFE_SECONDS: Final = 2.0
+HALF_LIFE_SECONDS: Final = 1.5
 # Weight of the newest request in the moving average of the cost.
 MEAN_COST_WEIGHT: Final = 0.05
 
