Bound the waiting requests that a router keeps beyond its rate

Cause, suspected and not shown by a trace: requests of customers within their share are kept now for 0.24 s at most, and each dispatch tries all that wait. At a router that a busy caller has picked they fill the turns of the event loop.

Change: beyond 10 waiting requests a router refuses by its rate, as before.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -68,6 +68,11 @@
 # for those far beyond their fair share.
 LOW_UTILIZATION: Final = 0.1
 
+# Waiting requests that are kept though the queue is not expected to clear in
+# time. Each dispatch tries all that wait, which costs a busy router more of its
+# processor the more there are.
+MAX_KEPT_REQUESTS: Final = 10
+
 # Returns the requests that all routers together may send to one cold upstream
 # of a pool in any second.
 ColdRateLimit = Callable[[PoolPolicy], float]
@@ -439,8 +444,8 @@
         """Refuse requests until the rest can be served in time.
 
         That is when the queue is expected to clear before the last of its
-        requests gives up. A request of a customer within its fair share is
-        kept, since the routers leave room for it on the engines, which the
+        requests gives up. A few requests of customers within their fair share
+        are kept, since the routers leave room for them on the engines, which the
         dispatch rate of this router does not show.
         """
         now = self.clock.monotonic()
@@ -458,6 +463,8 @@
         self, queue: WaitQueue, demand: Demand, now: float
     ) -> bool:
         """Return whether other customers must leave room for the request."""
+        if len(queue) > MAX_KEPT_REQUESTS:
+            return False
         if queue.meter.due_share(demand.customer, now) < 1:
             return False
         return bool(self.candidates(demand, now).upstreams)
