Close a connection on which no response begins

Cause: the HTTP library bounds lines and headers, but skips blank lines before a response and interim responses (1xx) without a limit. The caller of a read got 504 when its time was over, and the upstream could send until then.

Change: at most 128 KiB may arrive before the header of the final response is complete; then the connection is aborted and the attempt counts as cut, so a request that may be repeated is served elsewhere.

--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -29,9 +29,14 @@
 MAX_LINE_BYTES = 16384
 READ_BUFFER_BYTES = 1 << 16
 
+# Bytes that may arrive before the header of the final response is complete.
+# They include interim responses and blank lines, which the HTTP library skips.
+MAX_HEAD_BYTES = 1 << 17
 # Stale connections that one attempt discards before it fails.
 MAX_STALE_CONNECTIONS = 8
 
+_FIRST_FINAL_STATUS = 200
+
 # Headers that aiohttp would add to a request that lacks them.
 _AUTOMATIC_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -159,6 +164,12 @@
         """Return the HTTP status."""
         return self.response.status
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the answer itself tells where its body ends."""
+        headers = self.response.headers
+        return 'Content-Length' in headers or 'Transfer-Encoding' in headers
+
     @property
     def is_event_stream(self) -> bool:
         """Return whether the body is a stream of server-sent events."""
@@ -330,8 +341,42 @@
     """Reports an answer without a length as cut when the connection is reset.
 
     aiohttp takes any end of the connection for the end of such an answer.
+
+    Also ends a connection on which bytes arrive and no response begins.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.is_awaiting_head = False
+        self.head_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare for the response to the request that is being sent."""
+        self.is_awaiting_head = True
+        self.head_bytes = 0
+        super().set_response_params(**options)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Queue the header of a response, final or interim."""
+        if data[0].code >= _FIRST_FINAL_STATUS:
+            self.is_awaiting_head = False
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, unless too many precede the response."""
+        super().data_received(data)
+        if not self.is_awaiting_head:
+            return
+        self.head_bytes += len(data)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.is_awaiting_head = False
+            self.set_exception(
+                aiohttp.ClientPayloadError(
+                    f'no response header in {self.head_bytes} bytes'
+                )
+            )
+            self.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the answer in progress if the connection broke."""
         payload = self._payload
