Bound events and unframed answers that have no end

Cause: the relay kept the start of an event until its end, however large, and copied it for each block that arrived; and an answer with neither a length nor chunks was passed on as long as bytes came. Such bytes filled the router's memory or reached the caller until the route's time limit.

Change: an event of over 1 MiB without an end, and an unframed answer of over the 1 MiB that is buffered anyway, count as cut. Nothing of the latter has been sent then, so a request that may be repeated is served elsewhere. Answers with a length or in chunks are streamed beyond that as before.

--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -20,6 +20,8 @@
 )
 
 MAX_BUFFERED_ANSWER_BYTES: Final = 1 << 20
+# No event of a stream is larger; a rest that is has no end.
+MAX_EVENT_BYTES: Final = 1 << 20
 # How much of the end of a stream is kept to search it for the end marker.
 _TAIL_BYTES: Final = 64
 _EVENT_ID: Final = b'id:'
@@ -84,8 +86,8 @@
     async def run(self, chunks: AsyncIterator[bytes]) -> None:
         """Relay the events of one answer.
 
-        Raises ``UpstreamCut`` if the answer ends inside an event, or if the
-        end marker is needed and missing. An answer without a length may end
+        Raises ``UpstreamCut`` if the answer ends inside an event, if an event
+        is larger than ``MAX_EVENT_BYTES``, or if the end marker is needed and missing. An answer without a length may end
         like that and look complete to the HTTP library. An event that an
         earlier answer left incomplete is dropped, since the resumed stream
         repeats it from its start.
@@ -109,6 +111,10 @@
             chunk = self.partial_event + chunk
         end = chunk.rfind(http.EVENT_END) + len(http.EVENT_END)
         if end < len(http.EVENT_END):
+            if len(chunk) > MAX_EVENT_BYTES:
+                raise UpstreamCut(
+                    f'event of over {MAX_EVENT_BYTES} bytes without an end'
+                )
             self.partial_event = chunk
             return
         self.partial_event = chunk[end:]
@@ -143,7 +149,9 @@
     """Relay an answer that is not a stream of events.
 
     It is buffered until it is complete or ``MAX_BUFFERED_ANSWER_BYTES`` is
-    exceeded; from then on it is streamed.
+    exceeded; from then on it is streamed. Raises ``UpstreamCut`` if it is
+    larger and has neither a length nor chunks, since then nothing tells it
+    from bytes that go on until the connection is closed.
     """
     buffered: list[bytes] = []
     size = 0
@@ -154,6 +162,11 @@
         buffered.append(chunk)
         size += len(chunk)
         if size > MAX_BUFFERED_ANSWER_BYTES:
+            if not answer.is_framed:
+                raise UpstreamCut(
+                    f'answer of over {MAX_BUFFERED_ANSWER_BYTES} bytes with'
+                    ' neither a length nor chunks'
+                )
             await reply.start(answer.status, headers)
             await reply.write(b''.join(buffered))
     if reply.has_started:
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -259,7 +259,7 @@
             raise _timeout_error(attempt) from error
         except aiohttp.ClientConnectorError as error:
             raise ConnectFailed(str(error)) from error
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, aiohttp.EofStream, OSError) as error:
             raise UpstreamCut(f'no answer: {error!r}') from error
         finally:
             _current_attempt.reset(token)
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -74,6 +74,7 @@
     ('header name', BLOCK),
     ('header value', BLOCK),
     ('header name', b'X-Filler: x\r\n' * 1024),
+    ('unframed body', BLOCK),
 ]
 
 
@@ -105,6 +106,30 @@
         assert script.sent < MAX_SENT_BYTES
 
 
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        ('event', BLOCK),
+        ('unframed body', BLOCK),
+        ('chunked event', CHUNK),
+        ('header value', BLOCK),
+    ],
+)
+async def test_endless_event_fills_the_memory(start, repeated):
+    script = Endless(start, repeated)
+    async with platform_fleet(ONE_STREAM) as fleet:
+        await fleet.add_engine(PlatformEngine('e1', script))
+        await fleet.wait_until_ready()
+        with pytest.raises(Exception, match='(?i)not completed|502'):
+            async with fleet.request('POST', '/once/x', data=b'1') as answer:
+                answer.raise_for_status()
+                await answer.read()
+        await asyncio.sleep(0.05)
+        assert script.seconds is not None
+        assert script.seconds < MAX_CLOSE_SECONDS
+        assert script.sent < MAX_SENT_BYTES
+
+
 async def test_endless_bytes_after_an_answer_fill_the_memory():
     endless = Endless('nothing', BLOCK)
 
