Count only successful answers as proof that a prompt part is sound

An engine that fails its requests with an error answer of its own, where that is passed on, would have cleared a part that crashes other engines, at all routers.

Cause: the part was cleared after any attempt whose answer was relayed whole.

Change: after a complete stream or a successful answer only.

Result: test_error_answer_clears_a_suspect_part failed before (the part of an error answer counted as answered) and passes; unit tests of engines and parts pass.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -455,11 +455,11 @@
         )
         while not self._clears_by(queue, now + longest_wait):
             demand = queue.next_to_refuse(now)
-            if self._is_due_room(queue, demand, now):
+            if self._is_owed_room(queue, demand, now):
                 break
             self._refuse(queue, demand, 'the wait queue is too long')
 
-    def _is_due_room(
+    def _is_owed_room(
         self, queue: WaitQueue, demand: Demand, now: float
     ) -> bool:
         """Return whether other customers must leave room for the request."""
--- a/src/hickorymux/_internal/coordination/engines/load_tracker.py
+++ b/src/hickorymux/_internal/coordination/engines/load_tracker.py
@@ -34,8 +34,8 @@
     unprocessed_tokens: int = 0
     memory_tokens: int = 0
 
-    def is_any(self) -> bool:
-        """Return whether there is any work."""
+    def has_work(self) -> bool:
+        """Return whether any work is in flight."""
         return bool(
             self.running or self.unprocessed_tokens or self.memory_tokens
         )
@@ -113,7 +113,7 @@
         self._forget(source)
         # An upstream without load from any peer has no total to subtract an
         # empty row from.
-        loaded = {each: load for each, load in rows.items() if load.is_any()}
+        loaded = {each: load for each, load in rows.items() if load.has_work()}
         self.peer_reports[source] = _PeerReport(loaded, now)
         for upstream_id, load in loaded.items():
             self.peer_totals.setdefault(upstream_id, EngineLoad()).add(load)
@@ -135,5 +135,5 @@
         for upstream_id, load in former.rows.items():
             remaining = self.peer_totals[upstream_id]
             remaining.subtract(load)
-            if not remaining.is_any():
+            if not remaining.has_work():
                 self.peer_totals.pop(upstream_id)
--- a/src/hickorymux/_internal/coordination/engines/share_log.py
+++ b/src/hickorymux/_internal/coordination/engines/share_log.py
@@ -28,7 +28,7 @@
 
     A request is ``served`` or ``refused`` once. Until then each try that fails
     counts: ``full`` if no upstream had room, ``late`` if the answer would
-    begin too late, and ``deferred`` if the slot was left to a peer.
+    begin too late, and ``deferred`` if the slot was left to other customers.
     """
 
     served = 'served'
--- a/src/hickorymux/_internal/coordination/engines/wait_queue.py
+++ b/src/hickorymux/_internal/coordination/engines/wait_queue.py
@@ -26,8 +26,6 @@
 # The weight of past service halves in this time, so that customers are not
 # held back for service that they received long ago.
 HALF_LIFE_SECONDS: Final = 1.5
-# Weight of the newest request in the moving average of the cost.
-MEAN_COST_WEIGHT: Final = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -122,15 +120,14 @@
 class WaitQueue:
     """The requests that wait for one pool.
 
-    ``queued_cost`` is the total cost of the waiting requests, ``mean_cost`` a
-    moving average over dispatched ones, and ``rate`` the dispatch rate.
+    ``queued_cost`` is the total cost of the waiting requests, and ``rate`` the
+    dispatch rate.
     """
 
-    __slots__ = ('by_customer', 'mean_cost', 'meter', 'queued_cost', 'rate')
+    __slots__ = ('by_customer', 'meter', 'queued_cost', 'rate')
 
     def __init__(self, now: float) -> None:
         self.rate = DispatchRate(now)
-        self.mean_cost = 1.0
         self.by_customer: dict[str, list[Demand]] = {}
         self.meter = ServiceMeter()
         self.queued_cost: float = 0
@@ -141,9 +138,7 @@
 
     def on_dispatched(self, demand: Demand, now: float) -> None:
         """Record the cost of a request that got a reservation."""
-        cost = cost_of(demand)
-        self.meter.served.add(demand.customer, cost, now)
-        self.mean_cost += MEAN_COST_WEIGHT * (cost - self.mean_cost)
+        self.meter.served.add(demand.customer, cost_of(demand), now)
 
     def on_refused(self, demand: Demand, now: float) -> None:
         """Record a request that left the queue without a reservation."""
--- a/src/hickorymux/_internal/coordination/part_guard.py
+++ b/src/hickorymux/_internal/coordination/part_guard.py
@@ -94,7 +94,7 @@
             return False
         now = self.clock.monotonic()
         for part in refused:
-            if not (self._is_trial_owner(part) and self._is_due(part, now)):
+            if not self._may_try(part, now):
                 raise CrashSuspect(
                     f'prompt part {part:016x} has crashed upstreams',
                     retry_after=RETRY_AFTER_SECONDS,
@@ -175,11 +175,13 @@
             signed = list(map(signed_fingerprint, parts))
             self.send(members, PartsCleared(signed))
 
-    def _is_due(self, part: int, now: float) -> bool:
-        return self.table.is_trial_due(part, now)
+    def _may_try(self, part: int, now: float) -> bool:
+        """Return whether this router may try a refused part with a request.
 
-    def _is_trial_owner(self, part: int) -> bool:
-        """Return whether this router is the one that tries the part."""
+        One router does so, that all others choose alike.
+        """
+        if not self.table.is_trial_due(part, now):
+            return False
         owner = max(
             self.members.live(), key=lambda member: _trial_rank(part, member)
         )
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -157,7 +157,6 @@
         finally:
             reservation.release()
         self.allocator.health.on_success(reservation.upstream.upstream_id)
-        self.part_guard.on_answer_begun(call.shared_parts)
         return True
 
     def _raise_if_refused(self, call: EntryCall) -> None:
@@ -279,6 +278,7 @@
         is_success = _STATUS_OK <= answer.status < _FIRST_NOT_OK
         if call.route.kind is RequestKind.streaming and is_success:
             await self._relay_stream(call, reservation, answer, reply)
+            self.part_guard.on_answer_begun(call.shared_parts)
             return
         if call.relay is not None:
             raise AnswerNotUsable(
--- a/tests/functional/test_crashing_prompt_parts.py
+++ b/tests/functional/test_crashing_prompt_parts.py
@@ -95,3 +95,18 @@
                 )
         assert engines.deadly_sent <= MAX_DEADLY_SENT
         assert statuses == [200] * len(statuses)
+
+
+async def test_error_answer_clears_a_suspect_part():
+    """An engine that fails without an answer proves nothing about a part."""
+
+    async def fail(received: ReceivedRequest) -> None:
+        received.writer.write(
+            received.head('500 Internal Server Error', 'Content-Length: 0')
+        )
+
+    async with platform_fleet(route('/stream/', 'streaming')) as fleet:
+        await fleet.add_engine(PlatformEngine('e1', fail))
+        await fleet.wait_until_ready()
+        assert await status_of(fleet, 'system') >= 500
+        assert not fleet.process.part_guard.table.answered_at
