Log the framing and the events of answers

Whether an unframed answer was logged as whole with no event, or though its connection was reset, could not be told from the log.

The lines answered, retry and failed have the number of events of the attempt now, and answered whether the answer had a length or chunks. No decision is changed.

Result: test_answered_without_length_or_events (failed before: no such fields).

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -261,6 +261,8 @@
             'whole',
             status=answer.status,
             upstream=reservation.upstream.upstream_id,
+            is_framed=answer.is_framed,
+            events=call.attempt_events,
             began_ms=self._first_event_ms(call),
             took_ms=_milliseconds(spent),
         )
@@ -439,6 +441,7 @@
             upstream=reservation.upstream.upstream_id,
             sent=attempt.sent,
             attempt=call.sent_attempts,
+            events=call.attempt_events,
         )
         if final_error is not None:
             raise final_error from error
--- a/tests/functional/test_explained_failures.py
+++ b/tests/functional/test_explained_failures.py
@@ -94,6 +94,25 @@
     assert 'sent=true' in failed
 
 
+async def test_answered_without_length_or_events(log, capsys):
+    """The log shows that nothing but the closed connection ended the answer."""
+    async with platform_fleet(READ) as fleet:
+
+        async def answer_until_close(received):
+            received.writer.write(received.head('200 OK') + b'ok')
+            received.writer.close()
+
+        await fleet.add_engine(PlatformEngine('e1', answer_until_close))
+        await fleet.wait_until_ready()
+        assert await send(fleet, 'unframed') == 200
+    output = await explain('unframed', log, capsys)
+    answered = next(
+        line for line in output.splitlines() if 'event=answered' in line
+    )
+    assert 'is_framed=false' in answered
+    assert 'events=0' in answered
+
+
 async def test_refused_for_old_keys(log, capsys):
     """The store was lost, so the keys are too old for any request."""
     async with platform_fleet(READ, revoke_ms=800) as fleet:
