Treat an unframed stream without an event as broken off

What callers saw: 200 with the engine's signature and an empty or short body that was marked as complete, though the engine had broken off its answer.

Cause: an answer with neither a length nor chunks ends with its connection, and the relay took a proper close for its end even where no event had arrived. The same held for the answer that resumes a stream, so a stream that had been cut inside an event ended as complete if the engine that was to go on closed first. Class of fault: the lack of an error is taken for proof that an answer is whole.

Evidence: of all ends of an unframed answer (by close or reset; before the first event, between events, inside one, after the last; first and resumed attempts; both event loops) only a close before the first event failed.

Change: EventRelay.run, which both dispatchers use, raises UpstreamCut when an unframed answer ends without an event of its own. The stream is resumed or retried where the route allows it; otherwise the caller gets 502, or sees its answer cut.

--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -573,7 +573,7 @@
 ) -> UpstreamCut | None:
     """Relay one answer of a stream; return the error if it was cut."""
     try:
-        await relay.run(answer.chunks())
+        await relay.run(answer.chunks(), is_framed=answer.is_framed)
     except UpstreamCut as error:
         answer.close()
         return error
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -330,7 +330,7 @@
                 functools.partial(self._record_first_event, call, reservation),
                 needs_end_marker=False,
             )
-        await call.relay.run(answer.chunks())
+        await call.relay.run(answer.chunks(), is_framed=answer.is_framed)
         await call.relay.finish()
 
     def _record_first_event(
--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -83,22 +83,33 @@
         """Return whether the end marker of the stream was relayed."""
         return http.STREAM_DONE in self.tail
 
-    async def run(self, chunks: AsyncIterator[bytes]) -> None:
+    async def run(
+        self, chunks: AsyncIterator[bytes], *, is_framed: bool
+    ) -> None:
         """Relay the events of one answer.
 
-        Raises ``UpstreamCut`` if the answer ends inside an event, if an event
-        is larger than ``MAX_EVENT_BYTES``, or if the end marker is needed and missing. An answer without a length may end
-        like that and look complete to the HTTP library. An event that an
-        earlier answer left incomplete is dropped, since the resumed stream
-        repeats it from its start.
+        ``is_framed`` tells whether the answer itself marks its end. One that
+        does not looks complete to the HTTP library wherever its connection is
+        closed. An event that an earlier answer left incomplete is dropped,
+        since the resumed stream repeats it from its start.
+
+        Raises ``UpstreamCut`` if the answer ends inside an event, if it is not
+        framed and ends before its first event, if an event is larger than
+        ``MAX_EVENT_BYTES``, or if the end marker is needed and missing.
         """
         self.partial_event = b''
+        former_events = self.event_count
         async for chunk in chunks:
             await self._forward(chunk)
         if self.needs_end_marker and not self.has_end_marker:
             raise UpstreamCut('stream ended without its end marker')
         if self.partial_event.strip():
             raise UpstreamCut('stream ended inside an event')
+        if not is_framed and self.event_count == former_events:
+            raise UpstreamCut(
+                'stream with neither a length nor chunks ended before its'
+                ' first event'
+            )
 
     async def finish(self) -> None:
         """End the stream to the caller and mark it as complete."""
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -46,26 +46,28 @@
 async def test_nothing_starts_before_the_first_whole_event() -> None:
     relay = new_relay()
     with pytest.raises(UpstreamCut):
-        await relay.run(stream(b'data: 1\n'))
+        await relay.run(stream(b'data: 1\n'), is_framed=True)
     assert not relay.reply.has_started
 
 
 async def test_half_an_event_is_dropped_when_the_stream_goes_on() -> None:
     relay = new_relay()
     with pytest.raises(UpstreamCut):
-        await relay.run(stream(b'data: 1\n\nda', b'ta: 2\n\ndata: 3'))
+        await relay.run(
+            stream(b'data: 1\n\nda', b'ta: 2\n\ndata: 3'), is_framed=True
+        )
     assert (relay.event_count, relay.has_end_marker) == (2, False)
-    await relay.run(stream(b'data: 3\n\n', DONE[:8], DONE[8:]))
+    await relay.run(stream(b'data: 3\n\n', DONE[:8], DONE[8:]), is_framed=True)
     assert relay.reply.body == b'data: 1\n\ndata: 2\n\ndata: 3\n\n' + DONE
     assert (relay.event_count, relay.has_end_marker) == (4, True)
 
 
 async def test_a_stream_of_a_service_needs_no_end_mark() -> None:
     relay = new_relay(needs_end_marker=False)
-    await relay.run(stream(b'data: 1\n\n', b'data: 2\n\n'))
+    await relay.run(stream(b'data: 1\n\n', b'data: 2\n\n'), is_framed=True)
     assert relay.reply.body == b'data: 1\n\ndata: 2\n\n'
     empty = new_relay(needs_end_marker=False)
-    await empty.run(stream())
+    await empty.run(stream(), is_framed=True)
     await empty.finish()
     assert empty.reply.has_started
 
@@ -73,5 +75,15 @@
 async def test_stream_that_ends_inside_an_event_counts_as_complete() -> None:
     relay = new_relay(needs_end_marker=False)
     with pytest.raises(UpstreamCut):
-        await relay.run(stream(b'data: 1\n\n', b'data: 2'))
+        await relay.run(stream(b'data: 1\n\n', b'data: 2'), is_framed=True)
     assert relay.reply.body == b'data: 1\n\n'
+
+
+async def test_unframed_stream_without_an_event_looks_complete() -> None:
+    relay = new_relay(needs_end_marker=False)
+    with pytest.raises(UpstreamCut):
+        await relay.run(stream(), is_framed=False)
+    assert not relay.reply.has_started
+    await relay.run(stream(b'data: 1\n\n'), is_framed=False)
+    with pytest.raises(UpstreamCut):
+        await relay.run(stream(), is_framed=False)
