Count only chunks and a length as the framing of an answer

What callers saw: nothing yet; found while looking for the same fault elsewhere.

Cause: any Transfer-Encoding was taken for chunks. An answer with another coding ends with its connection, so one that was broken off looked complete.

Result: test_transfer_coding_without_chunks_counts_as_a_length, which got 200 with an empty body before, gets 502.

--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -168,7 +168,8 @@
     def is_framed(self) -> bool:
         """Return whether the answer itself tells where its body ends."""
         headers = self.response.headers
-        return 'Content-Length' in headers or 'Transfer-Encoding' in headers
+        coding = headers.get('Transfer-Encoding', '').lower()
+        return 'Content-Length' in headers or 'chunked' in coding
 
     @property
     def is_event_stream(self) -> bool:
--- a/tests/functional/test_unframed_answers.py
+++ b/tests/functional/test_unframed_answers.py
@@ -214,3 +214,19 @@
         await fleet.wait_until_ready()
         async with fleet.request('GET', '/read/x') as answer:
             assert answer.status == 502
+
+
+async def test_transfer_coding_without_chunks_counts_as_a_length():
+    async with platform_fleet(ONE_STREAM) as fleet:
+
+        async def end_before_the_first_event(received: ReceivedRequest) -> None:
+            received.writer.write(
+                received.head('200 OK', EVENT_STREAM, 'Transfer-Encoding: gzip')
+            )
+            received.writer.close()
+
+        engine = PlatformEngine('e1', end_before_the_first_event)
+        await fleet.add_engine(engine)
+        await fleet.wait_until_ready()
+        async with fleet.request('POST', '/once/x', data=b'1') as answer:
+            assert answer.status == 502
