Log the version of upstreams and the stream that a request resumes

Whether a stream changed its software version within one answer or over its caller's tries could not be told from the log.

The adapter decodes the version of an upstream's entry, which is required now, as an entry without it names no upstream to use, and the id of the request that brought the first event of a resumed stream. The line placed has both. No decision on requests is changed.

Result: test_decoding.py has the new fields; entries without a version are refused.

--- a/src/hickorymux/_internal/protocol/upstream_http.py
+++ b/src/hickorymux/_internal/protocol/upstream_http.py
@@ -20,14 +20,17 @@
 
     ``key`` is the caller's API key. ``caller_timeout_seconds`` is how long
     the caller still waits for the response, ``None`` if unknown.
-    ``last_event_id`` is set when the caller resumes a stream. ``prompt`` is
-    ``None`` for a request without a prompt. Absent texts are empty.
+    ``last_event_id`` and ``first_request_id`` are set when the caller resumes
+    a stream; the latter is the id of its request that brought the first event.
+    ``prompt`` is ``None`` for a request without a prompt. Absent texts are
+    empty.
     """
 
     request_id: str
     key: str
     caller_timeout_seconds: float | None
     last_event_id: str
+    first_request_id: str
     prompt: Prompt | None
 
 
--- a/src/hickorymux/_internal/state/upstream_registry.py
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -32,7 +32,8 @@
 
     ``born_ms`` is its start in Unix milliseconds, which tells incarnations
     with the same id apart. Until ``cold_until``, in monotonic seconds, the
-    upstream can serve only the cold rate of its pool.
+    upstream can serve only the cold rate of its pool. ``version`` is that of
+    its software.
     """
 
     upstream_id: str
@@ -43,6 +44,7 @@
     is_ready: bool
     cold_until: float = 0
     born_ms: int = 0
+    version: str = ''
 
     @property
     def incarnation(self) -> str:
--- a/src/hickorymux/platform/engine_entries.py
+++ b/src/hickorymux/platform/engine_entries.py
@@ -17,6 +17,8 @@
     service: str
     address: str
     zone: str
+    # Version of the engine's software, not of the model's weights.
+    version: str
     slots: int
     state: str
     # Milliseconds of reduced capacity after the start that remained when the
@@ -55,6 +57,7 @@
         is_ready=entry.state == _READY,
         cold_until=now + cold_seconds if cold_seconds > 0 else 0,
         born_ms=entry.born,
+        version=entry.version,
     )
 
 
--- a/src/hickorymux/platform/headers.py
+++ b/src/hickorymux/platform/headers.py
@@ -20,6 +20,8 @@
 API_KEY: Final = 'X-Key'
 # Id of the last event that the caller received of a stream that it resumes.
 LAST_EVENT_ID: Final = 'Last-Event-Id'
+# Id of the request that brought the first event of a stream that is resumed.
+FIRST_REQUEST_ID: Final = 'Resumes'
 # Milliseconds that the caller still waits; not a point in time.
 REMAINING_MS: Final = 'X-Request-Deadline'
 CUSTOMER: Final = 'X-Tenant'
@@ -83,6 +85,7 @@
             headers.get(REMAINING_MS, '')
         ),
         last_event_id=headers.get(LAST_EVENT_ID, ''),
+        first_request_id=headers.get(FIRST_REQUEST_ID, ''),
         prompt=_read_prompt(headers),
     )
 
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -48,6 +48,7 @@
             'service': 's',
             'address': '10.0.0.1:80',
             'zone': 'z',
+            'version': 'v1.2',
             'slots': 4,
             'state': 'draining',
             'coldRemainingMs': 1500,
@@ -56,6 +57,7 @@
     ).encode()
     upstream = decode_entry('e1', text, 100)
     assert (upstream.cold_until, upstream.is_ready) == (101.5, False)
+    assert upstream.version == 'v1.2'
 
 
 @pytest.mark.parametrize(
@@ -65,6 +67,8 @@
         {'slots': 0},
         {'address': 'nowhere'},
         {'address': '1:99999'},
+        {'version': None},
+        {'version': 2},
     ],
 )
 def test_invalid_entry_is_refused(change):
@@ -72,6 +76,7 @@
         'service': 's',
         'address': '10.0.0.1:80',
         'zone': 'z',
+        'version': 'v1',
         'slots': 4,
         'state': 'ready',
         'coldRemainingMs': 0,
@@ -95,8 +100,11 @@
             'X-Length-Hint': '30',
             'X-Prompt-Prefix': 'a:800,b:410,c:250',
             'X-Request-Deadline': '1500',
+            'Last-Event-Id': '7',
+            'Resumes': 'q',
         }
     )
+    assert (request.last_event_id, request.first_request_id) == ('7', 'q')
     assert request.caller_timeout_seconds == 1.5
     assert request.prompt.affinity_key == 'b'
     assert request.prompt.expected_output == 30
