Add failing tests: streams go on at another software version

An entry process or four, and emulated engines of two and three versions: streams that are cut go on within one answer, at the same router, at another one, after the first was killed, after a new version began, without an engine of their version, and at a router where nothing is known of them. The tests count the streams with events of two versions and those that go on at the right one.

--- /dev/null
+++ b/tests/functional/test_stream_versions.py
@@ -0,0 +1,242 @@
+"""A stream holds events of one software version of its upstreams.
+
+What two versions write does not fit together, and the engines do not check
+which version began a stream. The tests count the streams that callers got
+events of two versions of, and those that went on at the version they began at.
+"""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+import pytest
+import uvloop
+
+from tests.lib.platform_engine import (
+    PlatformEngine,
+    ReceivedRequest,
+    reset_connection,
+)
+from tests.lib.platform_fleet import PlatformFleet, platform_fleet, route
+
+EVENT_COUNT = 5
+EVENTS_UNTIL_CUT = 2
+STREAM_COUNT = 24
+BEGIN_TIMEOUT_SECONDS = 10
+RESUMED = route('/stream/', 'streaming', resumable=True, maxAttempts=4)
+RESUMED_BY_CALLER = route('/stream/', 'streaming', resumable=True)
+
+
+@pytest.fixture(
+    scope='module',
+    params=(uvloop.EventLoopPolicy(), asyncio.DefaultEventLoopPolicy()),
+    ids=('uvloop', 'asyncio'),
+)
+def event_loop_policy(request):
+    """Run each test on uvloop, as the entry process does, and on asyncio."""
+    return request.param
+
+
+@dataclasses.dataclass
+class Stream:
+    """What one caller got of a stream over all of its tries."""
+
+    name: str
+    first_request_id: str = ''
+    versions: list[str] = dataclasses.field(default_factory=list)
+    statuses: list[int] = dataclasses.field(default_factory=list)
+    is_complete: bool = False
+
+    @property
+    def is_mixed(self) -> bool:
+        """Return whether events of two versions arrived."""
+        return len(set(self.versions)) > 1
+
+    @property
+    def went_on(self) -> bool:
+        """Return whether all events arrived."""
+        return len(self.versions) == EVENT_COUNT
+
+
+class VersionedEngine(PlatformEngine):
+    """An engine that names its version in each event.
+
+    ``cuts`` tells whether it resets streams that begin, after some events;
+    ``gate`` holds them there until it is set.
+    """
+
+    def __init__(self, number: int, version: str, *, cuts: bool = True) -> None:
+        super().__init__(f'e{number}', self.stream)
+        self.version = version
+        self.cuts = cuts
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    def entry(self, pool: str = 'pool', **changes: object) -> dict[str, object]:
+        """Return the store entry, with the version of this engine."""
+        return super().entry(pool, version=self.version, **changes)
+
+    async def stream(self, received: ReceivedRequest) -> None:
+        """Send the events after the last one that the caller has."""
+        first = int(received.headers.get('last-event-id', 0)) + 1
+        received.writer.write(
+            received.head(
+                '200 OK',
+                'Content-Type: text/event-stream',
+                'Transfer-Encoding: chunked',
+            )
+        )
+        for number in range(first, EVENT_COUNT + 1):
+            event = f'id: {number}\ndata: {self.version}\n\n'
+            received.writer.write(f'{len(event):x}\r\n{event}\r\n'.encode())
+            await received.writer.drain()
+            if first == 1 and number == EVENTS_UNTIL_CUT:
+                # Bytes that the router has not read yet would be lost.
+                await asyncio.sleep(0.02)
+                await self.gate.wait()
+                if self.cuts:
+                    reset_connection(received)
+                    await asyncio.sleep(0.1)
+                    return
+        received.writer.write(b'0\r\n\r\n')
+
+
+async def add_engines(fleet: PlatformFleet, *versions: str) -> None:
+    for version in versions:
+        await fleet.add_engine(VersionedEngine(len(fleet.engines), version))
+
+
+async def read(fleet, stream: Stream, request_id: str, router=None) -> None:
+    """Send one try of a stream and add what arrives to it."""
+    headers = {'X-Request-Id': request_id}
+    if stream.first_request_id:
+        headers['Resumes'] = stream.first_request_id
+        headers['Last-Event-Id'] = str(len(stream.versions))
+    try:
+        async with fleet.request(
+            'POST', '/stream/x', router, headers=headers, data=b'1'
+        ) as answer:
+            stream.statuses.append(answer.status)
+            if answer.status != 200:
+                return
+            async for line in answer.content:
+                if line.startswith(b'data: '):
+                    stream.first_request_id = (
+                        stream.first_request_id or request_id
+                    )
+                    stream.versions.append(line[6:].decode().strip())
+            stream.is_complete = True
+    except (aiohttp.ClientError, ConnectionError):
+        stream.is_complete = False
+
+
+async def begin_streams(fleet, router=None) -> list[Stream]:
+    """Begin many streams at a router, which are cut after some events."""
+    streams = [Stream(f's{number}') for number in range(STREAM_COUNT)]
+
+    async def begin(stream: Stream) -> None:
+        # A router may refuse some while engines that cut streams are ejected.
+        tries = 0
+        while not stream.versions:
+            tries += 1
+            await read(fleet, stream, f'{stream.name}-1.{tries}', router)
+            await asyncio.sleep(0.05)
+
+    async with asyncio.timeout(BEGIN_TIMEOUT_SECONDS):
+        await asyncio.gather(*map(begin, streams))
+    return streams
+
+
+async def resume_streams(fleet, streams, router) -> None:
+    await asyncio.gather(
+        *(read(fleet, each, f'{each.name}-2', router) for each in streams)
+    )
+
+
+def mixed(streams) -> list[Stream]:
+    return [each for each in streams if each.is_mixed]
+
+
+def count_gone_on(streams) -> int:
+    return sum(each.went_on for each in streams)
+
+
+@pytest.mark.parametrize('versions', [('v1', 'v2'), ('v1', 'v2', 'v3')])
+async def test_answer_goes_on_at_another_version(versions):
+    async with platform_fleet(RESUMED) as fleet:
+        await add_engines(fleet, *versions, *versions, *versions)
+        await fleet.wait_until_ready()
+        streams = await begin_streams(fleet)
+        assert not mixed(streams)
+        assert count_gone_on(streams) > STREAM_COUNT / 2
+
+
+async def test_caller_resumes_at_another_version_at_the_same_router():
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        await add_engines(fleet, 'v1', 'v2', 'v1', 'v2')
+        await fleet.wait_until_ready()
+        streams = await begin_streams(fleet)
+        await resume_streams(fleet, streams, fleet.process)
+        assert not mixed(streams)
+        assert count_gone_on(streams) > STREAM_COUNT / 2
+
+
+@pytest.mark.parametrize('is_first_router_killed', [False, True])
+async def test_caller_resumes_at_another_version_at_another_router(
+    is_first_router_killed,
+):
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        await add_engines(fleet, 'v1', 'v2', 'v3', 'v1', 'v2', 'v3')
+        routers = [await fleet.add_router() for _ in range(3)]
+        await fleet.wait_until_ready()
+        for engine in fleet.engines:
+            engine.gate.clear()
+        beginning = asyncio.create_task(begin_streams(fleet))
+        await asyncio.sleep(0.5)
+        if is_first_router_killed:
+            await fleet.process.close()
+        for engine in fleet.engines:
+            engine.gate.set()
+        streams = await beginning
+        for index, router in enumerate(routers):
+            await resume_streams(fleet, streams[index::3], router)
+        assert not mixed(streams)
+        assert count_gone_on(streams) > STREAM_COUNT / 2
+
+
+async def test_stream_of_an_unknown_version_is_sent_on_at_a_guess():
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        await add_engines(fleet, 'v1', 'v2')
+        await fleet.wait_until_ready()
+        stream = Stream('s', 'never-seen', ['v1'])
+        await read(fleet, stream, 's-2')
+        assert stream.statuses == [503]
+        assert not any(engine.received for engine in fleet.engines)
+
+
+async def test_stream_is_resumed_though_no_engine_has_its_version():
+    async with platform_fleet(RESUMED) as fleet:
+        await add_engines(fleet, 'v1', 'v2', 'v2')
+        await fleet.wait_until_ready()
+        streams = await begin_streams(fleet)
+        assert not mixed(streams)
+        lost = [each for each in streams if not each.went_on]
+        assert lost
+        started_at = fleet.process.clock.monotonic()
+        await resume_streams(fleet, lost, fleet.process)
+        assert not mixed(streams)
+        # The caller should know at once.
+        assert fleet.process.clock.monotonic() - started_at < 1
+
+
+async def test_new_version_takes_over_running_streams():
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        await add_engines(fleet, 'v1', 'v1')
+        other = await fleet.add_router()
+        await fleet.wait_until_ready()
+        streams = await begin_streams(fleet)
+        await add_engines(fleet, 'v2', 'v2', 'v2')
+        await fleet.wait_until_ready()
+        await resume_streams(fleet, streams, other)
+        assert not mixed(streams)
+        assert count_gone_on(streams) > STREAM_COUNT / 2
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -18,6 +18,8 @@
 MAX_START_ATTEMPTS = 5
 HOST = 'api.example'
 KEY = 'key-of-ann'
+REVOKE_MS = 5000
+GRACE_SECONDS = 8
 
 SETTINGS = """
 node = "{node}"
@@ -77,12 +79,16 @@
 
 
 class PlatformFleet:
-    """An entry process with an emulated store and emulated engines."""
+    """Entry processes with an emulated store and emulated engines.
+
+    ``process`` is the first of them; ``add_router`` starts further ones.
+    """
 
     def __init__(self, process: EntryProcess, store: PlatformStore) -> None:
         self.process = process
         self.store = store
         self.engines: list[PlatformEngine] = []
+        self.routers = [process]
         self.session = aiohttp.ClientSession()
 
     async def add_engine(
@@ -95,22 +101,36 @@
             'keyed.servers', engine.engine_id, engine.entry(**changes)
         )
 
+    async def add_router(self) -> EntryProcess:
+        """Start another entry process of the fleet."""
+        node = f'front-{len(self.routers) + 1}'
+        process = await _start(self.store, REVOKE_MS, GRACE_SECONDS, node)
+        self.routers.append(process)
+        return process
+
     async def wait_until_ready(self) -> None:
-        """Wait until the process is ready and knows all engines."""
+        """Wait until all processes are ready and know engines and peers."""
         wanted = {engine.engine_id for engine in self.engines}
-        view = self.process.view
-        while not (
-            self.process.check_readiness()
-            and wanted <= view.registry.upstreams.keys()
-        ):
-            await self.process.clock.sleep(0.02)
-
-    def request(self, method: str, path: str, **options: Any) -> Any:
-        """Send a request with the customer's key.
+        for process in self.routers:
+            while not (
+                process.check_readiness()
+                and wanted <= process.view.registry.upstreams.keys()
+                and len(process.membership.live()) >= len(self.routers)
+            ):
+                await process.clock.sleep(0.02)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        router: EntryProcess | None = None,
+        **options: Any,
+    ) -> Any:
+        """Send a request with the customer's key, to the first router if none.
 
         Empty headers are left out.
         """
-        callers = self.process.settings.callers
+        callers = (router or self.process).settings.callers
         headers = {
             'Host': HOST,
             'X-Key': KEY,
@@ -130,8 +150,8 @@
 @contextlib.asynccontextmanager
 async def platform_fleet(
     *routes: dict[str, object],
-    revoke_ms: int = 5000,
-    grace: float = 8,
+    revoke_ms: int = REVOKE_MS,
+    grace: float = GRACE_SECONDS,
 ) -> AsyncIterator[PlatformFleet]:
     """Run an entry process with these routes, without a manifest if none."""
     store = PlatformStore()
@@ -145,7 +165,8 @@
     finally:
         store.mode = ''
         await fleet.session.close()
-        await process.close()
+        for router in fleet.routers:
+            await router.close()
         for engine in fleet.engines:
             await engine.close()
         await store.close()
@@ -155,6 +176,7 @@
     store: PlatformStore,
     revoke_ms: int,
     grace: float,
+    node: str = 'front-1',
 ) -> EntryProcess:
     """Start a process.
 
@@ -162,7 +184,7 @@
     """
     for _ in range(MAX_START_ATTEMPTS):
         text = SETTINGS.format(
-            node='front-1',
+            node=node,
             ip='127.0.0.1',
             front=free_port(),
             ready=free_port(),
