Do not send the head of an engine that sent no event

What callers saw: a stream with the headers and the signature of an engine that sent none of its events.

Cause: the relay of a call keeps the head of the first attempt, also if that attempt ended before its first event and another one began the stream.

Change: an attempt replaces the relay of earlier ones as long as the caller has been sent nothing.

Result: test_stream_has_the_head_of_an_engine_that_sent_no_event, which got the header of the first engine before, passes.

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -325,7 +325,8 @@
         answer: UpstreamAnswer,
         reply: Reply,
     ) -> None:
-        if call.relay is None:
+        if call.relay is None or not call.relay.reply.has_started:
+            # An earlier attempt of which no event was relayed leaves nothing.
             call.relay = EventRelay(
                 reply,
                 answer.status,
