Keep a stream at the software version that began it

Cause: no part of the program looked at the version of an upstream. Within one answer, the rest of a cut stream went to any other upstream. Over a caller's tries, a router that had never seen the stream placed it like a new one. Class of fault: a request that continues earlier work is placed like one that stands alone.

Change: the first event binds a stream to the pool and version of its upstream, and the allocator gives a bound stream no other one; the version is checked once more before the first byte is sent. The router that relays the first event tells the origin of a resumable stream to a few routers chosen by rendezvous hashing of the request's id, two in its zone and one in each of two others, before the event goes out. A router that is asked to go on with a stream that it does not know asks those that may have been told, for 0.3 s at most. Without an upstream of its version it is refused with stream_version_gone, also while it waits.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -46,7 +46,11 @@
     WaitQueue,
     cost_of,
 )
-from hickorymux._internal.exceptions import NoCapacity
+from hickorymux._internal.exceptions import (
+    NoCapacity,
+    RequestError,
+    StreamVersionGone,
+)
 from hickorymux._internal.state.routing import PoolPolicy
 from hickorymux._internal.state.upstream_registry import (
     RegisteredUpstream,
@@ -181,8 +185,10 @@
 
         Raises ``NoCapacity`` if no slot becomes free in time. Its
         ``retry_after`` tells the caller when to retry; the request has not
-        run.
+        run. Raises ``StreamVersionGone`` as soon as no upstream is left that
+        has the version of the stream.
         """
+        self._check_version(demand)
         queue = self.wait_queue_of(demand.pool.name)
         if not queue.by_customer:
             reservation = self._try_reserve(demand, queue)
@@ -208,6 +214,7 @@
         if queue is None or not queue.by_customer:
             return
         self._refuse_overdue(queue)
+        self._refuse_without_version(queue)
         has_dispatched = True
         while has_dispatched:
             has_dispatched = self._dispatch_next(queue)
@@ -279,7 +286,7 @@
 
         For requests without restrictions, the result is cached by pool.
         """
-        if demand.excluded_ids or demand.regions:
+        if demand.is_restricted:
             return self.placement.candidates(self._available(demand, now))
         pool = demand.pool.name
         cached = self.candidate_cache.get(pool)
@@ -307,6 +314,7 @@
             if upstream.upstream_id not in demand.excluded_ids
             and self.health.is_available(upstream.upstream_id, now)
             and self._is_region_allowed(demand, upstream)
+            and _is_version_allowed(demand, upstream)
         ]
         warm = [one for one in found if not self.registry.is_cold(one, now)]
         if len(warm) == len(found):
@@ -319,6 +327,19 @@
             and self.cold_share.may_send(upstream.incarnation, limit, now)
         ]
 
+    def _check_version(self, demand: Demand) -> None:
+        """Raise unless an upstream that the request may get has its version."""
+        if demand.version is None or any(
+            upstream.version == demand.version
+            and upstream.upstream_id not in demand.excluded_ids
+            for upstream in self.registry.available_in_pool(demand.pool.name)
+        ):
+            return
+        raise StreamVersionGone(
+            f'no upstream of pool "{demand.pool.name}" is left that has version'
+            f' "{demand.version}", which began the stream'
+        )
+
     def _is_region_allowed(
         self,
         demand: Demand,
@@ -440,6 +461,19 @@
         for demand in overdue:
             self._refuse(queue, demand, 'no upstream slot became free in time')
 
+    def _refuse_without_version(self, queue: WaitQueue) -> None:
+        """Refuse resumed streams of which no upstream has the version."""
+        resumed = [
+            demand
+            for demand in queue.all_waiting()
+            if demand.version is not None
+        ]
+        for demand in resumed:
+            try:
+                self._check_version(demand)
+            except StreamVersionGone as error:
+                self._fail(queue, demand, error)
+
     def _shed(self, queue: WaitQueue) -> None:
         """Refuse requests until the rest can be served in time.
 
@@ -483,19 +517,24 @@
     def _refuse(self, queue: WaitQueue, demand: Demand, reason: str) -> None:
         now = self.clock.monotonic()
         wait = queue.rate.seconds_to_clear(queue.queued_cost, now)
-        queue.remove(demand)
-        queue.on_refused(demand, now)
-        self._count(demand, Outcome.refused)
-        future = self.futures[demand]
-        if future.done():
-            return
         seconds = refusal.retry_after_seconds(
             min(wait, refusal.MAX_RETRY_SECONDS),
             demand,
             now,
             self.rng,
         )
-        future.set_exception(NoCapacity(reason, retry_after=seconds))
+        self._fail(queue, demand, NoCapacity(reason, retry_after=seconds))
+
+    def _fail(
+        self, queue: WaitQueue, demand: Demand, error: RequestError
+    ) -> None:
+        """Remove a waiting request and end its wait with an error."""
+        queue.remove(demand)
+        queue.on_refused(demand, self.clock.monotonic())
+        self._count(demand, Outcome.refused)
+        future = self.futures[demand]
+        if not future.done():
+            future.set_exception(error)
 
     def _dispatch_soon(self) -> None:
         """Schedule one dispatch for slots that become free close together."""
@@ -521,6 +560,10 @@
             self._tick_later()
 
 
+def _is_version_allowed(demand: Demand, upstream: RegisteredUpstream) -> bool:
+    return demand.version is None or upstream.version == demand.version
+
+
 def _utilization(demand: Demand, choice: Choice) -> float:
     """Return which part of the work that an engine may have it has already.
 
--- a/src/hickorymux/_internal/coordination/engines/demands.py
+++ b/src/hickorymux/_internal/coordination/engines/demands.py
@@ -12,7 +12,9 @@
 
     The answer should begin by ``start_deadline`` and must be whole by
     ``deadline``. ``regions`` is empty if any region will do. ``excluded_ids``
-    are the ids of upstreams that must not get the request again.
+    are the ids of upstreams that must not get the request again. ``version``
+    is the software version that began the stream, which must go on at it;
+    ``None`` if any version will do.
     """
 
     request_id: str
@@ -23,6 +25,14 @@
     deadline: float
     regions: frozenset[str] = frozenset()
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
+    version: str | None = None
+
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether some upstreams of the pool must not get it."""
+        return bool(self.excluded_ids or self.regions) or (
+            self.version is not None
+        )
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/src/hickorymux/_internal/coordination/membership.py
+++ b/src/hickorymux/_internal/coordination/membership.py
@@ -13,7 +13,7 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from functools import singledispatchmethod
 from typing import Any, final
 
@@ -145,6 +145,25 @@
                     return member
         return self.seeds.get(router_id)
 
+    def contacts_by_zone(self) -> Mapping[str, Sequence[Member]]:
+        """Return the other routers by zone.
+
+        They are the live ones, or the seeds of a zone without any, as for a
+        router that has just started.
+        """
+        zones = {seed.zone for seed in self.seeds.values()}
+        contacts: dict[str, Sequence[Member]] = {}
+        for zone in zones | {self.me.zone, *self.remote_zones}:
+            live = [
+                member
+                for member in self.live_in_zone(zone)
+                if member.router_id != self.me.router_id
+            ]
+            contacts[zone] = live or [
+                seed for seed in self.seeds.values() if seed.zone == zone
+            ]
+        return contacts
+
     def zones(self) -> Sequence[str]:
         """Return the zones that have live routers, this one included."""
         return sorted({member.zone for member in self.live()})
--- /dev/null
+++ b/src/hickorymux/_internal/coordination/stream_directory.py
@@ -0,0 +1,266 @@
+"""Finds out at which software version a stream began, across all routers.
+
+The router that relays the first event of a stream tells a few others, the
+custodians of the stream, before it sends the event on. So the fleet knows the
+version also when this router is gone. Custodians are found by rendezvous
+hashing (Thaler and Ravishankar, 1998): some in the zone of the router, where
+the caller is likely to come back, and one in each of some other zones, for the
+loss of a zone. A router that is asked to resume a stream that it does not know
+asks those that may be custodians.
+
+If none of them knows the stream, or none answers within a short time, it began
+at the only version that was registered lately. If there were more, or the view
+of the upstreams is out of date, the stream is unknown.
+
+Example::
+
+    directory.record(key, StreamOrigin('drafting', 'v1.2'), lifetime=15)
+    ...
+    origin = await directory.find(key, ('drafting',))
+"""
+
+import asyncio
+import dataclasses
+import itertools
+from collections.abc import Iterable, Mapping, Sequence
+from functools import partial, singledispatchmethod
+from typing import Any, Final, Protocol, final
+
+import xxhash
+
+from hickorymux._internal.coordination.membership import SendDatagram
+from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.coordination.stream_messages import (
+    StreamBegun,
+    StreamQuery,
+    StreamReply,
+)
+from hickorymux._internal.coordination.suspect_messages import (
+    signed_fingerprint,
+    unsigned_fingerprint,
+)
+from hickorymux._internal.state.stream_origins import (
+    StreamOrigin,
+    StreamOriginTable,
+)
+from hickorymux._internal.state.version_history import VersionHistory
+from hickorymux._internal.utils.clock import Clock
+
+CUSTODIANS_IN_OWN_ZONE: Final = 2
+# Other zones with one custodian each.
+CUSTODIAN_ZONES: Final = 2
+# One more is asked than was told in each place, as the router that told them did
+# not count itself and its zone, and the asking router may count them.
+ASKED_IN_OWN_ZONE: Final = CUSTODIANS_IN_OWN_ZONE + 1
+ASKED_IN_OTHER_ZONE: Final = 2
+ASKED_ZONES: Final = CUSTODIAN_ZONES + 1
+# A query is repeated once after this, as datagrams may be lost.
+QUERY_REPEAT_SECONDS: Final = 0.1
+# Routers under load answer within some tens of milliseconds.
+QUERY_TIMEOUT_SECONDS: Final = 0.3
+MAX_LIFETIME_SECONDS: Final = 600.0
+_MS_PER_SECOND: Final = 1000
+
+
+class ContactView(Protocol):
+    """The routers that may be contacted, as far as this router knows."""
+
+    @property
+    def myself(self) -> Member:
+        """Return this router."""
+
+    def contacts_by_zone(self) -> Mapping[str, Sequence[Member]]:
+        """Return the other routers by zone.
+
+        They are the live ones, or the listed ones of a zone without any.
+        """
+
+    def find(self, router_id: str) -> Member | None:
+        """Return what is known of a router, ``None`` if nothing is."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Query:
+    """A query, the routers that have not answered it, and its result."""
+
+    pending: dict[str, Member]
+    result: 'asyncio.Future[StreamOrigin | None]'
+
+
+@final
+class StreamDirectory:
+    """The origins of streams that this router and its peers know.
+
+    ``send`` sends a message to members, and may lose it.
+    """
+
+    __slots__ = (
+        'clock',
+        'contacts',
+        'history',
+        'queries',
+        'query_numbers',
+        'send',
+        'table',
+    )
+
+    def __init__(
+        self, contacts: ContactView, send: SendDatagram, clock: Clock
+    ) -> None:
+        self.contacts = contacts
+        self.send = send
+        self.clock = clock
+        self.table = StreamOriginTable()
+        self.history = VersionHistory()
+        self.queries: dict[int, _Query] = {}
+        self.query_numbers = itertools.count(1)
+
+    def record(self, key: int, origin: StreamOrigin, lifetime: float) -> None:
+        """Record where a stream began, and tell its custodians.
+
+        The caller may resume it for ``lifetime`` seconds.
+        """
+        lifetime = min(lifetime, MAX_LIFETIME_SECONDS)
+        self._put(key, origin, lifetime)
+        self.send(
+            self._custodians(key),
+            StreamBegun(
+                signed_fingerprint(key),
+                origin.pool,
+                origin.version,
+                int(lifetime * _MS_PER_SECOND),
+            ),
+        )
+
+    async def find(self, key: int, pools: Sequence[str]) -> StreamOrigin | None:
+        """Return where a stream began, ``None`` if that is unknown.
+
+        ``pools`` are the names of the pools at which it may have begun.
+        """
+        known = self.table.get(key, self.clock.monotonic())
+        if known is None:
+            known = await self._ask_custodians(key)
+        return self._only_origin(pools) if known is None else known
+
+    def _only_origin(self, pools: Sequence[str]) -> StreamOrigin | None:
+        """Return the only possible origin of streams, ``None`` if several."""
+        if len(pools) > 1:
+            return None
+        now = self.clock.monotonic()
+        version = self.history.only_version(pools[0], now)
+        return None if version is None else StreamOrigin(pools[0], version)
+
+    async def _ask_custodians(self, key: int) -> StreamOrigin | None:
+        asked = {member.router_id: member for member in self._asked(key)}
+        if not asked:
+            return None
+        number = next(self.query_numbers)
+        result: asyncio.Future[StreamOrigin | None]
+        result = asyncio.get_running_loop().create_future()
+        query = _Query(asked, result)
+        self.queries[number] = query
+        message = StreamQuery(number, signed_fingerprint(key))
+        try:
+            return await self._ask(query, message)
+        finally:
+            self.queries.pop(number)
+
+    @singledispatchmethod
+    def on_message(self, message: Any, sender_id: str) -> None:
+        """Handle a message; ignore those that are not about streams."""
+
+    @on_message.register
+    def _on_begun(self, message: StreamBegun, _sender_id: str) -> None:
+        self._put(
+            unsigned_fingerprint(message.key),
+            StreamOrigin(message.pool, message.version),
+            message.lifetime_ms / _MS_PER_SECOND,
+        )
+
+    @on_message.register
+    def _on_query(self, message: StreamQuery, sender_id: str) -> None:
+        key = unsigned_fingerprint(message.key)
+        now = self.clock.monotonic()
+        origin = self.table.get(key, now)
+        reply = StreamReply(message.number)
+        if origin is not None:
+            left = self.table.seconds_left(key, now)
+            reply = StreamReply(
+                message.number,
+                origin.pool,
+                origin.version,
+                max(1, int(left * _MS_PER_SECOND)),
+            )
+        sender = self.contacts.find(sender_id)
+        if sender is not None:
+            self.send((sender,), reply)
+
+    @on_message.register
+    def _on_reply(self, message: StreamReply, sender_id: str) -> None:
+        query = self.queries.get(message.number)
+        if query is None or query.result.done():
+            return
+        query.pending.pop(sender_id, None)
+        if message.lifetime_ms:
+            query.result.set_result(StreamOrigin(message.pool, message.version))
+        elif not query.pending:
+            query.result.set_result(None)
+
+    def _put(self, key: int, origin: StreamOrigin, lifetime: float) -> None:
+        now = self.clock.monotonic()
+        self.table.put(key, origin, now + lifetime, now)
+
+    async def _ask(
+        self, query: _Query, message: StreamQuery
+    ) -> StreamOrigin | None:
+        """Send a query, repeat it once, and return its result."""
+        for wait_seconds in (
+            QUERY_REPEAT_SECONDS,
+            QUERY_TIMEOUT_SECONDS - QUERY_REPEAT_SECONDS,
+        ):
+            self.send(tuple(query.pending.values()), message)
+            done, _ = await asyncio.wait((query.result,), timeout=wait_seconds)
+            if done:
+                return query.result.result()
+        return None
+
+    def _custodians(self, key: int) -> list[Member]:
+        zones = dict(self.contacts.contacts_by_zone())
+        own = zones.pop(self.contacts.myself.zone, ())
+        chosen = _highest(_staying(own), key, CUSTODIANS_IN_OWN_ZONE)
+        for zone in _ranked_zones(zones, key)[:CUSTODIAN_ZONES]:
+            chosen.extend(_highest(_staying(zones[zone]), key, 1))
+        return chosen
+
+    def _asked(self, key: int) -> list[Member]:
+        """Return the routers that may be custodians of a stream."""
+        zones = dict(self.contacts.contacts_by_zone())
+        own = zones.pop(self.contacts.myself.zone, ())
+        chosen = _highest(own, key, ASKED_IN_OWN_ZONE)
+        for zone in _ranked_zones(zones, key)[:ASKED_ZONES]:
+            chosen.extend(_highest(zones[zone], key, ASKED_IN_OTHER_ZONE))
+        return chosen
+
+
+def _staying(members: Iterable[Member]) -> list[Member]:
+    """Return the members that are not shutting down."""
+    return [member for member in members if not member.is_leaving]
+
+
+def _ranked_zones(zones: Iterable[str], key: int) -> list[str]:
+    return sorted(zones, key=partial(_rank, key), reverse=True)
+
+
+def _highest(members: Iterable[Member], key: int, count: int) -> list[Member]:
+    """Return the members that rank highest for a stream."""
+    ranked = sorted(
+        members,
+        key=lambda member: _rank(key, member.router_id),
+        reverse=True,
+    )
+    return ranked[:count]
+
+
+def _rank(key: int, name: str) -> int:
+    # All routers must hash the same text to find the same custodians.
+    return xxhash.xxh3_64_intdigest(f'{key:016x}/{name}'.encode())
--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -119,6 +119,20 @@
     http_status = 503
 
 
+class StreamUnknown(RequestError):
+    """No router that was reached knows at which version the stream began."""
+
+    code = 'stream_unknown'
+    http_status = 503
+
+
+class StreamVersionGone(RequestError):
+    """No upstream can go on with the stream at the version that began it."""
+
+    code = 'stream_version_gone'
+    http_status = 503
+
+
 class UpstreamFailed(RequestError):
     """The upstream failed before the answer began."""
 
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -34,4 +34,7 @@
     (60, 'load', 'LoadReport'),
     (70, 'topic', 'TopicAsk'),
     (71, 'topic', 'TopicPage'),
+    (80, 'stream', 'StreamBegun'),
+    (81, 'stream', 'StreamQuery'),
+    (82, 'stream', 'StreamReply'),
 )
--- a/src/hickorymux/_internal/protocol/upstream_http.py
+++ b/src/hickorymux/_internal/protocol/upstream_http.py
@@ -33,6 +33,11 @@
     first_request_id: str
     prompt: Prompt | None
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller has the beginning of the stream."""
+        return bool(self.first_request_id or self.last_event_id)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamLoad:
--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -46,6 +46,13 @@
         """Return the request id that the caller chose."""
         return self.facts.request_id
 
+    @property
+    def caller_timeout_seconds(self) -> float:
+        """Return for how long the caller waited at most when it called."""
+        if self.facts.caller_timeout_seconds is None:
+            return self.route.timeout.total_seconds()
+        return self.facts.caller_timeout_seconds
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that others may share."""
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -22,6 +22,7 @@
 from hickorymux._internal.coordination.engines.demands import PlainDemand
 from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.retry_budget import RetryBudget
+from hickorymux._internal.coordination.stream_directory import StreamDirectory
 from hickorymux._internal.exceptions import (
     AnswerCut,
     CrashSuspect,
@@ -33,6 +34,10 @@
 )
 from hickorymux._internal.protocol.upstream_http import ResponseHeaders, Dialect
 from hickorymux._internal.state.routing import RequestKind
+from hickorymux._internal.state.stream_origins import (
+    StreamOrigin,
+    stream_key,
+)
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.relay import EventRelay, Reply, relay_plain
@@ -79,6 +84,12 @@
     code = 'answer_not_usable'
 
 
+class VersionChanged(AttemptError):
+    """The upstream no longer has the software version of the stream."""
+
+    code = 'version_changed'
+
+
 class UpstreamError(AttemptError):
     """The upstream ran the request and failed; the request may be retried."""
 
@@ -98,6 +109,7 @@
         'metrics',
         'part_guard',
         'retry_budget',
+        'streams',
         'suspects',
     )
 
@@ -108,6 +120,7 @@
         dialect: Dialect,
         suspects: CrashSuspects,
         part_guard: PartGuard,
+        streams: StreamDirectory,
         retry_budget: RetryBudget,
         decisions: DecisionLog,
         metrics: RouterMetrics,
@@ -118,6 +131,7 @@
         self.dialect = dialect
         self.suspects = suspects
         self.part_guard = part_guard
+        self.streams = streams
         self.retry_budget = retry_budget
         self.decisions = decisions
         self.metrics = metrics
@@ -226,16 +240,27 @@
             body=call.body,
             may_reuse_connection=is_stream or call.route.is_repeatable,
             verify_connection=_accept_any_connection,
-            check_before_send=functools.partial(self._check_send, call),
+            check_before_send=functools.partial(
+                self._check_send, call, reservation
+            ),
         )
 
-    def _check_send(self, call: EntryCall) -> None:
+    def _check_send(self, call: EntryCall, reservation: Reservation) -> None:
         """Check and count an attempt just before its first byte is sent.
 
-        A part of the prompt may have been refused since the attempt began to
-        wait for its slot and its connection.
+        Since the attempt began to wait for its slot and its connection, a part
+        of the prompt may have been refused, or the upstream may have started
+        again at another version.
         """
         self._raise_if_refused(call)
+        upstream_id = reservation.upstream.upstream_id
+        current = self.allocator.registry.upstreams.get(upstream_id)
+        wanted = call.demand.version
+        if current is not None and wanted not in {None, current.version}:
+            raise VersionChanged(
+                f'upstream {upstream_id} has version "{current.version}", the'
+                f' stream began at "{wanted}"'
+            )
         call.sent_attempts += 1
 
     async def _exchange(
@@ -344,6 +369,8 @@
         events: int,
     ) -> None:
         """Record when a model engine begins to stream its answer."""
+        if call.demand.version is None:
+            self._record_origin(call, reservation)
         former_events = call.attempt_events - events
         if former_events < MIN_PROOF_EVENTS <= call.attempt_events:
             self.part_guard.on_answer_begun(call.shared_parts)
@@ -357,6 +384,18 @@
             )
             reservation.on_answer_begun()
 
+    def _record_origin(self, call: EntryCall, reservation: Reservation) -> None:
+        """Bind the stream to the version that begins it."""
+        demand = call.demand
+        version = reservation.upstream.version
+        demand.version = version
+        if call.route.is_resumable:
+            self.streams.record(
+                stream_key(demand.customer, call.request_id),
+                StreamOrigin(demand.pool.name, version),
+                call.caller_timeout_seconds,
+            )
+
     def _first_event_ms(self, call: EntryCall) -> float | None:
         if call.answer_started_at is None:
             return None
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -15,7 +15,6 @@
 
 from aiohttp import web
 
-from hickorymux._internal.coordination import membership_messages
 from hickorymux._internal.coordination.crash_suspects import (
     CrashSuspects,
     SuspectSettings,
@@ -45,6 +44,7 @@
     RetrySettings,
 )
 from hickorymux._internal.coordination.shared_log import SharedLog
+from hickorymux._internal.coordination.stream_directory import StreamDirectory
 from hickorymux._internal.coordination.suspect_messages import (
     PartCrash,
     PartsCleared,
@@ -84,6 +84,9 @@
 # Upstreams renew their entries all the time, so reads that wait for a change
 # would follow each other without a pause.
 UPSTREAM_READ_TIMING: Final = ReadTiming(wait_seconds=0, interval_seconds=0.5)
+# Below this staleness no version of an upstream has gone unnoticed for long. The
+# topic of the upstreams is read about every 0.5 s.
+MAX_UPSTREAM_STALENESS_SECONDS: Final = 2.0
 # How often the router list is read. Routers that start in between become
 # known by their heartbeats.
 ROUTER_LIST_INTERVAL_SECONDS: Final = 30.0
@@ -179,6 +182,7 @@
         'shared_log',
         'stopping',
         'store',
+        'streams',
         'suspects',
         'table_follower',
         'tasks',
@@ -343,6 +347,9 @@
         self.part_guard = PartGuard(
             self.membership, self.network.send_datagram, self.clock, self.rng
         )
+        self.streams = StreamDirectory(
+            self.membership, self.network.send_datagram, self.clock
+        )
 
     def _build_request_path(self) -> None:
         settings, deployment = self.settings, self.deployment
@@ -404,6 +411,7 @@
                 deployment.dialect,
                 self.suspects,
                 self.part_guard,
+                self.streams,
                 self.retry_budget,
                 self.decisions,
                 self.metrics,
@@ -469,9 +477,10 @@
             self.shared_log.on_message(sender_id, message)
         elif isinstance(message, PartCrash | PartsCleared | PartsRefused):
             self.part_guard.on_message(sender_id, message)
-        elif type(message).__module__ == membership_messages.__name__:
-            self.membership.on_message(message, sender_id)
         else:
+            # Each ignores messages that are not its own.
+            self.streams.on_message(message, sender_id)
+            self.membership.on_message(message, sender_id)
             self.suspects.on_message(sender_id, message)
 
     async def _refresh_router_list(self) -> None:
@@ -514,11 +523,24 @@
                 live = {member.router_id for member in self.membership.live()}
                 self.cold_share.update_routers(self.listed_routers | live)
                 self._apply_bounds()
-            self.view.registry.expire(self.clock.monotonic())
+            now = self.clock.monotonic()
+            self.view.registry.expire(now)
+            self.streams.history.observe(
+                self.view.registry.upstreams.values(),
+                now,
+                is_fresh=self._is_upstream_view_fresh(),
+            )
             self._report_readiness()
             self.allocator.log_shares()
             await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
 
+    def _is_upstream_view_fresh(self) -> bool:
+        return (
+            self.view.has_upstream_listing
+            and self.upstream_follower.staleness_seconds()
+            < MAX_UPSTREAM_STALENESS_SECONDS
+        )
+
     def _report_readiness(self) -> None:
         """Log the readiness if it changed."""
         is_ready = self.check_readiness()
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -27,6 +27,8 @@
     NotReady,
     RequestError,
     RouteNotFound,
+    StreamUnknown,
+    StreamVersionGone,
     Unauthorized,
 )
 from hickorymux._internal.protocol.upstream_http import RequestHeaders, Dialect
@@ -37,6 +39,10 @@
     RequestKind,
     RoutingTable,
 )
+from hickorymux._internal.state.stream_origins import (
+    StreamOrigin,
+    stream_key,
+)
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
 from hickorymux._internal.transport.http_reply import HttpReply
@@ -49,6 +55,8 @@
 NOT_READY_RETRY_SECONDS: Final = 0.5
 # Short, as another router can take the request at once.
 STOPPING_RETRY_SECONDS: Final = 0.1
+# Short, as what keeps this router from knowing a stream is over soon or never.
+STREAM_UNKNOWN_RETRY_SECONDS: Final = 0.2
 # Drawn at random from this range, so that refused callers do not all retry at
 # the same time.
 OVERLOADED_RETRY_SECONDS: Final = (0.3, 0.9)
@@ -246,7 +254,10 @@
         route = self._match_route(table, host, request.raw_path)
         customer = self._authorize(table, route, facts)
         body = await self._read_body(request, route)
-        demand = self._build_demand(table, route, customer, facts, arrived_at)
+        origin = await self._find_origin(route, customer, facts)
+        demand = self._build_demand(
+            table, route, customer, facts, arrived_at, origin
+        )
         call = EntryCall(
             facts=facts,
             route=route,
@@ -363,6 +374,37 @@
         except TimeoutError:
             raise BadRequest('the body did not arrive in time') from None
 
+    async def _find_origin(
+        self,
+        route: HttpRoute,
+        customer: Customer | None,
+        facts: RequestHeaders,
+    ) -> StreamOrigin | None:
+        """Return where a resumed stream began, ``None`` for a new one.
+
+        The stream may go on only at the same pool and software version.
+        """
+        is_stream = route.kind is RequestKind.streaming
+        if not is_stream or not facts.resumes_stream:
+            return None
+        name = customer.name if customer is not None else ''
+        pools = [share.pool for share in route.pools]
+        origin = await self.dispatcher.streams.find(
+            stream_key(name, facts.first_request_id), pools
+        )
+        if origin is None:
+            raise StreamUnknown(
+                f'unknown where request "{facts.first_request_id}" began the'
+                ' stream',
+                retry_after=STREAM_UNKNOWN_RETRY_SECONDS,
+            )
+        if origin.pool not in pools:
+            raise StreamVersionGone(
+                f'the stream began at pool "{origin.pool}", which route'
+                f' "{route.name}" no longer has'
+            )
+        return origin
+
     def _build_demand(
         self,
         table: RoutingTable,
@@ -370,8 +412,10 @@
         customer: Customer | None,
         facts: RequestHeaders,
         arrived_at: float,
+        origin: StreamOrigin | None,
     ) -> Demand:
-        pool = table.pools.get(self.choose_pool(route))
+        pool_name = self.choose_pool(route) if origin is None else origin.pool
+        pool = table.pools.get(pool_name)
         if pool is None:
             raise NotReady(
                 f'route "{route.name}" refers to an unknown pool',
@@ -392,14 +436,18 @@
             arrived_at + limit,
         )
         name = customer.name if customer is not None else ''
+        version = None if origin is None else origin.version
         if facts.prompt is None or pool.engine is None:
-            return PlainDemand(facts.request_id, name, pool, *times, regions)
+            return PlainDemand(
+                facts.request_id, name, pool, *times, regions, version=version
+            )
         return PromptDemand(
             facts.request_id,
             name,
             pool,
             *times,
             regions,
+            version=version,
             prompt=facts.prompt,
         )
 
