--- a/tests/unit/engines/test_allocator.py
+++ b/tests/unit/engines/test_allocator.py
@@ -14,8 +14,8 @@
 from hickorymux._internal.coordination.engines.wait_queue import (
     CustomerUsage,
 )
-from hickorymux._internal.exceptions import NoCapacity
-from tests.lib.demands import prompt_demand, registry
+from hickorymux._internal.exceptions import NoCapacity, StreamVersionGone
+from tests.lib.demands import prompt_demand, registry, upstream
 from tests.lib.fake_clock import FakeClock
 
 
@@ -157,3 +157,48 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     assert 0 < len(granted) <= 29
+
+
+def resumed_demand(version, now):
+    demand = prompt_demand('small', own=10, now=now)
+    demand.version = version
+    return demand
+
+
+async def test_stream_goes_on_at_an_upstream_of_another_version():
+    allocator, clock = make_allocator(0)
+    for number, version in enumerate(('v1', 'v2', 'v1', 'v2')):
+        allocator.registry.put(upstream(number, version=version))
+    for _ in range(MAX_RUNNING):
+        demand = resumed_demand('v2', clock.monotonic())
+        reservation = await allocator.acquire(demand)
+        assert reservation.upstream.version == 'v2'
+        reservation.on_answer_begun()
+
+
+async def test_stream_waits_though_its_version_is_gone():
+    allocator, clock = make_allocator(version='v1')
+    now = clock.monotonic()
+    with pytest.raises(StreamVersionGone, match='v2'):
+        await allocator.acquire(resumed_demand('v2', now))
+    only = resumed_demand('v1', now)
+    only.excluded_ids.add('e0')
+    with pytest.raises(StreamVersionGone):
+        await allocator.acquire(only)
+
+
+async def test_stream_goes_on_waiting_when_its_version_leaves():
+    allocator, clock = make_allocator(version='v1')
+    reservations = await reserve_all_slots(allocator, clock)
+    now = clock.monotonic()
+    waiting = asyncio.create_task(allocator.acquire(resumed_demand('v1', now)))
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    allocator.registry.put(upstream(0, version='v2'))
+    allocator.clear_candidate_cache()
+    allocator.dispatch_all()
+    with pytest.raises(StreamVersionGone):
+        await waiting
+    assert not allocator.futures
+    for reservation in reservations:
+        reservation.release()
