Infer the version of a stream only from a view without gaps

What callers saw: nothing yet. A router that was suspended for a minute, or that has not read the upstreams since another version began, could take the version it last saw for the only one, and send a stream on at it.

Cause: the history was observed at intervals, and a question was answered from the last observation, however old it was.

The list of routers that the directory ranks is reused for 0.5 s.

--- a/src/hickorymux/_internal/coordination/stream_directory.py
+++ b/src/hickorymux/_internal/coordination/stream_directory.py
@@ -10,11 +10,12 @@
 
 If none of them knows the stream, or none answers within a short time, it began
 at the only version that was registered lately. If there were more, or the view
-of the upstreams is out of date, the stream is unknown.
+of the upstreams had gaps, the stream is unknown.
 
 Example::
 
-    directory.record(key, StreamOrigin('drafting', 'v1.2'), lifetime=15)
+    origin = StreamOrigin('drafting', 'v1.2')
+    directory.record(key, origin, lifetime_seconds=15)
     ...
     origin = await directory.find(key, ('drafting',))
 """
@@ -22,6 +23,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from functools import partial, singledispatchmethod
 from typing import Any, Final, Protocol, final
@@ -39,11 +41,11 @@
     signed_fingerprint,
     unsigned_fingerprint,
 )
+from hickorymux._internal.coordination.version_history import VersionHistory
 from hickorymux._internal.state.stream_origins import (
     StreamOrigin,
     StreamOriginTable,
 )
-from hickorymux._internal.state.version_history import VersionHistory
 from hickorymux._internal.utils.clock import Clock
 
 CUSTODIANS_IN_OWN_ZONE: Final = 2
@@ -59,6 +61,8 @@
 # Routers under load answer within some tens of milliseconds.
 QUERY_TIMEOUT_SECONDS: Final = 0.3
 MAX_LIFETIME_SECONDS: Final = 600.0
+# How long the list of routers is reused, as long as one heartbeat holds.
+CONTACTS_SECONDS: Final = 0.5
 _MS_PER_SECOND: Final = 1000
 
 
@@ -102,25 +106,35 @@
         'query_numbers',
         'send',
         'table',
+        'zones',
+        'zones_read_at',
     )
 
     def __init__(
-        self, contacts: ContactView, send: SendDatagram, clock: Clock
+        self,
+        contacts: ContactView,
+        send: SendDatagram,
+        history: VersionHistory,
+        clock: Clock,
     ) -> None:
         self.contacts = contacts
         self.send = send
         self.clock = clock
         self.table = StreamOriginTable()
-        self.history = VersionHistory()
+        self.history = history
+        self.zones: Mapping[str, Sequence[Member]] = {}
+        self.zones_read_at = -math.inf
         self.queries: dict[int, _Query] = {}
         self.query_numbers = itertools.count(1)
 
-    def record(self, key: int, origin: StreamOrigin, lifetime: float) -> None:
+    def record(
+        self, key: int, origin: StreamOrigin, lifetime_seconds: float
+    ) -> None:
         """Record where a stream began, and tell its custodians.
 
-        The caller may resume it for ``lifetime`` seconds.
+        ``lifetime_seconds`` is for how long the caller may resume it.
         """
-        lifetime = min(lifetime, MAX_LIFETIME_SECONDS)
+        lifetime = min(lifetime_seconds, MAX_LIFETIME_SECONDS)
         self._put(key, origin, lifetime)
         self.send(
             self._custodians(key),
@@ -140,14 +154,13 @@
         known = self.table.get(key, self.clock.monotonic())
         if known is None:
             known = await self._ask_custodians(key)
-        return self._only_origin(pools) if known is None else known
+        return await self._only_origin(pools) if known is None else known
 
-    def _only_origin(self, pools: Sequence[str]) -> StreamOrigin | None:
+    async def _only_origin(self, pools: Sequence[str]) -> StreamOrigin | None:
         """Return the only possible origin of streams, ``None`` if several."""
         if len(pools) > 1:
             return None
-        now = self.clock.monotonic()
-        version = self.history.only_version(pools[0], now)
+        version = await self.history.only_version(pools[0])
         return None if version is None else StreamOrigin(pools[0], version)
 
     async def _ask_custodians(self, key: int) -> StreamOrigin | None:
@@ -225,8 +238,7 @@
         return None
 
     def _custodians(self, key: int) -> list[Member]:
-        zones = dict(self.contacts.contacts_by_zone())
-        own = zones.pop(self.contacts.myself.zone, ())
+        own, zones = self._own_and_other_zones()
         chosen = _highest(_staying(own), key, CUSTODIANS_IN_OWN_ZONE)
         for zone in _ranked_zones(zones, key)[:CUSTODIAN_ZONES]:
             chosen.extend(_highest(_staying(zones[zone]), key, 1))
@@ -234,13 +246,28 @@
 
     def _asked(self, key: int) -> list[Member]:
         """Return the routers that may be custodians of a stream."""
-        zones = dict(self.contacts.contacts_by_zone())
-        own = zones.pop(self.contacts.myself.zone, ())
+        own, zones = self._own_and_other_zones()
         chosen = _highest(own, key, ASKED_IN_OWN_ZONE)
         for zone in _ranked_zones(zones, key)[:ASKED_ZONES]:
             chosen.extend(_highest(zones[zone], key, ASKED_IN_OTHER_ZONE))
         return chosen
 
+    def _own_and_other_zones(
+        self,
+    ) -> tuple[Sequence[Member], Mapping[str, Sequence[Member]]]:
+        """Return the other routers of this zone, and those of other zones."""
+        now = self.clock.monotonic()
+        if now - self.zones_read_at >= CONTACTS_SECONDS:
+            self.zones_read_at = now
+            self.zones = self.contacts.contacts_by_zone()
+        own_zone = self.contacts.myself.zone
+        others = {
+            zone: members
+            for zone, members in self.zones.items()
+            if zone != own_zone
+        }
+        return self.zones.get(own_zone, ()), others
+
 
 def _staying(members: Iterable[Member]) -> list[Member]:
     """Return the members that are not shutting down."""
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -54,6 +54,7 @@
     TopicAsk,
     TopicPage,
 )
+from hickorymux._internal.coordination.version_history import VersionHistory
 from hickorymux._internal.exceptions import (
     HickorymuxError,
     HostListUnavailable,
@@ -84,9 +85,6 @@
 # Upstreams renew their entries all the time, so reads that wait for a change
 # would follow each other without a pause.
 UPSTREAM_READ_TIMING: Final = ReadTiming(wait_seconds=0, interval_seconds=0.5)
-# Below this staleness no version of an upstream has gone unnoticed for long. The
-# topic of the upstreams is read about every 0.5 s.
-MAX_UPSTREAM_STALENESS_SECONDS: Final = 2.0
 # How often the router list is read. Routers that start in between become
 # known by their heartbeats.
 ROUTER_LIST_INTERVAL_SECONDS: Final = 30.0
@@ -347,9 +345,6 @@
         self.part_guard = PartGuard(
             self.membership, self.network.send_datagram, self.clock, self.rng
         )
-        self.streams = StreamDirectory(
-            self.membership, self.network.send_datagram, self.clock
-        )
 
     def _build_request_path(self) -> None:
         settings, deployment = self.settings, self.deployment
@@ -380,6 +375,16 @@
             self.view.apply_upstream_listing,
             self._on_upstream_log_recovery,
         )
+        self.streams = StreamDirectory(
+            self.membership,
+            self.network.send_datagram,
+            VersionHistory(
+                self.view.registry,
+                lambda: self.upstream_follower.confirmed_at,
+                self.clock,
+            ),
+            self.clock,
+        )
         self.cold_share = ColdShare(settings.router_id)
         self.allocator = Allocator(
             self.view.registry,
@@ -523,24 +528,12 @@
                 live = {member.router_id for member in self.membership.live()}
                 self.cold_share.update_routers(self.listed_routers | live)
                 self._apply_bounds()
-            now = self.clock.monotonic()
-            self.view.registry.expire(now)
-            self.streams.history.observe(
-                self.view.registry.upstreams.values(),
-                now,
-                is_fresh=self._is_upstream_view_fresh(),
-            )
+            self.view.registry.expire(self.clock.monotonic())
+            self.streams.history.observe()
             self._report_readiness()
             self.allocator.log_shares()
             await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
 
-    def _is_upstream_view_fresh(self) -> bool:
-        return (
-            self.view.has_upstream_listing
-            and self.upstream_follower.staleness_seconds()
-            < MAX_UPSTREAM_STALENESS_SECONDS
-        )
-
     def _report_readiness(self) -> None:
         """Log the readiness if it changed."""
         is_ready = self.check_readiness()
--- a/tests/unit/coordination/test_stream_directory.py
+++ b/tests/unit/coordination/test_stream_directory.py
@@ -17,9 +17,9 @@
     StreamDirectory,
 )
 from hickorymux._internal.coordination.stream_messages import StreamBegun
+from hickorymux._internal.coordination.version_history import VersionHistory
 from hickorymux._internal.state.stream_origins import StreamOrigin, stream_key
-from hickorymux._internal.state.version_history import HISTORY_SECONDS
-from tests.lib.demands import upstream
+from tests.lib.demands import registry
 from tests.lib.manual_clock import ManualClock
 
 ORIGIN = StreamOrigin('models', 'v2')
@@ -89,7 +89,8 @@
                 )
 
         contacts = Contacts(member, self.zones)
-        router = StreamDirectory(contacts, send, self.clock)
+        history = VersionHistory(registry(0), self.clock.monotonic, self.clock)
+        router = StreamDirectory(contacts, send, history, self.clock)
         self.routers[member.router_id] = router
 
     def begin_streams(self, router_id: str) -> list[int]:
@@ -182,44 +183,15 @@
     assert await fleet.count_found('z0-1', keys) == 0
 
 
-def observe(router: StreamDirectory, clock, versions, seconds, **options):
-    rows = [upstream(row, version=name) for row, name in enumerate(versions)]
-    for _ in range(int(seconds)):
-        is_fresh = options.get('is_fresh', True)
-        router.history.observe(rows, clock.monotonic(), is_fresh=is_fresh)
-        clock.advance(1)
-
-
-async def find_unknown(router: StreamDirectory, pools=POOLS):
-    return await router.find(7, pools)
-
-
 async def test_unknown_stream_is_refused_though_there_is_one_version():
     fleet = DirectoryFleet((1,))
     router = fleet.routers['z0-0']
-    observe(router, fleet.clock, ('v2', 'v2'), HISTORY_SECONDS / 2)
-    assert await find_unknown(router) is None
-    observe(router, fleet.clock, ('v2', 'v2'), HISTORY_SECONDS)
-    assert await find_unknown(router) == ORIGIN
-    assert await find_unknown(router, ('models', 'others')) is None
-
-
-async def test_unknown_stream_goes_on_though_its_version_may_have_left():
-    fleet = DirectoryFleet((1,))
-    router = fleet.routers['z0-0']
-    observe(router, fleet.clock, ('v1', 'v2'), HISTORY_SECONDS + 1)
-    assert await find_unknown(router) is None
-    observe(router, fleet.clock, ('v2',), HISTORY_SECONDS - 1)
-    assert await find_unknown(router) is None
-    observe(router, fleet.clock, ('v2',), 2)
-    assert await find_unknown(router) == ORIGIN
-
-
-async def test_unknown_stream_goes_on_by_a_view_that_is_out_of_date():
-    fleet = DirectoryFleet((1,))
-    router = fleet.routers['z0-0']
-    observe(router, fleet.clock, ('v2',), HISTORY_SECONDS + 1)
-    observe(router, fleet.clock, ('v2',), 1, is_fresh=False)
-    assert await find_unknown(router) is None
-    observe(router, fleet.clock, ('v2',), HISTORY_SECONDS - 1)
-    assert await find_unknown(router) is None
+    router.history = VersionHistory(
+        registry(2, version='v2'), fleet.clock.monotonic, fleet.clock
+    )
+    assert await router.find(7, POOLS) is None
+    for _ in range(40):
+        router.history.observe()
+        fleet.clock.advance(1)
+    assert await router.find(7, POOLS) == ORIGIN
+    assert await router.find(7, ('models', 'others')) is None
