Bound the search for a stream's version by its deadline

What callers saw: nothing yet. On a route with a timeout below 0.3 s, or with little time left, a request that resumes a stream was looked up beyond its deadline.

Result: test_unknown_version_is_looked_for_beyond_the_deadline (0.3 s before, on a route with a timeout of 100 ms) gets stream_unknown in time.

--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -389,9 +390,12 @@
             return None
         name = customer.name if customer is not None else ''
         pools = [share.pool for share in route.pools]
-        origin = await self.dispatcher.streams.find(
-            stream_key(name, facts.first_request_id), pools
-        )
+        origin = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_time_limit_seconds(route, facts)):
+                origin = await self.dispatcher.streams.find(
+                    stream_key(name, facts.first_request_id), pools
+                )
         if origin is None:
             raise StreamUnknown(
                 f'unknown where request "{facts.first_request_id}" began the'
@@ -421,9 +425,7 @@
                 f'route "{route.name}" refers to an unknown pool',
                 retry_after=NOT_READY_RETRY_SECONDS,
             )
-        limit = route.timeout.total_seconds()
-        if facts.caller_timeout_seconds is not None:
-            limit = min(limit, facts.caller_timeout_seconds)
+        limit = _time_limit_seconds(route, facts)
         objective = route.latency_objective.total_seconds() or limit
         regions = route.regions
         if customer is not None and customer.regions:
@@ -515,6 +517,14 @@
         )
 
 
+def _time_limit_seconds(route: HttpRoute, facts: RequestHeaders) -> float:
+    """Return the time from the arrival of a request to its deadline."""
+    limit = route.timeout.total_seconds()
+    if facts.caller_timeout_seconds is None:
+        return limit
+    return min(limit, facts.caller_timeout_seconds)
+
+
 def _status_of(error: RequestError) -> int:
     """Return the HTTP status of a refusal.
 
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -221,6 +221,20 @@
         assert not any(engine.received for engine in fleet.engines)
 
 
+async def test_unknown_version_is_looked_for_beyond_the_deadline():
+    impatient = route('/stream/', 'streaming', resumable=True, timeoutMs=100)
+    async with platform_fleet(impatient) as fleet:
+        await add_engines(fleet, 'v1', 'v2')
+        silent = await fleet.add_router()
+        await fleet.wait_until_ready()
+        silent.network.handler = lambda _sender_id, _message: None
+        stream = Stream('s', 'never-seen', ['v1'])
+        started_at = fleet.process.clock.monotonic()
+        await read(fleet, stream, 's-2')
+        assert stream.refusal == 'stream_unknown'
+        assert fleet.process.clock.monotonic() - started_at < 0.25
+
+
 async def test_stream_is_resumed_though_no_engine_has_its_version():
     async with platform_fleet(RESUMED_BY_CALLER) as fleet:
         await add_engines(fleet, 'v1', 'v2', 'v2')
