Ignore a caller's timeout that is no finite number

What callers saw: nothing yet. X-Request-Deadline: nan would end a stream at its first event, as the lifetime of its version can't be computed from it.

Result: test_invalid_headers_are_ignored has nan and inf, which were taken before.

--- a/src/hickorymux/platform/headers.py
+++ b/src/hickorymux/platform/headers.py
@@ -1,6 +1,7 @@
 """Reads and writes the platform's HTTP headers; implements ``Dialect``."""
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -211,6 +212,7 @@
 
 def _milliseconds_to_seconds(milliseconds: str) -> float | None:
     try:
-        return float(milliseconds) / _MS_PER_SECOND
+        seconds = float(milliseconds) / _MS_PER_SECOND
     except ValueError:
         return None
+    return seconds if math.isfinite(seconds) else None
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -117,6 +117,8 @@
         ('X-Token-Count', 'many'),
         ('X-Prompt-Prefix', ',,:'),
         ('X-Request-Deadline', 'soon'),
+        ('X-Request-Deadline', 'nan'),
+        ('X-Request-Deadline', 'inf'),
         ('X-Server-Load', '1,2'),
     ],
 )
