Take request ids that are not UTF-8 for streams

What callers saw: nothing yet. The first event of a stream whose request id has bytes that are not UTF-8 would have failed with UnicodeEncodeError.

Result: test_request_id_that_is_not_text_has_no_key, which raised before.

--- a/src/hickorymux/_internal/state/stream_origins.py
+++ b/src/hickorymux/_internal/state/stream_origins.py
@@ -88,4 +88,6 @@
 
     Customers choose their request ids, so two may choose the same.
     """
-    return xxhash.xxh3_64_intdigest(f'{customer}\n{request_id}'.encode())
+    text = f'{customer}\n{request_id}'
+    # A header may have bytes that are not UTF-8.
+    return xxhash.xxh3_64_intdigest(text.encode(errors='surrogateescape'))
--- a/tests/unit/state/test_stream_origins.py
+++ b/tests/unit/state/test_stream_origins.py
@@ -31,3 +31,8 @@
 
 def test_request_ids_of_two_customers_are_mixed_up():
     assert stream_key('ann', 'r') != stream_key('bob', 'r')
+
+
+def test_request_id_that_is_not_text_has_no_key():
+    request_id = b'\xff'.decode(errors='surrogateescape')
+    assert stream_key('ann', request_id) != stream_key('ann', '?')
