Name the replicas of a stream's version, and log what was found

The routers that keep the origin of a stream are its replicas, the field's term, and are queried. A request that resumes a stream has a line stream_resumed with the request that began it, the pool, the version and the time of the search, so that stream_unknown and a slow lookup can be traced. No decision is changed.

--- a/src/hickorymux/_internal/coordination/stream_directory.py
+++ b/src/hickorymux/_internal/coordination/stream_directory.py
@@ -1,12 +1,12 @@
 """Finds out at which software version a stream began, across all routers.
 
-The router that relays the first event of a stream tells a few others, the
-custodians of the stream, before it sends the event on. So the fleet knows the
-version also when this router is gone. Custodians are found by rendezvous
-hashing (Thaler and Ravishankar, 1998): some in the zone of the router, where
-the caller is likely to come back, and one in each of some other zones, for the
-loss of a zone. A router that is asked to resume a stream that it does not know
-asks those that may be custodians.
+The router that relays the first event of a stream replicates its origin to a
+few others before it sends the event on, so that the fleet knows the version
+also when this router is gone. The replicas are chosen by rendezvous hashing
+(Thaler and Ravishankar, 1998): some in the zone of the router, where the caller
+is likely to come back, and one in each of some other zones, for the loss of a
+zone. A router that is to resume a stream that it does not know queries those
+that may be replicas.
 
 If none of them knows the stream, or none answers within a short time, it began
 at the only version that was registered lately. If there were more, or the view
@@ -48,14 +48,15 @@
 )
 from hickorymux._internal.utils.clock import Clock
 
-CUSTODIANS_IN_OWN_ZONE: Final = 2
-# Other zones with one custodian each.
-CUSTODIAN_ZONES: Final = 2
-# One more is asked than was told in each place, as the router that told them did
-# not count itself and its zone, and the asking router may count them.
-ASKED_IN_OWN_ZONE: Final = CUSTODIANS_IN_OWN_ZONE + 1
-ASKED_IN_OTHER_ZONE: Final = 2
-ASKED_ZONES: Final = CUSTODIAN_ZONES + 1
+REPLICAS_IN_OWN_ZONE: Final = 2
+# Other zones with one replica each.
+REPLICA_ZONES: Final = 2
+# A query goes to one router and one zone more than there are replicas. The router
+# that chose the replicas left out itself and its own zone, which the router that
+# queries may rank among them.
+QUERIED_IN_OWN_ZONE: Final = REPLICAS_IN_OWN_ZONE + 1
+QUERIED_IN_OTHER_ZONE: Final = 2
+QUERIED_ZONES: Final = REPLICA_ZONES + 1
 # A query is repeated once after this, as datagrams may be lost.
 QUERY_REPEAT_SECONDS: Final = 0.1
 # Routers under load answer within some tens of milliseconds.
@@ -130,14 +131,14 @@
     def record(
         self, key: int, origin: StreamOrigin, lifetime_seconds: float
     ) -> None:
-        """Record where a stream began, and tell its custodians.
+        """Record where a stream began, and replicate that.
 
         ``lifetime_seconds`` is for how long the caller may resume it.
         """
         lifetime = min(lifetime_seconds, MAX_LIFETIME_SECONDS)
         self._put(key, origin, lifetime)
         self.send(
-            self._custodians(key),
+            self._replicas(key),
             StreamBegun(
                 signed_fingerprint(key),
                 origin.pool,
@@ -153,7 +154,7 @@
         """
         known = self.table.get(key, self.clock.monotonic())
         if known is None:
-            known = await self._ask_custodians(key)
+            known = await self._query_replicas(key)
         return await self._only_origin(pools) if known is None else known
 
     async def _only_origin(self, pools: Sequence[str]) -> StreamOrigin | None:
@@ -163,18 +164,20 @@
         version = await self.history.only_version(pools[0])
         return None if version is None else StreamOrigin(pools[0], version)
 
-    async def _ask_custodians(self, key: int) -> StreamOrigin | None:
-        asked = {member.router_id: member for member in self._asked(key)}
-        if not asked:
+    async def _query_replicas(self, key: int) -> StreamOrigin | None:
+        pending = {
+            member.router_id: member for member in self._possible_replicas(key)
+        }
+        if not pending:
             return None
         number = next(self.query_numbers)
         result: asyncio.Future[StreamOrigin | None]
         result = asyncio.get_running_loop().create_future()
-        query = _Query(asked, result)
+        query = _Query(pending, result)
         self.queries[number] = query
         message = StreamQuery(number, signed_fingerprint(key))
         try:
-            return await self._ask(query, message)
+            return await self._await_result(query, message)
         finally:
             self.queries.pop(number)
 
@@ -223,7 +226,7 @@
         now = self.clock.monotonic()
         self.table.put(key, origin, now + lifetime, now)
 
-    async def _ask(
+    async def _await_result(
         self, query: _Query, message: StreamQuery
     ) -> StreamOrigin | None:
         """Send a query, repeat it once, and return its result."""
@@ -237,19 +240,19 @@
                 return query.result.result()
         return None
 
-    def _custodians(self, key: int) -> list[Member]:
+    def _replicas(self, key: int) -> list[Member]:
         own, zones = self._own_and_other_zones()
-        chosen = _highest(_staying(own), key, CUSTODIANS_IN_OWN_ZONE)
-        for zone in _ranked_zones(zones, key)[:CUSTODIAN_ZONES]:
+        chosen = _highest(_staying(own), key, REPLICAS_IN_OWN_ZONE)
+        for zone in _ranked_zones(zones, key)[:REPLICA_ZONES]:
             chosen.extend(_highest(_staying(zones[zone]), key, 1))
         return chosen
 
-    def _asked(self, key: int) -> list[Member]:
-        """Return the routers that may be custodians of a stream."""
+    def _possible_replicas(self, key: int) -> list[Member]:
+        """Return the routers that may have the origin of a stream."""
         own, zones = self._own_and_other_zones()
-        chosen = _highest(own, key, ASKED_IN_OWN_ZONE)
-        for zone in _ranked_zones(zones, key)[:ASKED_ZONES]:
-            chosen.extend(_highest(zones[zone], key, ASKED_IN_OTHER_ZONE))
+        chosen = _highest(own, key, QUERIED_IN_OWN_ZONE)
+        for zone in _ranked_zones(zones, key)[:QUERIED_ZONES]:
+            chosen.extend(_highest(zones[zone], key, QUERIED_IN_OTHER_ZONE))
         return chosen
 
     def _own_and_other_zones(
@@ -289,5 +292,5 @@
 
 
 def _rank(key: int, name: str) -> int:
-    # All routers must hash the same text to find the same custodians.
+    # All routers must hash the same text to choose the same replicas.
     return xxhash.xxh3_64_intdigest(f'{key:016x}/{name}'.encode())
--- a/src/hickorymux/_internal/coordination/stream_messages.py
+++ b/src/hickorymux/_internal/coordination/stream_messages.py
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StreamQuery:
-    """Asks where a stream began; ``number`` identifies the answer."""
+    """Asks where a stream began; ``number`` identifies the reply."""
 
     number: int = 0
     key: int = 0
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -390,6 +390,7 @@
             return None
         name = customer.name if customer is not None else ''
         pools = [share.pool for share in route.pools]
+        asked_at = self.clock.monotonic()
         origin = None
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_time_limit_seconds(route, facts)):
@@ -407,6 +408,17 @@
                 f'the stream began at pool "{origin.pool}", which route'
                 f' "{route.name}" no longer has'
             )
+        self.decisions.record(
+            facts.request_id,
+            'stream_resumed',
+            'its origin is known',
+            resumes=facts.first_request_id,
+            pool=origin.pool,
+            version=origin.version,
+            searched_ms=round(
+                _MS_PER_SECOND * (self.clock.monotonic() - asked_at), 1
+            ),
+        )
         return origin
 
     def _build_demand(
--- a/tests/unit/coordination/test_stream_directory.py
+++ b/tests/unit/coordination/test_stream_directory.py
@@ -9,11 +9,11 @@
 
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.coordination.stream_directory import (
-    ASKED_IN_OTHER_ZONE,
-    ASKED_IN_OWN_ZONE,
-    ASKED_ZONES,
-    CUSTODIAN_ZONES,
-    CUSTODIANS_IN_OWN_ZONE,
+    QUERIED_IN_OTHER_ZONE,
+    QUERIED_IN_OWN_ZONE,
+    QUERIED_ZONES,
+    REPLICA_ZONES,
+    REPLICAS_IN_OWN_ZONE,
     StreamDirectory,
 )
 from hickorymux._internal.coordination.stream_messages import StreamBegun
@@ -148,7 +148,7 @@
     fleet.unreachable.add('z2-1')
     started_at = asyncio.get_running_loop().time()
     found = await fleet.count_found('z2-1', keys)
-    # It knows those that it was told of before it was cut off.
+    # It is a replica of some of them since before it was cut off.
     own = sum(
         fleet.routers['z2-1'].table.get(key, 0) is not None for key in keys
     )
@@ -167,13 +167,13 @@
 async def test_messages_grow_with_the_fleet():
     fleet = DirectoryFleet(GROWN)
     keys = fleet.begin_streams('z0-0')
-    told = CUSTODIANS_IN_OWN_ZONE + CUSTODIAN_ZONES
-    assert len(fleet.sent) == told * STREAMS
+    replicas = REPLICAS_IN_OWN_ZONE + REPLICA_ZONES
+    assert len(fleet.sent) == replicas * STREAMS
     assert all(isinstance(message, StreamBegun) for message in fleet.sent)
     fleet.sent.clear()
     await fleet.count_found('z3-1', keys[:1])
-    asked = ASKED_IN_OWN_ZONE + ASKED_IN_OTHER_ZONE * ASKED_ZONES
-    assert len(fleet.sent) <= 2 * asked
+    queried = QUERIED_IN_OWN_ZONE + QUERIED_IN_OTHER_ZONE * QUERIED_ZONES
+    assert len(fleet.sent) <= 2 * queried
 
 
 async def test_version_outlives_the_callers_patience():
