Let soaks on one machine choose hosts that no other soak uses

Traced by its log: front-0 could not bind 127.0.11.1:9464, the metrics port, which a router of the other soak had. The harness drew the host at random and did not look.

Change: it draws until the port is free.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -6,12 +6,14 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
 
 import aiohttp
 
+from hickorymux.platform.settings import METRICS_PORT
 from tests.lib.platform_engine import (
     PlatformEngine,
     ReceivedRequest,
@@ -50,7 +52,7 @@
     """
 
     def __init__(self, number: int, folder: pathlib.Path, store: str) -> None:
-        ip = f'127.0.{random.SystemRandom().randint(1, 250)}.{number + 1}'
+        ip = _free_host(number + 1)
         self.node = f'front-{number}'
         front, ready = free_port(), free_port()
         self.caller_address = f'{ip}:{front}'
@@ -251,6 +253,15 @@
         return respond
 
 
+def _free_host(last_number: int) -> str:
+    """Return a loopback address on which no other router serves metrics."""
+    while True:
+        ip = f'127.0.{random.SystemRandom().randint(1, 250)}.{last_number}'
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((ip, METRICS_PORT))
+            return ip
+
+
 async def _write_response(
     received: ReceivedRequest, fault: str, version: str
 ) -> None:
