Wait until all streams have begun before their router is killed

Traced by its output: TimeoutError in begin_streams. The test killed the router 0.5 s after it had begun to send the streams; under load some had not begun by then, and never could at a killed router.

Change: it waits until each stream has events. All checks and bounds are the same.

--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -133,9 +133,13 @@
         return
 
 
-async def begin_streams(fleet) -> list[Stream]:
+def new_streams() -> list[Stream]:
+    return [Stream(f's{number}') for number in range(STREAM_COUNT)]
+
+
+async def begin_streams(fleet, streams=()) -> list[Stream]:
     """Begin many streams at the first router, which are cut after some events."""
-    streams = [Stream(f's{number}') for number in range(STREAM_COUNT)]
+    streams = streams or new_streams()
 
     async def begin(stream: Stream) -> None:
         # A router may refuse some while engines that cut streams are ejected.
@@ -201,13 +205,16 @@
         await fleet.wait_until_ready()
         for engine in fleet.engines:
             engine.gate.clear()
-        beginning = asyncio.create_task(begin_streams(fleet))
-        await asyncio.sleep(0.5)
+        streams = new_streams()
+        beginning = asyncio.create_task(begin_streams(fleet, streams))
+        async with asyncio.timeout(BEGIN_TIMEOUT_SECONDS):
+            while not all(each.versions for each in streams):
+                await asyncio.sleep(0.02)
         if is_first_router_killed:
             await fleet.process.close()
         for engine in fleet.engines:
             engine.gate.set()
-        streams = await beginning
+        await beginning
         for index, router in enumerate(routers):
             await resume_streams(fleet, streams[index::3], router)
         assert not mixed(streams)
