Log the fingerprint of failed attempts, and crashes that are ruled out

The record of the incident can't tell a request that is not recognized from one whose crash is not seen: attempts had no fingerprint, and an upstream that still accepts connections left no line. Lines retry, failed and upstream_crashed have the fingerprint now; crash_ruled_out is new. No decision changes.

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -437,6 +437,13 @@
     ) -> None:
         """Report the request as a crash suspect if its upstream is down."""
         if await _is_listening(reservation.upstream.address):
+            self.decisions.record(
+                call.request_id,
+                'crash_ruled_out',
+                'the connection was cut, but the upstream accepts new ones',
+                upstream=reservation.upstream.upstream_id,
+                fingerprint=_hexadecimal(call.fingerprint),
+            )
             return
         self.decisions.record(
             call.request_id,
@@ -444,6 +451,7 @@
             'the connection was cut and the upstream refuses new ones',
             upstream=reservation.upstream.upstream_id,
             incarnation=reservation.upstream.incarnation,
+            fingerprint=_hexadecimal(call.fingerprint),
             events=call.attempt_events,
             shared_parts=call.shared_parts,
         )
@@ -482,6 +490,8 @@
             'retry' if final_error is None else 'failed',
             str(error),
             upstream=reservation.upstream.upstream_id,
+            method=call.method,
+            fingerprint=_hexadecimal(call.fingerprint),
             sent=attempt.sent,
             attempt=call.sent_attempts,
             events=call.attempt_events,
@@ -563,6 +573,11 @@
     return round(seconds * _MS_PER_SECOND, 1)
 
 
+def _hexadecimal(fingerprint: int) -> str:
+    """Return a fingerprint as log lines show it."""
+    return f'{fingerprint:016x}'
+
+
 async def _accept_any_connection(_protocol: Any) -> None:
     """Accept any connection.
 
--- a/tests/functional/test_explained_failures.py
+++ b/tests/functional/test_explained_failures.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import re
 
 import pytest
 
@@ -92,6 +93,12 @@
     )
     assert 'upstream_cut' in failed
     assert 'sent=true' in failed
+    assert 'method=POST' in failed
+    fingerprint = re.search('fingerprint=[0-9a-f]{16}', failed)
+    ruled_out = next(
+        line for line in output.splitlines() if 'event=crash_ruled_out' in line
+    )
+    assert fingerprint is not None and fingerprint[0] in ruled_out
 
 
 async def test_answered_without_length_or_events(log, capsys):
