--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -53,8 +53,10 @@
 class PlatformEngine:
     """An emulated engine.
 
-    ``version`` is that of its software. ``received`` has all requests, ``connections`` counts the connections and
-    ``closed`` those that the router closed before the script had ended.
+    ``version`` is that of its software. ``received`` has all requests,
+    ``connections`` counts the connections and ``closed`` those that the router
+    closed before the script had ended. ``held_sockets`` keep the port of an
+    engine that has crashed.
     """
 
     def __init__(self, engine_id: str, script: Script = answer_ok) -> None:
@@ -66,6 +68,7 @@
         self.connections = 0
         self.server: asyncio.Server | None = None
         self.address = ''
+        self.held_sockets: list[socket.socket] = []
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -74,9 +77,38 @@
         self.address = f'{host}:{port}'
 
     async def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and free the port."""
         if self.server is not None:
             self.server.close()
+        for held in self.held_sockets:
+            held.close()
+
+    def crash(self, received: ReceivedRequest, *, is_silent: bool) -> None:
+        """Stop listening, keep the port, and reset the request's connection.
+
+        The port then refuses connections, or answers none if ``is_silent``.
+        """
+        host, _, port = self.address.rpartition(':')
+        address = (host, int(port))
+        self.server.close()
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(address)
+        self.held_sockets.append(holder)
+        if is_silent:
+            self._fill_backlog(holder, address)
+        reset_connection(received)
+
+    def _fill_backlog(
+        self, holder: socket.socket, address: tuple[str, int]
+    ) -> None:
+        """Let the port drop all further attempts to connect."""
+        holder.listen(0)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self.held_sockets.append(filler)
 
     def entry(self, pool: str = 'pool', **changes: object) -> dict[str, object]:
         """Return the store entry that registers the engine."""
