Report the loss of a sent request as a loss, not as a failed connect

Callers saw one ledger lookup end engine after engine, and every other request to that service fail with it (BUDGET).

Cause: aiohttp repeats a request of an idempotent method (GET, HEAD, PUT, DELETE) by itself when its connection is lost. The engine had crashed, so the repetition could not connect, and ConnectFailed ("nothing was sent") or AttemptTimeout reached the dispatcher in place of the loss. The crash was neither counted nor told to the other routers.

Evidence: in the record, the 12 lost attempts of lookups end with connect_failed and sent, none with upstream_crashed.

Change: a client middleware turns the loss of a sent request into the error of the attempt before aiohttp can repeat it, and what was sent decides whether an error may promise that nothing was. An attempt that is sent twice was already refused, and stays so.

--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -130,9 +130,7 @@
         attempt = _current_attempt.get()
         if attempt is not None:
             if attempt.sent:
-                # aiohttp repeats idempotent methods on a new connection when
-                # a kept-alive one turns out to be closed.
-                raise UpstreamCut('connection closed before the answer')
+                raise UpstreamCut('an attempt must not be sent twice')
             if _is_stale(conn.protocol):
                 raise StaleConnection(
                     'connection was closed or got bytes after its last answer'
@@ -256,12 +254,8 @@
         try:
             async with asyncio.timeout(self._first_byte_seconds()):
                 response = await self._request_skipping_stale(attempt)
-        except TimeoutError as error:
-            raise _timeout_error(attempt) from error
-        except aiohttp.ClientConnectorError as error:
-            raise ConnectFailed(str(error)) from error
         except (aiohttp.ClientError, aiohttp.EofStream, OSError) as error:
-            raise UpstreamCut(f'no answer: {error!r}') from error
+            raise _attempt_error(attempt, error) from error
         finally:
             _current_attempt.reset(token)
         _check_request_id(attempt, response)
@@ -418,6 +412,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         request_class=_CheckedRequest,
+        middlewares=(_raise_cut_if_sent,),
         read_bufsize=READ_BUFFER_BYTES,
         max_line_size=MAX_LINE_BYTES,
         timeout=aiohttp.ClientTimeout(
@@ -444,7 +439,32 @@
     return f'http://{attempt.address}/v1/requests/{attempt.upstream_request_id}'
 
 
-def _timeout_error(attempt: Attempt) -> AttemptError:
-    if attempt.sent:
+async def _raise_cut_if_sent(
+    request: aiohttp.ClientRequest,
+    handler: aiohttp.ClientHandlerType,
+) -> aiohttp.ClientResponse:
+    """Report the loss of a sent request at once; a client middleware.
+
+    On these errors, aiohttp repeats requests of idempotent methods by itself
+    and then reports only how the repetition ended.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        attempt = _current_attempt.get()
+        if attempt is None or not attempt.sent:
+            raise
+        raise _attempt_error(attempt, error) from error
+
+
+def _attempt_error(attempt: Attempt, error: Exception) -> AttemptError:
+    """Return the error of an attempt without an answer.
+
+    ``ConnectFailed`` promises that nothing was sent, so whether anything was
+    decides before the kind of the error does.
+    """
+    if not attempt.sent:
+        return ConnectFailed(str(error) or f'no connection: {error!r}')
+    if isinstance(error, TimeoutError):
         return AttemptTimeout('no answer within the first-byte timeout')
-    return ConnectFailed('no connection within the first-byte timeout')
+    return UpstreamCut(f'no answer: {error!r}')
