Clear a crash suspect that an upstream answered whole

Reads that many callers send alike are at many crashes.

Cause: on the platform, nothing cleared a suspect. While the crashes of reads were not counted, this could not show for them.

A whole answer shows that the request does not crash what runs it, so it clears the request everywhere, also when it is refused already.

--- a/src/hickorymux/_internal/coordination/crash_suspects.py
+++ b/src/hickorymux/_internal/coordination/crash_suspects.py
@@ -169,12 +169,11 @@
         if admission.permit_number:
             self.permits.release(admission.permit_number)
 
-    def on_finished(self, admission: Admission) -> None:
-        """Clear a suspect, here and at all peers, after a complete answer."""
-        if not admission.is_suspect:
+    def on_answered(self, fingerprint: int) -> None:
+        """Clear a request that was answered whole, here and at all peers."""
+        if not self.table.clear(fingerprint):
             return
-        self.table.clear_suspect(admission.fingerprint)
-        cleared = SuspectCleared(signed_fingerprint(admission.fingerprint))
+        cleared = SuspectCleared(signed_fingerprint(fingerprint))
         for member in self.members.live():
             if member.router_id != self.members.myself.router_id:
                 self.sender.send(member.router_id, cleared)
@@ -210,7 +209,7 @@
         elif isinstance(message, CrashReceipt):
             self.missing_receipts.get(message.number, set()).discard(sender_id)
         elif isinstance(message, SuspectCleared):
-            self.table.clear_suspect(unsigned_fingerprint(message.fingerprint))
+            self.table.clear(unsigned_fingerprint(message.fingerprint))
 
     def _suspicion(self, fingerprint: int) -> Suspicion:
         return self.table.suspicion_of(fingerprint, self.clock.monotonic())
--- a/src/hickorymux/_internal/state/suspects.py
+++ b/src/hickorymux/_internal/state/suspects.py
@@ -3,7 +3,8 @@
 Requests are known by their fingerprints. After one crash a fingerprint is a
 suspect. Suspects run one at a time, so a second crash shows which of the
 requests in flight at the first one was the cause. After two crashes a
-fingerprint is refused. A suspect that runs to completion is cleared.
+fingerprint is refused. A request that is answered whole does not cause crashes, and is
+cleared.
 
 Example::
 
@@ -90,14 +91,9 @@
         while len(self.entries) > self.max_entries:
             self.entries.popitem(last=False)
 
-    def clear_suspect(self, fingerprint: int) -> None:
-        """Remove a suspect that ran to completion, but no refused one."""
-        entry = self.entries.get(fingerprint)
-        if (
-            entry is not None
-            and self._suspicion_from(entry) is Suspicion.suspect
-        ):
-            self.entries.pop(fingerprint)
+    def clear(self, fingerprint: int) -> bool:
+        """Remove a request that was answered; return whether it was known."""
+        return self.entries.pop(fingerprint, None) is not None
 
     def _suspicion_from(self, entry: Suspect) -> Suspicion:
         """Return the suspicion that the number of crashes amounts to."""
--- a/src/hickorymux/_internal/transport/dispatcher.py
+++ b/src/hickorymux/_internal/transport/dispatcher.py
@@ -200,7 +200,7 @@
             await self._report_crash(placed, error)
             self._handle_failure(placed, reply, error, history)
             return False
-        self.suspects.on_finished(admission)
+        self.suspects.on_answered(admission.fingerprint)
         return True
 
     async def _report_crash(
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -309,6 +309,7 @@
         if call.route.kind is RequestKind.streaming and is_success:
             await self._relay_stream(call, reservation, answer, reply)
             self.part_guard.on_answer_begun(call.shared_parts)
+            self.suspects.on_answered(call.fingerprint)
             return
         if call.relay is not None:
             raise AnswerNotUsable(
@@ -316,7 +317,10 @@
             )
         headers = self.dialect.headers_to_caller(received)
         await relay_plain(answer, reply, headers)
-        if is_success and isinstance(call.demand, PlainDemand):
+        if not is_success:
+            return
+        self.suspects.on_answered(call.fingerprint)
+        if isinstance(call.demand, PlainDemand):
             self._observe_service_time(reservation)
 
     def _check_answer(
--- a/tests/functional/test_crashing_reads.py
+++ b/tests/functional/test_crashing_reads.py
@@ -22,6 +22,7 @@
 WRITE = route('/write/', 'non_idempotent')
 METHODS = ('GET', 'PUT', 'POST')
 DEADLY = '/read/deadly'
+SOUND = '/read/sound'
 # Engines that the fleet may lose before all routers refuse the request.
 MAX_CRASHES = 3
 
@@ -36,11 +37,11 @@
     return request.param
 
 
-def crash_on_deadly(engine: PlatformEngine, *, is_silent: bool) -> Script:
-    """Return a script that crashes the engine on the deadly path."""
+def crash_on(path: str, engine: PlatformEngine, *, is_silent: bool) -> Script:
+    """Return a script that crashes the engine on a path."""
 
     async def respond(received: ReceivedRequest) -> None:
-        if received.path != DEADLY:
+        if received.path != path:
             await answer_ok(received)
             return
         engine.crash(received, is_silent=is_silent)
@@ -50,10 +51,14 @@
 
 
 async def add_crashing_engine(
-    fleet: PlatformFleet, name: str, *, is_silent: bool = False
+    fleet: PlatformFleet,
+    name: str,
+    *,
+    path: str = DEADLY,
+    is_silent: bool = False,
 ) -> PlatformEngine:
     engine = PlatformEngine(name)
-    engine.script = crash_on_deadly(engine, is_silent=is_silent)
+    engine.script = crash_on(path, engine, is_silent=is_silent)
     await fleet.add_engine(engine)
     return engine
 
@@ -78,7 +83,7 @@
         await add_crashing_engine(fleet, 'e1', is_silent=is_silent)
         await fleet.wait_until_ready()
         if is_kept:
-            assert await status_of(fleet, 'GET', '/read/sound') == 200
+            assert await status_of(fleet, 'GET', SOUND) == 200
         assert await status_of(fleet, method, DEADLY) == 502
         assert crash_counts(fleet) == [1]
 
@@ -98,7 +103,7 @@
         assert len(crashed) == MAX_CRASHES
         for router in fleet.routers:
             assert await status_of(fleet, method, DEADLY, router) == 503
-            assert await status_of(fleet, method, '/read/sound', router) == 200
+            assert await status_of(fleet, method, SOUND, router) == 200
 
 
 @pytest.mark.parametrize('method', METHODS)
@@ -111,7 +116,7 @@
         engine = PlatformEngine('e1', close)
         await fleet.add_engine(engine)
         await fleet.wait_until_ready()
-        assert await status_of(fleet, method, '/read/sound') == 502
+        assert await status_of(fleet, method, SOUND) == 502
         assert not crash_counts(fleet)
         assert len(engine.received) == 1
         # One for the request, one to see whether the engine still listens.
@@ -132,3 +137,18 @@
         await fleet.wait_until_ready()
         assert await status_of(fleet, method, '/write/x') == 502
         assert len(engine.received) == 1
+
+
+async def test_sound_request_that_many_send_is_refused_after_crashes():
+    """Its answers between the crashes show that it does not cause them."""
+    async with platform_fleet(READ) as fleet:
+        for number in range(MAX_CRASHES):
+            await add_crashing_engine(fleet, f'e{number}', path=SOUND)
+            await fleet.wait_until_ready()
+            assert await status_of(fleet, 'GET', SOUND) == 502
+            sound = PlatformEngine(f'sound{number}')
+            await fleet.add_engine(sound)
+            await fleet.wait_until_ready()
+            assert await status_of(fleet, 'GET', SOUND) == 200
+            await fleet.remove_engine(sound)
+        assert not crash_counts(fleet)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -101,6 +101,15 @@
             'keyed.servers', engine.engine_id, engine.entry(**changes)
         )
 
+    async def remove_engine(self, engine: PlatformEngine) -> None:
+        """Remove an engine's entry; wait until no router sends to it."""
+        self.engines.remove(engine)
+        await self.store.put('keyed.servers', engine.engine_id, None)
+        for process in self.routers:
+            while engine.engine_id in process.view.registry.upstreams:
+                await process.clock.sleep(0.02)
+        await engine.close()
+
     async def add_router(self) -> EntryProcess:
         """Start another entry process of the fleet."""
         node = f'front-{len(self.routers) + 1}'
--- a/tests/unit/coordination/test_crash_suspects.py
+++ b/tests/unit/coordination/test_crash_suspects.py
@@ -56,7 +56,7 @@
             await router.on_crash(upstream, 'i1', fingerprints)
         for admission in admissions:
             if CRASHING not in fingerprints:
-                router.on_finished(admission)
+                router.on_answered(admission.fingerprint)
             router.end_admission(admission)
 
     async def run_pending_tasks(self) -> None:
