--- a/src/hickorymux/_internal/coordination/part_guard.py
+++ b/src/hickorymux/_internal/coordination/part_guard.py
@@ -27,6 +27,7 @@
     signed_fingerprint,
     unsigned_fingerprint,
 )
+from hickorymux._internal.coordination.trial_owner import is_trial_owner
 from hickorymux._internal.exceptions import CrashSuspect
 from hickorymux._internal.state.part_suspects import PartSuspects
 from hickorymux._internal.utils.clock import Clock
@@ -100,7 +101,7 @@
                     retry_after=RETRY_AFTER_SECONDS,
                 )
         for part in refused:
-            self.table.start_trial(part, now)
+            self.table.postpone_trial(part, now)
         self._log('prompt_part_tried', refused, 'the trial interval has passed')
         return True
 
@@ -176,16 +177,10 @@
             self.send(members, PartsCleared(signed))
 
     def _may_try(self, part: int, now: float) -> bool:
-        """Return whether this router may try a refused part with a request.
-
-        One router does so, that all others choose alike.
-        """
-        if not self.table.is_trial_due(part, now):
-            return False
-        owner = max(
-            self.members.live(), key=lambda member: _trial_rank(part, member)
+        """Return whether this router may try a refused part with a request."""
+        return self.table.is_trial_due(part, now) and is_trial_owner(
+            part, self.members
         )
-        return owner.router_id == self.members.myself.router_id
 
     def _peers(self) -> list[Member]:
         me = self.members.myself.router_id
@@ -209,9 +204,3 @@
 def fingerprint_of(part: str) -> int:
     """Return the fingerprint by which routers know a prompt part."""
     return xxhash.xxh3_64_intdigest(part.encode())
-
-
-def _trial_rank(part: int, member: Member) -> int:
-    # All routers must hash the same text to choose the same owner.
-    text = f'{part:016x}/{member.router_id}'
-    return xxhash.xxh3_64_intdigest(text.encode())
--- a/src/hickorymux/_internal/state/part_suspects.py
+++ b/src/hickorymux/_internal/state/part_suspects.py
@@ -25,6 +25,11 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, final
 
+from hickorymux._internal.state.trials import (
+    FIRST_TRIAL_SECONDS,
+    TrialSchedule,
+)
+
 # With fewer, a part may have been at the crashing engines by coincidence.
 MIN_CRASHES: Final = 3
 # A request that is tried at several engines is evidence against its parts only
@@ -34,11 +39,9 @@
 # before the first of them. Many sound requests share such a part, so it is
 # often at several engines that crash for another reason.
 MIN_CRASHES_IF_ANSWERED: Final = 5
-# How long after the last crash a refused part is first tried again, and the
-# longest interval between tries.
-FIRST_TRIAL_SECONDS: Final = 8.0
+# How long after the last crash a refused part is first tried again if it had
+# been answered before.
 FIRST_TRIAL_SECONDS_IF_ANSWERED: Final = 1.0
-MAX_TRIAL_SECONDS: Final = 300.0
 # How long a suspect is kept after its last crash.
 LIFETIME_SECONDS: Final = 600.0
 # An answer that began at most this long ago shows that a part is sound.
@@ -50,19 +53,17 @@
 
 @dataclasses.dataclass(slots=True)
 class PartSuspect:
-    """What is known of one suspect; times are monotonic seconds.
+    """What is known of one suspect.
 
     ``crashes`` names engine incarnations, ``requests`` has the fingerprints of
-    the requests that were lost in them. ``trial_at`` is when a refused part
-    may be tried again, and ``trial_seconds`` the interval until then.
+    the requests that were lost in them. ``trial`` is set while the part is
+    refused. ``expires_at`` is in monotonic seconds.
     """
 
     expires_at: float
     crashes: set[str] = dataclasses.field(default_factory=set)
     requests: set[int] = dataclasses.field(default_factory=set)
-    is_refused: bool = False
-    trial_at: float = 0
-    trial_seconds: float = FIRST_TRIAL_SECONDS
+    trial: TrialSchedule | None = None
 
 
 @final
@@ -96,7 +97,7 @@
         if known:
             self._explain(crash)
             for part in known:
-                self._delay_trial(self.suspects[part], crash, now)
+                self._delay_trial(part, crash, now)
             return ()
         if crash in self.explained_crashes:
             return ()
@@ -137,7 +138,7 @@
     def refuse(self, part: int, now: float) -> None:
         """Refuse a part, as another router does."""
         suspect = self.suspects.setdefault(part, PartSuspect(0))
-        if not suspect.is_refused:
+        if suspect.trial is None:
             self._refuse(part, suspect, now)
 
     def is_recently_answered(self, part: int, now: float) -> bool:
@@ -149,15 +150,18 @@
 
     def is_trial_due(self, part: int, now: float) -> bool:
         """Return whether a refused part may be tried again."""
-        return now >= self.suspects[part].trial_at
+        trial = self.suspects[part].trial
+        return trial is not None and trial.is_due(now)
 
-    def start_trial(self, part: int, now: float) -> None:
-        """Record that one request with a refused part is sent."""
-        _schedule_trial(self.suspects[part], now)
+    def postpone_trial(self, part: int, now: float) -> None:
+        """Postpone the next trial of a refused part, as one is started."""
+        trial = self.suspects[part].trial
+        if trial is not None:
+            trial.postpone(now)
 
     def _is_refused(self, part: int) -> bool:
         suspect = self.suspects.get(part)
-        return suspect is not None and suspect.is_refused
+        return suspect is not None and suspect.trial is not None
 
     def _add_suspect(
         self, part: int, crash: str, request: int, now: float
@@ -194,11 +198,11 @@
         )
 
     def _refuse(self, part: int, suspect: PartSuspect, now: float) -> None:
-        suspect.is_refused = True
         suspect.expires_at = now + LIFETIME_SECONDS
+        first_interval = FIRST_TRIAL_SECONDS
         if part in self.answered_at:
-            suspect.trial_seconds = FIRST_TRIAL_SECONDS_IF_ANSWERED
-        suspect.trial_at = now + suspect.trial_seconds
+            first_interval = FIRST_TRIAL_SECONDS_IF_ANSWERED
+        suspect.trial = TrialSchedule(first_interval, now)
         for crash in suspect.crashes:
             self._explain(crash)
 
@@ -208,19 +212,18 @@
         while len(self.explained_crashes) > MAX_EXPLAINED_CRASHES:
             self.explained_crashes.popitem(last=False)
         for part, suspect in tuple(self.suspects.items()):
-            if not suspect.is_refused and crash in suspect.crashes:
+            if suspect.trial is None and crash in suspect.crashes:
                 suspect.crashes.discard(crash)
                 if not suspect.crashes:
                     self.suspects.pop(part)
 
-    def _delay_trial(
-        self, suspect: PartSuspect, crash: str, now: float
-    ) -> None:
-        """Postpone the next trial after one more crash."""
+    def _delay_trial(self, part: int, crash: str, now: float) -> None:
+        """Postpone the next trial of a refused part after one more crash."""
+        suspect = self.suspects[part]
         suspect.expires_at = now + LIFETIME_SECONDS
         if crash not in suspect.crashes:
             suspect.crashes.add(crash)
-            _schedule_trial(suspect, now)
+            self.postpone_trial(part, now)
 
     def _expire(self, now: float) -> None:
         while self.suspects:
@@ -228,8 +231,3 @@
             if suspect.expires_at > now:
                 return
             self.suspects.pop(part)
-
-
-def _schedule_trial(suspect: PartSuspect, now: float) -> None:
-    suspect.trial_seconds = min(2 * suspect.trial_seconds, MAX_TRIAL_SECONDS)
-    suspect.trial_at = now + suspect.trial_seconds
--- a/tests/unit/coordination/test_part_guard.py
+++ b/tests/unit/coordination/test_part_guard.py
@@ -7,7 +7,7 @@
 from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import CrashSuspect
-from hickorymux._internal.state.part_suspects import FIRST_TRIAL_SECONDS
+from hickorymux._internal.state.trials import FIRST_TRIAL_SECONDS
 from tests.lib.claim_fleet import StaticMemberView
 from tests.lib.manual_clock import ManualClock
 
--- a/tests/unit/state/test_part_suspects.py
+++ b/tests/unit/state/test_part_suspects.py
@@ -1,11 +1,11 @@
 """Tests of finding the prompt part that crashes engines."""
 
 from hickorymux._internal.state.part_suspects import (
-    FIRST_TRIAL_SECONDS,
     MIN_CRASHES,
     MIN_CRASHES_IF_ANSWERED,
     PartSuspects,
 )
+from hickorymux._internal.state.trials import FIRST_TRIAL_SECONDS
 
 DEADLY, SYSTEM, SUBJECT = 1, 2, 3
 LOST = (SYSTEM, SUBJECT, DEADLY)
@@ -67,7 +67,7 @@
     table.refuse(DEADLY, 0)
     assert not table.is_trial_due(DEADLY, FIRST_TRIAL_SECONDS - 0.1)
     assert table.is_trial_due(DEADLY, FIRST_TRIAL_SECONDS)
-    table.start_trial(DEADLY, FIRST_TRIAL_SECONDS)
+    table.postpone_trial(DEADLY, FIRST_TRIAL_SECONDS)
     assert not table.is_trial_due(DEADLY, 2.9 * FIRST_TRIAL_SECONDS)
     assert table.is_trial_due(DEADLY, 3 * FIRST_TRIAL_SECONDS)
 
