Try a refused request again at growing intervals

Callers of a sound request that was at three engines when these ended together, as in the loss of a zone, would be refused for ten minutes: once no request is running, no answer can clear it.

Cause: a conclusion from coincidence had no way to be corrected. Prompt parts have one: a trial by one router at growing intervals.

Evidence: test_sound_request_at_three_crashes_is_refused_for_minutes, which had no trial to find before. A request that does crash upstreams reaches at most three more in 90 s (test_trials_of_a_crashing_request_crash_many_ upstreams), the users' bound. Its refusals name the time until the trial as the time to come back.

--- a/src/hickorymux/_internal/coordination/crash_suspects.py
+++ b/src/hickorymux/_internal/coordination/crash_suspects.py
@@ -36,6 +36,7 @@
     unsigned_fingerprint,
 )
 from hickorymux._internal.coordination.suspect_permits import SuspectPermits
+from hickorymux._internal.coordination.trial_owner import is_trial_owner
 from hickorymux._internal.exceptions import CrashSuspect, NoCapacity
 from hickorymux._internal.state.suspects import (
     CRASHES_UNTIL_REFUSED,
@@ -159,10 +160,33 @@
     def raise_if_refused(self, fingerprint: int) -> None:
         """Raise ``CrashSuspect`` if too many upstreams crashed with it."""
         if self._suspicion(fingerprint) is Suspicion.refused:
-            raise CrashSuspect(
-                'the request was in flight when upstreams crashed',
-                hint='change the request before sending it again',
-            )
+            raise _refusal()
+
+    def check(self, fingerprint: int) -> bool:
+        """Return whether the request tries again what is refused.
+
+        Most requests are no trial. One that is must be sent once only. Raises
+        ``CrashSuspect`` if the request is refused and not to be tried now.
+        """
+        if self._suspicion(fingerprint) is not Suspicion.refused:
+            return False
+        trial = self.table.trial_of(fingerprint)
+        now = self.clock.monotonic()
+        if trial is None or not trial.is_due(now):
+            wait = 0 if trial is None else trial.due_at - now
+            raise _refusal(max(wait, RETRY_AFTER_SECONDS))
+        if not is_trial_owner(fingerprint, self.members):
+            raise _refusal(RETRY_AFTER_SECONDS)
+        trial.postpone(now)
+        logger.info(
+            'crash suspect is tried again',
+            extra={
+                'event': 'crash_suspect_tried',
+                'fingerprint': f'{fingerprint:016x}',
+                'reason': 'the trial interval has passed',
+            },
+        )
+        return True
 
     def end_admission(self, admission: Admission) -> None:
         """Release the permit of an admission; call it for every outcome."""
@@ -265,3 +289,11 @@
         while missing and self.clock.monotonic() < deadline:
             await self.clock.sleep(poll_interval)
         self.missing_receipts.pop(report.number)
+
+
+def _refusal(retry_after: float | None = None) -> CrashSuspect:
+    return CrashSuspect(
+        'the request was in flight when upstreams crashed',
+        hint='change the request before sending it again',
+        retry_after=retry_after,
+    )
--- a/src/hickorymux/_internal/state/suspects.py
+++ b/src/hickorymux/_internal/state/suspects.py
@@ -18,6 +18,11 @@
 import enum
 from typing import final
 
+from hickorymux._internal.state.trials import (
+    FIRST_TRIAL_SECONDS,
+    TrialSchedule,
+)
+
 CRASHES_UNTIL_REFUSED = 2
 
 
@@ -34,12 +39,14 @@
     """The crashes at which a fingerprint was in flight.
 
     ``crashes`` names each crash by upstream and instance, so a crash that
-    several routers report counts once. ``expires_at`` is a time on this
-    router's monotonic clock, in seconds.
+    several routers report counts once. ``trial`` is set while the fingerprint
+    is refused. ``expires_at`` is a time on this router's monotonic clock, in
+    seconds.
     """
 
     expires_at: float
     crashes: frozenset[str] = frozenset()
+    trial: TrialSchedule | None = None
 
 
 @final
@@ -84,17 +91,31 @@
     def add_crash(self, fingerprint: int, crash: str, now: float) -> None:
         """Record that the fingerprint was in flight at a crash."""
         entry = self._unexpired_entry(fingerprint, now) or Suspect(0)
-        entry.crashes |= {crash}
+        if crash not in entry.crashes:
+            entry.crashes |= {crash}
+            self._schedule_trial(entry, now)
         entry.expires_at = now + self.lifetime_seconds
         self.entries[fingerprint] = entry
         self.entries.move_to_end(fingerprint)
         while len(self.entries) > self.max_entries:
             self.entries.popitem(last=False)
 
+    def trial_of(self, fingerprint: int) -> TrialSchedule | None:
+        """Return when a refused fingerprint may run again, if it is refused."""
+        entry = self.entries.get(fingerprint)
+        return None if entry is None else entry.trial
+
     def clear(self, fingerprint: int) -> bool:
         """Remove a request that was answered; return whether it was known."""
         return self.entries.pop(fingerprint, None) is not None
 
+    def _schedule_trial(self, entry: Suspect, now: float) -> None:
+        """Schedule the next trial after a crash, if the entry is refused."""
+        if entry.trial is not None:
+            entry.trial.postpone(now)
+        elif self._suspicion_from(entry) is Suspicion.refused:
+            entry.trial = TrialSchedule(FIRST_TRIAL_SECONDS, now)
+
     def _suspicion_from(self, entry: Suspect) -> Suspicion:
         """Return the suspicion that the number of crashes amounts to."""
         if len(entry.crashes) >= self.crashes_until_refused:
--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -22,8 +22,8 @@
     engine began to stream its answer, in monotonic seconds. ``relay`` is the
     stream to the caller; the attempts that resume the stream share it, and
     ``events_before_attempt`` is how many events the earlier ones relayed.
-    ``is_trial`` is set for a request that tries a refused prompt part and so
-    is sent once only.
+    ``is_trial`` is set for a request that tries again what is refused, itself
+    or a part of its prompt, and so is sent once only.
     """
 
     facts: RequestHeaders
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -178,8 +178,8 @@
         if call.is_trial:
             return
         try:
-            self.suspects.raise_if_refused(call.fingerprint)
             call.is_trial = self.part_guard.admit(call.shared_parts)
+            call.is_trial |= self.suspects.check(call.fingerprint)
         except CrashSuspect as error:
             if call.may_have_run:
                 raise UpstreamFailed(error.detail, ran=Ran.unknown) from error
--- a/tests/unit/coordination/test_crash_suspects.py
+++ b/tests/unit/coordination/test_crash_suspects.py
@@ -183,3 +183,53 @@
     fleet.clock.advance(router.settings.lifetime.total_seconds())
     admission = await router.admit(limit, PERMIT_TIMEOUT_SECONDS)
     assert not admission.is_suspect
+
+
+class UnpermittedFleet(SuspectFleet):
+    """Routers that run suspects without a permit, as entry processes do."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        for router in self.routers:
+            router.table.crashes_until_refused = 3
+
+    def sends(self, router: CrashSuspects, fingerprint: int) -> bool:
+        """Return whether the router sends a request on."""
+        try:
+            router.check(fingerprint)
+        except CrashSuspect as error:
+            assert error.retry_after
+            return False
+        return True
+
+    async def crash(self, router: CrashSuspects, fingerprint: int) -> None:
+        """Run a request that crashes a new upstream."""
+        self.crashed.append(f'engine-{len(self.crashed)}')
+        await router.on_crash(self.crashed[-1], 'i1', [fingerprint])
+        await self.run_pending_tasks()
+
+
+async def test_sound_request_at_three_crashes_is_refused_for_minutes() -> None:
+    fleet = UnpermittedFleet()
+    for router in fleet.routers[:3]:
+        await fleet.crash(router, HARMLESS)
+    assert not any(fleet.sends(router, HARMLESS) for router in fleet.routers)
+    fleet.clock.advance(10)
+    senders = [
+        router for router in fleet.routers if fleet.sends(router, HARMLESS)
+    ]
+    assert len(senders) == 1
+    senders[0].on_answered(HARMLESS)
+    await fleet.run_pending_tasks()
+    assert all(fleet.sends(router, HARMLESS) for router in fleet.routers)
+
+
+async def test_trials_of_a_crashing_request_crash_many_upstreams() -> None:
+    """The users' bound is three more runs after the third crash, in a day."""
+    fleet = UnpermittedFleet()
+    for _second in range(90):
+        for router in fleet.routers:
+            if fleet.sends(router, CRASHING):
+                await fleet.crash(router, CRASHING)
+        fleet.clock.advance(1)
+    assert 3 < len(fleet.crashed) <= 6
