Share requests that were at several crashes with all routers

Cause: a crash is told to the routers that are live at that moment, once. A router that starts later, or was cut off, knows nothing and sends the request again; refused prompt parts were shared by gossip, requests were not.

Change: each second, a router sends its newest suspects of several crashes to three random peers, with their age, so that they expire everywhere alike, and their trial interval. A router that has seen the request answered since corrects the sender.

--- a/src/hickorymux/_internal/coordination/crash_suspects.py
+++ b/src/hickorymux/_internal/coordination/crash_suspects.py
@@ -19,8 +19,10 @@
 
 import dataclasses
 import datetime as dt
+import functools
 import itertools
 import logging
+import random
 from collections.abc import Iterable, Sequence
 from typing import Any, final
 
@@ -29,6 +31,7 @@
     CrashReceipt,
     CrashReport,
     SuspectCleared,
+    SuspectKnown,
     TurnEnd,
     TurnGrant,
     TurnRequest,
@@ -40,9 +43,11 @@
 from hickorymux._internal.exceptions import CrashSuspect, NoCapacity
 from hickorymux._internal.state.suspects import (
     CRASHES_UNTIL_REFUSED,
+    Suspect,
     SuspectTable,
     Suspicion,
 )
+from hickorymux._internal.state.trials import TrialSchedule
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.ids import new_incarnation
 
@@ -52,6 +57,12 @@
 # Routers of each other zone that receive a crash report and forward it.
 DELEGATES_PER_ZONE = 2
 RETRY_AFTER_SECONDS = 5.0
+# Interval at which repeated suspects are sent to some peers, chosen at random.
+GOSSIP_SECONDS = 1.0
+GOSSIP_PEERS = 3
+# Suspects sent at once. Requests that crash upstreams again and again are few.
+MAX_GOSSIPED_SUSPECTS = 8
+_MS_PER_SECOND = 1000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -94,6 +105,7 @@
         'missing_receipts',
         'permits',
         'report_numbers',
+        'rng',
         'sender',
         'settings',
         'table',
@@ -110,6 +122,7 @@
         self.sender = sender
         self.clock = clock
         self.settings = settings
+        self.rng = random.Random()
         self.report_numbers = itertools.count(new_incarnation())
         self.missing_receipts: dict[int, set[str]] = {}
         self.permits = SuspectPermits(members, sender, clock)
@@ -130,6 +143,28 @@
         """Return an instance that knows no suspects yet."""
         return cls(members, sender, clock, settings or SuspectSettings())
 
+    async def run(self) -> None:
+        """Share repeated suspects with peers until cancelled."""
+        while True:
+            self.tick()
+            await self.clock.sleep(GOSSIP_SECONDS)
+
+    def tick(self) -> None:
+        """Send the requests that were at several crashes to some peers.
+
+        A router that has just started or was cut off learns of them so.
+        """
+        repeated = self.table.repeated(MAX_GOSSIPED_SUSPECTS)
+        if not repeated:
+            return
+        peers = self._peers()
+        chosen = self.rng.sample(peers, min(GOSSIP_PEERS, len(peers)))
+        now = self.clock.monotonic()
+        for fingerprint, suspect in repeated:
+            known = _to_message(fingerprint, suspect, now)
+            for router_id in chosen:
+                self.sender.send(router_id, known)
+
     async def admit(self, fingerprint: int, seconds: float) -> Admission:
         """Return the permission to run a request.
 
@@ -195,12 +230,12 @@
 
     def on_answered(self, fingerprint: int) -> None:
         """Clear a request that was answered whole, here and at all peers."""
-        if not self.table.clear(fingerprint):
+        if fingerprint not in self.table.entries:
             return
+        self.table.clear(fingerprint, self.clock.monotonic())
         cleared = SuspectCleared(signed_fingerprint(fingerprint))
-        for member in self.members.live():
-            if member.router_id != self.members.myself.router_id:
-                self.sender.send(member.router_id, cleared)
+        for router_id in self._peers():
+            self.sender.send(router_id, cleared)
 
     async def on_crash(
         self,
@@ -228,12 +263,22 @@
         """Handle a message from another router."""
         if isinstance(message, TurnRequest | TurnGrant | TurnEnd):
             self.permits.on_message(sender_id, message)
-        elif isinstance(message, CrashReport):
-            self._on_report(sender_id, message)
-        elif isinstance(message, CrashReceipt):
-            self.missing_receipts.get(message.number, set()).discard(sender_id)
-        elif isinstance(message, SuspectCleared):
-            self.table.clear(unsigned_fingerprint(message.fingerprint))
+        else:
+            self._on_suspect_message(message, sender_id)
+
+    @functools.singledispatchmethod
+    def _on_suspect_message(self, message: Any, sender_id: str) -> None:
+        """Handle a message; ignore those that are not about suspects."""
+
+    @_on_suspect_message.register
+    def _on_receipt(self, receipt: CrashReceipt, sender_id: str) -> None:
+        self.missing_receipts.get(receipt.number, set()).discard(sender_id)
+
+    @_on_suspect_message.register
+    def _on_cleared(self, message: SuspectCleared, _sender_id: str) -> None:
+        self.table.clear(
+            unsigned_fingerprint(message.fingerprint), self.clock.monotonic()
+        )
 
     def _suspicion(self, fingerprint: int) -> Suspicion:
         return self.table.suspicion_of(fingerprint, self.clock.monotonic())
@@ -252,7 +297,8 @@
                 },
             )
 
-    def _on_report(self, sender_id: str, report: CrashReport) -> None:
+    @_on_suspect_message.register
+    def _on_report(self, report: CrashReport, sender_id: str) -> None:
         self._add_crash(
             report.crash, map(unsigned_fingerprint, report.fingerprints)
         )
@@ -262,6 +308,25 @@
             for router_id in self._zone_peers():
                 self.sender.send(router_id, forwarded)
 
+    @_on_suspect_message.register
+    def _on_known(self, message: SuspectKnown, sender_id: str) -> None:
+        """Add what a peer knows, or tell it that the request is sound."""
+        now = self.clock.monotonic()
+        fingerprint = unsigned_fingerprint(message.fingerprint)
+        interval = message.trial_interval_ms / _MS_PER_SECOND
+        known = Suspect(
+            now - message.age_ms / _MS_PER_SECOND,
+            frozenset(message.crashes),
+            TrialSchedule(interval, now) if interval else None,
+        )
+        if not self.table.merge(fingerprint, known, now):
+            self.sender.send(sender_id, SuspectCleared(message.fingerprint))
+
+    def _peers(self) -> list[str]:
+        myself = self.members.myself.router_id
+        ids = [member.router_id for member in self.members.live()]
+        return [router_id for router_id in ids if router_id != myself]
+
     def _zone_peers(self) -> list[str]:
         myself = self.members.myself
         zone = self.members.live_in_zone(myself.zone)
@@ -291,6 +356,18 @@
         self.missing_receipts.pop(report.number)
 
 
+def _to_message(fingerprint: int, suspect: Suspect, now: float) -> SuspectKnown:
+    trial = suspect.trial
+    return SuspectKnown(
+        signed_fingerprint(fingerprint),
+        sorted(suspect.crashes),
+        age_ms=int((now - suspect.last_crash_at) * _MS_PER_SECOND),
+        trial_interval_ms=(
+            0 if trial is None else int(trial.interval_seconds * _MS_PER_SECOND)
+        ),
+    )
+
+
 def _refusal(retry_after: float | None = None) -> CrashSuspect:
     return CrashSuspect(
         'the request was in flight when upstreams crashed',
--- a/src/hickorymux/_internal/coordination/suspect_messages.py
+++ b/src/hickorymux/_internal/coordination/suspect_messages.py
@@ -39,6 +39,21 @@
     fingerprint: int = 0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class SuspectKnown:
+    """The crashes of a request that was at several of them.
+
+    ``age_ms`` is how long ago the sender recorded the last one.
+    ``trial_interval_ms`` is the interval until the next trial of a request
+    that the sender refuses, 0 if it does not refuse it.
+    """
+
+    fingerprint: int = 0
+    crashes: list[str] = dataclasses.field(default_factory=list)
+    age_ms: int = 0
+    trial_interval_ms: int = 0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TurnRequest:
     """Requests the permit to run a crash suspect; repeated until granted."""
--- a/src/hickorymux/_internal/protocol/idl/suspect.thrift
+++ b/src/hickorymux/_internal/protocol/idl/suspect.thrift
@@ -41,3 +41,10 @@
 struct PartsRefused {
   1: optional list<i64> parts
 }
+
+struct SuspectKnown {
+  1: optional i64 fingerprint = 0,
+  2: optional list<string> crashes,
+  3: optional i64 age_ms = 0,
+  4: optional i64 trial_interval_ms = 0
+}
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -31,6 +31,7 @@
     (56, 'suspect', 'PartCrash'),
     (57, 'suspect', 'PartsCleared'),
     (58, 'suspect', 'PartsRefused'),
+    (59, 'suspect', 'SuspectKnown'),
     (60, 'load', 'LoadReport'),
     (70, 'topic', 'TopicAsk'),
     (71, 'topic', 'TopicPage'),
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -242,6 +242,7 @@
             self.membership.run(),
             self.load_exchange.run(),
             self.part_guard.run(),
+            self.suspects.run(),
             self._refresh_router_list(),
             self._update_router_shares(),
         )
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -374,6 +374,7 @@
             self.assumed_load.run(),
             self.claimer.run(),
             self.cold_starts.run(),
+            self.suspects.run(),
             self._maintain_anchors(),
             self._poll_host_list(),
         ]
--- a/tests/unit/coordination/test_crash_suspects.py
+++ b/tests/unit/coordination/test_crash_suspects.py
@@ -8,7 +8,10 @@
 import pytest
 from lib.claim_fleet import LoopbackSender, StaticMemberView, YieldingClock
 
-from hickorymux._internal.coordination.crash_suspects import CrashSuspects
+from hickorymux._internal.coordination.crash_suspects import (
+    CrashSuspects,
+    SuspectSettings,
+)
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import CrashSuspect, NoCapacity, Ran
 from hickorymux._internal.protocol.thrift_codec import thrift_codec
@@ -34,15 +37,17 @@
             for number in range(3)
         ]
         self.by_id = {
-            member.router_id: CrashSuspects.from_config(
-                StaticMemberView(member, self.members),
-                CodecSender(self, member.router_id),
-                self.clock,
-            )
-            for member in self.members
+            member.router_id: self.new_router(member) for member in self.members
         }
         self.routers = list(self.by_id.values())
 
+    def new_router(self, member: Member) -> CrashSuspects:
+        return CrashSuspects.from_config(
+            StaticMemberView(member, self.members),
+            CodecSender(self, member.router_id),
+            self.clock,
+        )
+
     async def run(
         self, router: CrashSuspects, upstream: str, *fingerprints: int
     ) -> None:
@@ -188,10 +193,20 @@
 class UnpermittedFleet(SuspectFleet):
     """Routers that run suspects without a permit, as entry processes do."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        for router in self.routers:
-            router.table.crashes_until_refused = 3
+    def new_router(self, member: Member) -> CrashSuspects:
+        return CrashSuspects.from_config(
+            StaticMemberView(member, self.members),
+            CodecSender(self, member.router_id),
+            self.clock,
+            SuspectSettings(crashes_until_refused=3),
+        )
+
+    def restart(self, member: Member) -> CrashSuspects:
+        """Replace a router by one that has just started."""
+        router = self.new_router(member)
+        self.routers[self.members.index(member)] = router
+        self.by_id[member.router_id] = router
+        return router
 
     def sends(self, router: CrashSuspects, fingerprint: int) -> bool:
         """Return whether the router sends a request on."""
@@ -233,3 +248,46 @@
                 await fleet.crash(router, CRASHING)
         fleet.clock.advance(1)
     assert 3 < len(fleet.crashed) <= 6
+
+
+async def test_router_that_starts_later_sends_what_others_refuse() -> None:
+    fleet = UnpermittedFleet()
+    for router in fleet.routers[:3]:
+        await fleet.crash(router, CRASHING)
+    late = fleet.restart(fleet.members[5])
+    for router in fleet.routers[:5]:
+        router.tick()
+    await fleet.run_pending_tasks()
+    assert not fleet.sends(late, CRASHING)
+
+
+async def test_router_that_missed_an_answer_makes_others_refuse_again() -> None:
+    fleet = UnpermittedFleet()
+    for router in fleet.routers[:3]:
+        await fleet.crash(router, HARMLESS)
+    fleet.clock.advance(1)
+    fleet.silent_routers.add(fleet.members[5].router_id)
+    fleet.routers[0].on_answered(HARMLESS)
+    fleet.silent_routers.clear()
+    await fleet.run_pending_tasks()
+    assert not fleet.sends(fleet.routers[5], HARMLESS)
+    for _second in range(5):
+        for router in fleet.routers:
+            router.tick()
+        await fleet.run_pending_tasks()
+    assert all(fleet.sends(router, HARMLESS) for router in fleet.routers)
+
+
+async def test_requests_that_many_routers_know_are_never_forgotten() -> None:
+    """A router that learns of a crash late expires it when the others do."""
+    fleet = UnpermittedFleet()
+    for router in fleet.routers[:3]:
+        await fleet.crash(router, CRASHING)
+    lifetime = int(fleet.routers[0].settings.lifetime.total_seconds())
+    for _minute in range(lifetime // 60 + 1):
+        fleet.restart(fleet.members[5])
+        for router in fleet.routers:
+            router.tick()
+        await fleet.run_pending_tasks()
+        fleet.clock.advance(60)
+    assert all(fleet.sends(router, CRASHING) for router in fleet.routers)
