--- a/src/hickorymux/_internal/coordination/deployment_view.py
+++ b/src/hickorymux/_internal/coordination/deployment_view.py
@@ -141,6 +141,19 @@
         self.has_upstream_listing = True
         self.on_change()
 
+    def expire_held(self) -> None:
+        """Remove the upstreams whose entries did not come back."""
+        lapsed = self.registry.expire(self.clock.monotonic())
+        for upstream_id in lapsed:
+            _report(
+                'upstream_changed',
+                'the entry did not come back',
+                upstream=upstream_id,
+                is_held=False,
+            )
+        if lapsed:
+            self.on_change()
+
     def _remove(self, upstream_id: str, now: float) -> None:
         if upstream_id in self.registry.upstreams:
             self.registry.remove(upstream_id, now)
--- a/src/hickorymux/_internal/state/upstream_registry.py
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -105,14 +105,18 @@
         """Start the grace period; the store is back after an outage."""
         self.grace_until = now + LAPSE_GRACE_SECONDS
 
-    def expire(self, now: float) -> None:
-        """Remove entries that did not come back within the grace period."""
-        if now < self.grace_until or not self.pending_removals:
-            return
-        lapsed = self.pending_removals
+    def expire(self, now: float) -> frozenset[str]:
+        """Remove entries that did not come back within the grace period.
+
+        Returns their ids.
+        """
+        if now < self.grace_until:
+            return frozenset()
+        lapsed = frozenset(self.pending_removals)
         self.pending_removals = set()
         for upstream_id in lapsed:
             self.remove(upstream_id, now)
+        return lapsed
 
     def update_evacuated_zones(self, zones: frozenset[str], now: float) -> None:
         """Replace the set of zones whose upstreams must not get requests."""
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -529,7 +529,7 @@
                 live = {member.router_id for member in self.membership.live()}
                 self.cold_share.update_routers(self.listed_routers | live)
                 self._apply_bounds()
-            self.view.registry.expire(self.clock.monotonic())
+            self.view.expire_held()
             self.streams.history.observe()
             self._report_readiness()
             self.allocator.log_shares()
