--- /dev/null
+++ b/tests/functional/test_leaving_upstreams.py
@@ -0,0 +1,76 @@
+"""Upstreams that leave get no more requests, whatever their routers missed.
+
+An upstream that leaves serves for a drain time after its entry says so.
+"""
+
+import asyncio
+import time
+
+from tests.lib.platform_engine import PlatformEngine, answer_ok
+from tests.lib.platform_fleet import platform_fleet, route
+
+READ = route('/read/', 'idempotent')
+DRAIN_SECONDS = 2.0
+
+
+class RecordingEngine(PlatformEngine):
+    """An engine that records when it gets requests, in monotonic seconds."""
+
+    def __init__(self, engine_id: str) -> None:
+        super().__init__(engine_id, self.record)
+        self.received_at: list[float] = []
+
+    async def record(self, received) -> None:
+        """Record the time and answer."""
+        self.received_at.append(time.monotonic())
+        await answer_ok(received)
+
+
+async def send_for(fleet, seconds: float) -> list[int]:
+    """Send requests one after the other; return their statuses."""
+    statuses = []
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        async with fleet.request('GET', '/read/x') as answer:
+            await answer.read()
+            statuses.append(answer.status)
+        await asyncio.sleep(0.01)
+    return statuses
+
+
+async def test_upstream_that_left_while_the_store_was_cut_off_gets_requests():
+    async with platform_fleet(READ) as fleet:
+        engines = [RecordingEngine(f'e{number}') for number in range(3)]
+        for engine in engines:
+            await fleet.add_engine(engine)
+        await fleet.wait_until_ready()
+        fleet.store.mode = 'busy'
+        await asyncio.sleep(1)
+        await fleet.store.put('keyed.servers', 'e0', None)
+        left_at = time.monotonic()
+        await asyncio.sleep(0.8)
+        fleet.store.mode = ''
+        assert set(await send_for(fleet, 3)) == {200}
+        last_received_at = max(engines[0].received_at, default=left_at)
+        assert last_received_at - left_at <= DRAIN_SECONDS
+        assert engines[1].received_at and engines[2].received_at
+
+
+async def test_all_upstreams_are_given_up_after_an_outage_of_the_store():
+    """Their entries lapse meanwhile and come back soon after it."""
+    async with platform_fleet(READ) as fleet:
+        engines = [RecordingEngine(f'e{number}') for number in range(3)]
+        for engine in engines:
+            await fleet.add_engine(engine)
+        await fleet.wait_until_ready()
+        fleet.store.mode = 'busy'
+        await asyncio.sleep(1)
+        for engine in engines:
+            await fleet.store.put('keyed.servers', engine.engine_id, None)
+        fleet.store.mode = ''
+        assert set(await send_for(fleet, 1.5)) == {200}
+        for engine in engines:
+            await fleet.store.put(
+                'keyed.servers', engine.engine_id, engine.entry()
+            )
+        assert set(await send_for(fleet, 1.5)) == {200}
