Hold removed upstreams for the case only that most of a pool lapsed

Callers were sent to upstreams up to three seconds after these had left; an upstream serves two more seconds for certain (DRAIN).

Cause: the entries of live upstreams lapse in an outage of the store and come back, so a router holds removed upstreams for 2 s after it has lost the store. It takes each loss of its own for an outage, also when only it was frozen or cut off, and then goes on to use upstreams that have left. A condition of the whole fleet was inferred from the symptoms of one router.

Change: a held upstream gets requests only while fewer than half of the ready upstreams of its pool are not held, as after an outage in which they lapsed together. A router can't tell its own loss from an outage, but can see how much of a pool is gone.

--- a/src/hickorymux/_internal/state/upstream_registry.py
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -2,8 +2,11 @@
 
 Upstreams register themselves in a store. An entry lapses when its upstream
 stops renewing it. After an outage of the store, the entries of live upstreams
-come back within a grace period, so a removal seen during that period takes
-effect only at its end.
+come back within a grace period. A router can't tell an outage from its own
+loss of contact, nor a lapsed entry from an upstream that has left. So an
+upstream whose entry is removed during that period is held: it gets requests
+only while most of its pool is held, which few upstreams that leave don't
+bring about.
 
 Example::
 
@@ -24,6 +27,9 @@
 # When an evacuation ends, upstreams of the zone may be cold before their next
 # entry says so. Entries are renewed about every 1.2 s.
 RETURNED_COLD_SECONDS: Final = 2.0
+# Held upstreams get requests while fewer than this share of the ready upstreams
+# of their pool are not held.
+MIN_LISTED_SHARE: Final = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,7 +94,7 @@
                 self._reindex_pool(known.pool)
 
     def remove(self, upstream_id: str, now: float) -> None:
-        """Remove an entry; in the grace period, only mark it for removal."""
+        """Remove an entry; in the grace period, hold its upstream instead."""
         if now < self.grace_until and upstream_id in self.upstreams:
             self.pending_removals.add(upstream_id)
             return
@@ -126,8 +132,11 @@
 
     def available_in_pool(self, pool: str) -> Iterator[RegisteredUpstream]:
         """Yield the upstreams of a pool that may get requests."""
+        uses_held = self._is_mostly_held(pool)
         for upstream in self.pools.get(pool, ()):
-            if upstream.is_ready and upstream.zone not in self.evacuated_zones:
+            if not upstream.is_ready or upstream.zone in self.evacuated_zones:
+                continue
+            if uses_held or upstream.upstream_id not in self.pending_removals:
                 yield upstream
 
     def all_in_pool(self, pool: str) -> Sequence[RegisteredUpstream]:
@@ -140,6 +149,16 @@
             return True
         return self.cold_until_by_zone.get(upstream.zone, 0) > now
 
+    def _is_mostly_held(self, pool: str) -> bool:
+        """Return whether too few upstreams of the pool are not held."""
+        if not self.pending_removals:
+            return False
+        ready = [one for one in self.pools.get(pool, ()) if one.is_ready]
+        listed = sum(
+            one.upstream_id not in self.pending_removals for one in ready
+        )
+        return listed < MIN_LISTED_SHARE * len(ready)
+
     def _reindex_pool(self, pool: str) -> None:
         members = [
             upstream
--- a/tests/unit/engines/test_upstream_choice.py
+++ b/tests/unit/engines/test_upstream_choice.py
@@ -101,6 +101,31 @@
     assert 'e0' not in known.upstreams
 
 
+def test_upstreams_that_left_are_used_after_an_outage():
+    """A few that go during the grace period have left; the rest is enough."""
+    known = registry(4)
+    known.start_grace_period(10)
+    for name in ('e0', 'e1'):
+        known.remove(name, 10.1)
+    ids = [one.upstream_id for one in known.available_in_pool('models')]
+    assert ids == ['e2', 'e3']
+
+
+def test_pool_is_left_without_upstreams_after_an_outage():
+    """Entries that lapsed in the outage come back, so most are in use."""
+    known = registry(4)
+    known.start_grace_period(10)
+    for number in range(4):
+        known.remove(f'e{number}', 10.1)
+    assert len(list(known.available_in_pool('models'))) == 4
+    known.put(upstream(0))
+    assert len(list(known.available_in_pool('models'))) == 4
+    known.put(upstream(1))
+    assert len(list(known.available_in_pool('models'))) == 2
+    known.expire(12.5)
+    assert len(list(known.available_in_pool('models'))) == 2
+
+
 def test_zone_that_was_evacuated_comes_back_cold():
     known = registry(1)
     known.update_evacuated_zones(frozenset({'z1'}), 0)
