Check directly before the send that the chosen upstream is still there

A request that waited for a connection was sent to an upstream that had left since, or whose zone had been evacuated; one that had started again got it without being counted as cold. Only a changed version was noticed, and that paused the upstream as if it could not be reached.

test_request_is_sent_to_an_upstream_that_left_since_it_was_chosen fails before. Nothing was sent then, so the request goes elsewhere and the upstream's health is left alone.

--- a/src/hickorymux/_internal/state/upstream_registry.py
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -134,11 +134,16 @@
         """Yield the upstreams of a pool that may get requests."""
         uses_held = self._is_mostly_held(pool)
         for upstream in self.pools.get(pool, ()):
-            if not upstream.is_ready or upstream.zone in self.evacuated_zones:
-                continue
-            if uses_held or upstream.upstream_id not in self.pending_removals:
+            if self._is_usable(upstream, uses_held=uses_held):
                 yield upstream
 
+    def is_available(self, upstream_id: str) -> bool:
+        """Return whether an upstream may get requests."""
+        upstream = self.upstreams.get(upstream_id)
+        return upstream is not None and self._is_usable(
+            upstream, uses_held=self._is_mostly_held(upstream.pool)
+        )
+
     def all_in_pool(self, pool: str) -> Sequence[RegisteredUpstream]:
         """Return all upstreams of a pool, sorted by id."""
         return self.pools.get(pool, ())
@@ -149,6 +154,13 @@
             return True
         return self.cold_until_by_zone.get(upstream.zone, 0) > now
 
+    def _is_usable(
+        self, upstream: RegisteredUpstream, *, uses_held: bool
+    ) -> bool:
+        if not upstream.is_ready or upstream.zone in self.evacuated_zones:
+            return False
+        return uses_held or upstream.upstream_id not in self.pending_removals
+
     def _is_mostly_held(self, pool: str) -> bool:
         """Return whether too few upstreams of the pool are not held."""
         if not self.pending_removals:
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -84,10 +84,10 @@
     code = 'answer_not_usable'
 
 
-class VersionChanged(AttemptError):
-    """The upstream no longer has the software version of the stream."""
+class UpstreamChanged(AttemptError):
+    """The upstream is no longer the one that was chosen; nothing was sent."""
 
-    code = 'version_changed'
+    code = 'upstream_changed'
 
 
 class UpstreamError(AttemptError):
@@ -249,17 +249,21 @@
         """Check and count an attempt just before its first byte is sent.
 
         Since the attempt began to wait for its slot and its connection, a part
-        of the prompt may have been refused, or the upstream may have started
-        again at another version.
+        of the prompt may have been refused, or the upstream may have left or
+        started again, cold and at another version.
         """
         self._raise_if_refused(call)
-        upstream_id = reservation.upstream.upstream_id
-        current = self.allocator.registry.upstreams.get(upstream_id)
-        wanted = call.demand.version
-        if current is not None and wanted not in {None, current.version}:
-            raise VersionChanged(
-                f'upstream {upstream_id} has version "{current.version}", the'
-                f' stream began at "{wanted}"'
+        chosen = reservation.upstream
+        registry = self.allocator.registry
+        if not registry.is_available(chosen.upstream_id):
+            raise UpstreamChanged(
+                f'upstream {chosen.upstream_id} has left or its zone was'
+                ' evacuated since it was chosen'
+            )
+        current = registry.upstreams[chosen.upstream_id]
+        if current.incarnation != chosen.incarnation:
+            raise UpstreamChanged(
+                f'upstream {chosen.incarnation} is {current.incarnation} now'
             )
         call.sent_attempts += 1
 
@@ -422,6 +426,8 @@
     ) -> None:
         """Record a failed attempt in the health of the upstream."""
         self.allocator.clear_candidate_cache()
+        if isinstance(error, UpstreamChanged):
+            return
         health = self.allocator.health
         upstream_id = reservation.upstream.upstream_id
         now = self.clock.monotonic()
--- a/tests/functional/test_leaving_upstreams.py
+++ b/tests/functional/test_leaving_upstreams.py
@@ -6,6 +6,7 @@
 import asyncio
 import time
 
+from hickorymux._internal.transport.upstream_client import UpstreamClient
 from tests.lib.platform_engine import PlatformEngine, answer_ok
 from tests.lib.platform_fleet import platform_fleet, route
 
@@ -75,3 +76,43 @@
                 'keyed.servers', engine.engine_id, engine.entry()
             )
         assert not await failures_within(fleet, 1.5)
+
+
+async def leave(fleet, engine: PlatformEngine) -> None:
+    """Set an upstream to draining; wait until the router knows."""
+    entry = engine.entry(state='draining', seq=2)
+    await fleet.store.put('keyed.servers', engine.engine_id, entry)
+    upstreams = fleet.process.view.registry.upstreams
+    while upstreams[engine.engine_id].is_ready:
+        await asyncio.sleep(0.02)
+
+
+async def test_request_is_sent_to_an_upstream_that_left_since_it_was_chosen(
+    monkeypatch,
+):
+    """As when the connection to the upstream takes long."""
+    open_attempt = UpstreamClient.open
+    async with platform_fleet(READ) as fleet:
+        engines = [RecordingEngine(f'e{number}') for number in range(2)]
+        for engine in engines:
+            await fleet.add_engine(engine)
+        await fleet.wait_until_ready()
+        chosen = []
+
+        async def open_late(client, attempt):
+            if not chosen:
+                chosen.extend(
+                    engine
+                    for engine in engines
+                    if engine.address == attempt.address
+                )
+                await leave(fleet, chosen[0])
+            return await open_attempt(client, attempt)
+
+        monkeypatch.setattr(UpstreamClient, 'open', open_late)
+        async with fleet.request('GET', '/read/x') as answer:
+            assert await answer.text() == 'ok'
+        assert not chosen[0].received
+        health = fleet.process.allocator.health
+        now = fleet.process.clock.monotonic()
+        assert health.is_available(chosen[0].engine_id, now)
