Read the store at once after waiting for a silent zone reader

When the reader of its zone is killed or frozen, a router learned that an upstream left only after 0.9 s of waiting for the reader and then the pause of 0.5 s that spaces reads of the store. The wait has spaced them already, so only the rest of the pause is kept: 0.9 s in place of 1.4 s, of the 2 s in which an upstream must get no more requests. The view is stated to be complete up to the read itself, not to the time of the question.

test_router_pauses_after_it_waited_for_a_silent_reader fails before.

--- a/src/hickorymux/_internal/coordination/shared_log.py
+++ b/src/hickorymux/_internal/coordination/shared_log.py
@@ -134,11 +134,15 @@
         reader = self._zone_reader()
         if reader is None:
             return await self._read_for_zone(topic, from_offset, wait_seconds)
+        asked_at = self.clock.monotonic()
         page = await self._request_page(
             reader, topic, from_offset, wait_seconds
         )
         if page is None:
-            return await self._read_log(topic, from_offset, wait_seconds)
+            waited = self.clock.monotonic() - asked_at
+            return await self._read_log(
+                topic, from_offset, wait_seconds, elapsed_seconds=waited
+            )
         return page
 
     def on_message(self, sender_id: str, message: Any) -> None:
@@ -195,18 +199,26 @@
         topic: str,
         from_offset: int,
         wait_seconds: float,
+        *,
+        elapsed_seconds: float = 0,
     ) -> KeyedPage:
-        interval = self.intervals.get(topic, 0)
-        if interval:
-            await self.clock.sleep(interval)
+        """Read the log after the interval of the topic.
+
+        ``elapsed_seconds`` is the time that has passed since the read was
+        asked for.
+        """
+        pause = max(0, self.intervals.get(topic, 0) - elapsed_seconds)
+        if pause:
+            await self.clock.sleep(pause)
         page = await self.log.read(
             topic,
             from_offset,
             wait_seconds=wait_seconds,
         )
+        read_after = elapsed_seconds + pause
         return dataclasses.replace(
             page,
-            complete_until_seconds=page.complete_until_seconds + interval,
+            complete_until_seconds=page.complete_until_seconds + read_after,
         )
 
     def _answer_requests(self, topic: _Topic, confirmed_at: float) -> None:
--- a/tests/unit/engines/test_shared_log.py
+++ b/tests/unit/engines/test_shared_log.py
@@ -17,6 +17,7 @@
 )
 from hickorymux._internal.coordination.topic_messages import TopicAsk
 from hickorymux._internal.protocol.thrift_codec import thrift_codec
+from hickorymux._internal.utils.clock import SystemClock
 from tests.lib.fake_clock import FakeClock
 
 
@@ -175,3 +176,29 @@
     zone.routers['b'].on_message('c', TopicAsk(1, 't', 1))
     await asyncio.sleep(0.01)
     assert not requester.pages[0].is_whole
+
+
+class SleepRecorder(SystemClock):
+    """The real clock; records for how long it is asked to sleep."""
+
+    def __init__(self):
+        self.slept = []
+
+    async def sleep(self, seconds):
+        self.slept.append(seconds)
+        await super().sleep(seconds)
+
+
+async def test_router_pauses_after_it_waited_for_a_silent_reader():
+    """Its view is late already; the pause only spaces reads of the store."""
+    zone = Zone('a', 'b')
+    router = zone.routers['b']
+    router.clock = clock = SleepRecorder()
+    zone.is_cut = True
+    page = await router.read('paced', 0)
+    assert sum(clock.slept) == 0
+    assert page.complete_until_seconds >= 0.5 + REPLY_TIMEOUT_SECONDS
+    zone.is_cut = False
+    zone.members.pop(0)
+    await router.read('paced', 0)
+    assert sum(clock.slept) > 0.4
