--- a/src/hickorymux/_internal/protocol/upstream_http.py
+++ b/src/hickorymux/_internal/protocol/upstream_http.py
@@ -55,7 +55,10 @@
     ``is_signed`` tells that the upstream itself made the response.
     ``is_not_run`` tells that the request was not executed and never will be;
     nothing else proves that. ``is_wrong_upstream`` tells that another
-    upstream than the expected one listens at the address.
+    upstream than the expected one listens at the address. ``request_limit`` is
+    the rate in requests per second that the upstream takes from all routers
+    together, ``None`` if it names none. ``invalid_limit`` is the text of a
+    limit that can't be read.
     """
 
     request_id: str
@@ -63,6 +66,8 @@
     is_not_run: bool
     is_wrong_upstream: bool
     load: UpstreamLoad | None
+    request_limit: float | None = None
+    invalid_limit: str = ''
 
 
 class Dialect(Protocol):
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -279,8 +279,11 @@
         Raises ``AttemptError`` if there is no answer that may be passed on.
         """
         answer = await self.client.open(attempt)
+        facts = self.dialect.read_response_headers(
+            answer.status, answer.response.headers
+        )
         try:
-            await self._relay_answer(call, reservation, answer, reply)
+            await self._relay_answer(call, reservation, answer, facts, reply)
         except BaseException:
             answer.close()
             raise
@@ -294,6 +297,7 @@
             status=answer.status,
             upstream=reservation.upstream.upstream_id,
             is_framed=answer.is_framed,
+            request_limit=facts.request_limit,
             events=call.attempt_events,
             began_ms=self._first_event_ms(call),
             took_ms=_milliseconds(spent),
@@ -304,10 +308,9 @@
         call: EntryCall,
         reservation: Reservation,
         answer: UpstreamAnswer,
+        facts: ResponseHeaders,
         reply: Reply,
     ) -> None:
-        received = answer.response.headers
-        facts = self.dialect.read_response_headers(answer.status, received)
         self._check_answer(call, answer, facts)
         is_success = _STATUS_OK <= answer.status < _FIRST_NOT_OK
         if call.route.kind is RequestKind.streaming and is_success:
@@ -319,7 +322,7 @@
             raise AnswerNotUsable(
                 f'status {answer.status} in reply to a resumed stream'
             )
-        headers = self.dialect.headers_to_caller(received)
+        headers = self.dialect.headers_to_caller(answer.response.headers)
         await relay_plain(answer, reply, headers)
         if not is_success:
             return
--- a/src/hickorymux/platform/headers.py
+++ b/src/hickorymux/platform/headers.py
@@ -42,6 +42,9 @@
 NOT_RUN: Final = 'X-Not-Executed'
 # Running requests, waiting requests and slots, separated by commas.
 UPSTREAM_LOAD: Final = 'X-Server-Load'
+# Requests per second, a decimal number, that the upstream takes from all routers
+# together. An answer without it says that there is no such limit.
+REQUEST_LIMIT: Final = 'Server-Limit'
 
 _REQUEST_ID_NAME: Final = REQUEST_ID.lower().encode()
 _MS_PER_SECOND: Final = 1000
@@ -109,12 +112,16 @@
     status: int, headers: Mapping[str, str]
 ) -> ResponseHeaders:
     """Return the decoded headers of an upstream's response."""
+    limit_text = headers.get(REQUEST_LIMIT, '')
+    limit = _read_limit(limit_text)
     return ResponseHeaders(
         request_id=headers.get(REQUEST_ID, ''),
         is_signed=UPSTREAM_SIGNATURE in headers,
         is_not_run=NOT_RUN in headers or status == _STATUS_MISDIRECTED_REQUEST,
         is_wrong_upstream=status == _STATUS_MISDIRECTED_REQUEST,
         load=_read_load(headers.get(UPSTREAM_LOAD, '')),
+        request_limit=limit,
+        invalid_limit=limit_text if limit is None else '',
     )
 
 
@@ -205,6 +212,15 @@
     return UpstreamLoad(running=counts[0], waiting=counts[1], slots=counts[2])
 
 
+def _read_limit(text: str) -> float | None:
+    """Return a limit in requests per second, ``None`` if it is not valid."""
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def _integers(text: str) -> list[int]:
     words = [word.strip() for word in text.split(',')]
     return [int(word) for word in words if word.isdecimal()]
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -129,6 +129,24 @@
     assert headers.read_response_headers(200, {name: text}).load is None
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit'), [('11.5', 11.5), ('0', 0), ('3', 3), (' 2.5 ', 2.5)]
+)
+def test_request_limit_is_read_from_any_answer(text, limit):
+    for status in (200, 503):
+        facts = headers.read_response_headers(status, {'Server-Limit': text})
+        assert facts.request_limit == limit
+        assert not facts.invalid_limit
+    assert headers.read_response_headers(200, {}).request_limit is None
+
+
+@pytest.mark.parametrize('text', ['-1', 'nan', 'inf', '1e999', 'many', '1,5'])
+def test_invalid_request_limit_is_kept_for_the_log(text):
+    facts = headers.read_response_headers(200, {'Server-Limit': text})
+    assert facts.request_limit is None
+    assert facts.invalid_limit == text
+
+
 def test_only_proof_means_not_run():
     assert headers.read_response_headers(
         503, {'X-Not-Executed': '1'}
@@ -141,7 +159,7 @@
     """Only the platform package knows the platform's headers and fields."""
     names = (
         'X-Tenant|X-Expect-Instance|X-Not-Executed|X-Response-Stamp|X-Key|'
-        'X-Server-Load|X-Prompt-Prefix|X-Token-Count|Kv-|coldRemainingMs|'
+        'X-Server-Load|Server-Limit|X-Prompt-Prefix|X-Token-Count|Kv-|coldRemainingMs|'
         'apiKeys|pathPrefix|keyed\\.|weightedBackends|maxAttempts'
     )
     found = subprocess.run(
