Rank routers for an upstream in one place

No behaviour changes: the ranking by which cold upstreams are split moves out of ColdShare, as named request limits will be split by it too. The position of a router is cached in place of its allowance.

--- a/src/hickorymux/_internal/coordination/engines/cold_share.py
+++ b/src/hickorymux/_internal/coordination/engines/cold_share.py
@@ -13,10 +13,9 @@
 """
 
 import collections
-from collections.abc import Collection
 from typing import Final, final
 
-import xxhash
+from hickorymux._internal.coordination.engines.router_ranks import RouterRanks
 
 WINDOW_SECONDS: Final = 1.0
 # The part of the rate limit that is used. The rest allows for requests that are
@@ -31,28 +30,15 @@
     Rate limits are in requests per second, from all routers together.
     """
 
-    __slots__ = ('allowances_by_limit', 'router_id', 'routers', 'sent')
+    __slots__ = ('ranks', 'sent')
 
-    def __init__(self, router_id: str) -> None:
-        self.router_id = router_id
-        self.routers: frozenset[str] = frozenset()
-        # By incarnation and rate limit; cleared when the routers change.
-        self.allowances_by_limit: dict[tuple[str, float], int] = {}
+    def __init__(self, ranks: RouterRanks) -> None:
+        self.ranks = ranks
         self.sent: dict[str, collections.deque[float]] = {}
 
-    def update_routers(self, routers: Collection[str]) -> None:
-        """Replace the set of active routers, which includes this one."""
-        active = frozenset(routers)
-        if active != self.routers:
-            self.routers = active
-            self.allowances_by_limit.clear()
-
     def may_send(self, incarnation: str, rate_limit: float, now: float) -> bool:
         """Return whether this router may send one more request now."""
-        allowance = self.allowances_by_limit.get((incarnation, rate_limit))
-        if allowance is None:
-            allowance = self._allowance(incarnation, rate_limit * USABLE_SHARE)
-            self.allowances_by_limit[incarnation, rate_limit] = allowance
+        allowance = self._allowance(incarnation, rate_limit * USABLE_SHARE)
         if not allowance:
             return False
         sent_times = self.sent.get(incarnation)
@@ -74,19 +60,9 @@
         The routers that rank first share the limit equally, each getting at
         least one request; the others get none.
         """
-        if self.router_id not in self.routers:
-            # The set of routers is not known yet.
-            return 0
-        owners = min(len(self.routers), int(rate_limit))
-        if not owners:
-            return 0
-        ranked = sorted(
-            self.routers, key=lambda router: _rank(incarnation, router)
-        )
-        if self.router_id not in ranked[:owners]:
+        routers = len(self.ranks.routers)
+        owners = min(routers, int(rate_limit))
+        position = self.ranks.position(incarnation)
+        if position is None or position >= owners:
             return 0
         return int(rate_limit) // owners
-
-
-def _rank(incarnation: str, router: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{incarnation}\n{router}'.encode())
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -26,6 +26,7 @@
 )
 from hickorymux._internal.coordination.engines.allocator import Allocator
 from hickorymux._internal.coordination.engines.cold_share import ColdShare
+from hickorymux._internal.coordination.engines.router_ranks import RouterRanks
 from hickorymux._internal.coordination.keyed_follower import (
     KeyedFollower,
     ReadTiming,
@@ -163,7 +164,6 @@
         'rng',
         'client',
         'clock',
-        'cold_share',
         'decisions',
         'deployment',
         'load_exchange',
@@ -174,6 +174,7 @@
         'network',
         'part_guard',
         'retry_budget',
+        'router_ranks',
         'runners',
         'server',
         'settings',
@@ -386,10 +387,10 @@
             ),
             self.clock,
         )
-        self.cold_share = ColdShare(settings.router_id)
+        self.router_ranks = RouterRanks(settings.router_id)
         self.allocator = Allocator(
             self.view.registry,
-            self.cold_share,
+            ColdShare(self.router_ranks),
             self._cold_rate_limit,
             self.clock,
             settings.zone,
@@ -435,7 +436,7 @@
     def _apply_bounds(self) -> None:
         """Apply this router's share of the operators' limits."""
         bounds = self.settings.bounds
-        routers = max(1, len(self.cold_share.routers))
+        routers = max(1, len(self.router_ranks.routers))
         self.server.view.max_key_staleness = self._max_key_staleness()
         self.retry_budget.settings = RetrySettings(
             share=bounds.retry_share * USED_RETRY_SHARE,
@@ -527,7 +528,7 @@
         while True:
             if self.listed_routers:
                 live = {member.router_id for member in self.membership.live()}
-                self.cold_share.update_routers(self.listed_routers | live)
+                self.router_ranks.update(self.listed_routers | live)
                 self._apply_bounds()
             self.view.expire_held()
             self.streams.history.observe()
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -13,6 +13,7 @@
 
 from hickorymux._internal.coordination.engines.allocator import Allocator
 from hickorymux._internal.coordination.engines.cold_share import ColdShare
+from hickorymux._internal.coordination.engines.router_ranks import RouterRanks
 from hickorymux._internal.coordination.load_exchange import LoadExchange
 from hickorymux._internal.coordination.load_messages import LoadReport
 from hickorymux._internal.coordination.ports import Member
@@ -139,11 +140,11 @@
         return got < due - 3 * self.largest[customer]
 
     def _add_router(self, member: Member) -> None:
-        share = ColdShare(member.router_id)
-        share.update_routers(set(self.router_ids))
+        ranks = RouterRanks(member.router_id)
+        ranks.update(self.router_ids)
         allocator = Allocator(
             self.upstreams,
-            share,
+            ColdShare(ranks),
             lambda _pool: 29,
             self.loop,
             member.zone,
--- a/tests/unit/engines/test_allocator.py
+++ b/tests/unit/engines/test_allocator.py
@@ -11,6 +11,7 @@
 from hickorymux._internal.coordination.engines.placement import (
     MAX_RUNNING_SHARE,
 )
+from hickorymux._internal.coordination.engines.router_ranks import RouterRanks
 from hickorymux._internal.coordination.engines.wait_queue import (
     CustomerUsage,
 )
@@ -18,17 +19,21 @@
 from tests.lib.demands import prompt_demand, registry, upstream
 from tests.lib.fake_clock import FakeClock
 
-
 MAX_RUNNING = math.ceil(64 * MAX_RUNNING_SHARE)
 
 
 def make_allocator(count=1, **changes):
     clock = FakeClock()
-    share = ColdShare('me')
-    share.update_routers({'me'})
+    ranks = RouterRanks('me')
+    ranks.update({'me'})
     upstreams = registry(count, **changes)
     allocator = Allocator(
-        upstreams, share, lambda _pool: 29, clock, 'z1', lambda _zone: ''
+        upstreams,
+        ColdShare(ranks),
+        lambda _pool: 29,
+        clock,
+        'z1',
+        lambda _zone: '',
     )
     return allocator, clock
 
--- a/tests/unit/engines/test_upstream_choice.py
+++ b/tests/unit/engines/test_upstream_choice.py
@@ -10,11 +10,19 @@
     EngineLoad,
     LoadTracker,
 )
+from hickorymux._internal.coordination.engines.router_ranks import RouterRanks
 from tests.lib.demands import registry, upstream
 
 POOL = ['e1', 'e2', 'e3']
 
 
+def cold_share(name, routers):
+    """Return the share of one of these routers."""
+    ranks = RouterRanks(name)
+    ranks.update(routers)
+    return ColdShare(ranks)
+
+
 def test_failed_connection_excludes_an_upstream_at_once():
     health = UpstreamHealth()
     health.on_connect_failed('e1', 0)
@@ -66,8 +74,7 @@
         names = [f'router-{number}' for number in range(count)]
         total = 0
         for name in names:
-            share = ColdShare(name)
-            share.update_routers(names)
+            share = cold_share(name, names)
             while share.may_send('e1#1', 29, 0):
                 share.on_sent('e1#1', 0)
                 total += 1
@@ -75,8 +82,7 @@
 
 
 def test_cold_rate_limit_uses_a_sliding_window():
-    share = ColdShare('me')
-    share.update_routers({'me'})
+    share = cold_share('me', ['me'])
     while share.may_send('e1#1', 10, 0):
         share.on_sent('e1#1', 0)
     assert not share.may_send('e1#1', 10, 0.99)
@@ -84,7 +90,7 @@
 
 
 def test_router_that_knows_no_others_sends_nothing_to_cold_ones():
-    assert not ColdShare('me').may_send('e1#1', 29, 0)
+    assert not cold_share('me', []).may_send('e1#1', 29, 0)
 
 
 def test_entries_that_lapse_in_an_outage_are_held_for_a_while():
