Keep the request limits that upstreams name, all routers together

Cause: no code read the limit. Each router sees only what it sends itself, so a limit kept at each router would be exceeded by their number.

Now the routers split the rate by what is due to their own callers, by the usage that they exchange anyway, and each keeps its part by a token bucket. They tell each other limits and their ends, since a router without a part gets no answers. An upstream without a token is no candidate, so a request goes elsewhere, waits, or is refused at once with the time to come back.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -32,6 +32,9 @@
     Choice,
     Placement,
 )
+from hickorymux._internal.coordination.engines.request_limits import (
+    RequestLimits,
+)
 from hickorymux._internal.coordination.engines.share_log import (
     Outcome,
     ShareLog,
@@ -45,6 +48,7 @@
     CustomerUsage,
     WaitQueue,
     cost_of,
+    due_part,
 )
 from hickorymux._internal.exceptions import (
     NoCapacity,
@@ -145,6 +149,7 @@
         'placement',
         'candidate_cache',
         'registry',
+        'request_limits',
         'share_log',
         'dispatch_timer',
         'speeds',
@@ -157,6 +162,7 @@
         self,
         registry: UpstreamRegistry,
         cold_share: ColdShare,
+        request_limits: RequestLimits,
         cold_rate_limit: ColdRateLimit,
         clock: Clock,
         zone: str,
@@ -170,6 +176,7 @@
         self.usage_tracker = UsageTracker()
         self.share_log = ShareLog()
         self.cold_share = cold_share
+        self.request_limits = request_limits
         self.cold_rate_limit = cold_rate_limit
         self.region_of = region_of
         self.placement = Placement(self.load_tracker, self.speeds, zone)
@@ -230,13 +237,17 @@
         }
 
     def update_peer_usage(self) -> None:
-        """Pass the usage that peers reported on to the wait queues."""
+        """Pass on the usage that peers reported to what depends on it."""
         now = self.clock.monotonic()
         usage = self.usage_tracker.usage_by_pool(now)
+        own_parts = {}
         for pool, queue in self.wait_queues.items():
-            queue.meter.update_peer_usage(
-                usage.get(pool, {}), queue.usage_by_customer(now)
-            )
+            own_usage = queue.usage_by_customer(now)
+            peer_usage = usage.get(pool, {})
+            queue.meter.update_peer_usage(peer_usage, own_usage)
+            own_parts[pool] = due_part(own_usage, peer_usage)
+        known_routers = 1 + len(self.load_tracker.peer_reports)
+        self.request_limits.update_parts(own_parts, known_routers)
 
     def log_shares(self) -> None:
         """Log how the customers shared the pools that refused requests."""
@@ -312,7 +323,7 @@
             upstream
             for upstream in self.registry.available_in_pool(demand.pool.name)
             if upstream.upstream_id not in demand.excluded_ids
-            and self.health.is_available(upstream.upstream_id, now)
+            and self._takes_requests(upstream, now)
             and self._is_region_allowed(demand, upstream)
             and _is_version_allowed(demand, upstream)
         ]
@@ -327,6 +338,11 @@
             and self.cold_share.may_send(upstream.incarnation, limit, now)
         ]
 
+    def _takes_requests(self, upstream: RegisteredUpstream, now: float) -> bool:
+        if not self.health.is_available(upstream.upstream_id, now):
+            return False
+        return self.request_limits.may_send(upstream, now)
+
     def _check_version(self, demand: Demand) -> None:
         """Raise unless an upstream that the request may get has its version."""
         if demand.version is None or any(
@@ -392,6 +408,8 @@
         if self.registry.is_cold(upstream, now):
             self.cold_share.on_sent(upstream.incarnation, now)
             self.clear_candidate_cache()
+        if self.request_limits.on_sent(upstream, now):
+            self.clear_candidate_cache()
         queue.on_dispatched(demand, now)
         queue.rate.add(cost_of(demand), now)
         return Reservation(self, demand, choice, now)
--- a/src/hickorymux/_internal/coordination/engines/wait_queue.py
+++ b/src/hickorymux/_internal/coordination/engines/wait_queue.py
@@ -232,6 +232,33 @@
     return math.inf
 
 
+def due_part(
+    own_usage: Mapping[str, CustomerUsage],
+    peer_usage: Mapping[str, CustomerUsage],
+) -> float:
+    """Return which part of the service that all customers are due is due here.
+
+    A customer is due its service at its routers in proportion to its demand
+    there. The parts of all routers sum up to 1. Returns 0 without any demand.
+    """
+    totals = {
+        customer: _add(own_usage.get(customer), peer_usage.get(customer))
+        for customer in own_usage.keys() | peer_usage.keys()
+    }
+    fair = max_min_service(totals.values())
+    due_anywhere: float = 0
+    due_here: float = 0
+    for customer, total in totals.items():
+        demand = total.service + total.unmet
+        if demand <= 0:
+            continue
+        own = _add(own_usage.get(customer))
+        due = min(demand, fair)
+        due_anywhere += due
+        due_here += due * (own.service + own.unmet) / demand
+    return due_here / due_anywhere if due_anywhere else 0
+
+
 def _add(*usage: CustomerUsage | None) -> CustomerUsage:
     known = [each for each in usage if each is not None]
     return CustomerUsage(
--- a/src/hickorymux/_internal/coordination/load_messages.py
+++ b/src/hickorymux/_internal/coordination/load_messages.py
@@ -1,4 +1,4 @@
-"""Messages with which routers exchange the load that they have placed."""
+"""Messages about load: what routers have placed, and what upstreams take."""
 
 import dataclasses
 
@@ -23,3 +23,17 @@
     customers: list[str] = dataclasses.field(default_factory=list)
     given: list[int] = dataclasses.field(default_factory=list)
     unmet: list[int] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LimitReport:
+    """The request rates that upstreams have named, as columns of a table.
+
+    It has a row for each incarnation of an upstream: its name, the rate for
+    all routers together in thousandths of a request per second, -1 if the
+    limit has ended, and how long ago the upstream said so.
+    """
+
+    upstreams: list[str] = dataclasses.field(default_factory=list)
+    milli_per_second: list[int] = dataclasses.field(default_factory=list)
+    ages_ms: list[int] = dataclasses.field(default_factory=list)
--- a/src/hickorymux/_internal/protocol/idl/load.thrift
+++ b/src/hickorymux/_internal/protocol/idl/load.thrift
@@ -14,3 +14,10 @@
   // Field 9 was the number of waiting requests.
   10: optional list<i64> unmet = [],
 }
+
+// Request rates that upstreams have named, as columns of equal length.
+struct LimitReport {
+  1: optional list<string> upstreams = [],
+  2: optional list<i64> milli_per_second = [],
+  3: optional list<i64> ages_ms = [],
+}
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -33,6 +33,7 @@
     (58, 'suspect', 'PartsRefused'),
     (59, 'suspect', 'SuspectKnown'),
     (60, 'load', 'LoadReport'),
+    (61, 'load', 'LimitReport'),
     (70, 'topic', 'TopicAsk'),
     (71, 'topic', 'TopicPage'),
     (80, 'stream', 'StreamBegun'),
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -282,6 +282,7 @@
         facts = self.dialect.read_response_headers(
             answer.status, answer.response.headers
         )
+        self._note_limit(call, reservation, facts)
         try:
             await self._relay_answer(call, reservation, answer, facts, reply)
         except BaseException:
@@ -330,6 +331,40 @@
         if isinstance(call.demand, PlainDemand):
             self._observe_service_time(reservation)
 
+    def _note_limit(
+        self, call: EntryCall, reservation: Reservation, facts: ResponseHeaders
+    ) -> None:
+        """Record the request limit that the upstream names, or its end."""
+        if facts.is_wrong_upstream or facts.request_id != call.request_id:
+            return
+        upstream = reservation.upstream
+        if facts.invalid_limit:
+            self.decisions.record(
+                call.request_id,
+                'limit_unreadable',
+                f'request limit "{facts.invalid_limit}" is not a number of'
+                ' requests per second',
+                upstream=upstream.upstream_id,
+            )
+            return
+        has_changed = self.allocator.request_limits.on_answer(
+            upstream.incarnation,
+            facts.request_limit,
+            reservation.acquired_at,
+            self.clock.monotonic(),
+        )
+        if has_changed:
+            self.allocator.clear_candidate_cache()
+            self.decisions.record(
+                call.request_id,
+                'upstream_limit',
+                'named by the upstream'
+                if facts.request_limit is not None
+                else 'no longer named by the upstream',
+                upstream=upstream.upstream_id,
+                requests_per_second=facts.request_limit,
+            )
+
     def _check_answer(
         self,
         call: EntryCall,
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -26,13 +26,20 @@
 )
 from hickorymux._internal.coordination.engines.allocator import Allocator
 from hickorymux._internal.coordination.engines.cold_share import ColdShare
+from hickorymux._internal.coordination.engines.request_limits import (
+    RequestLimits,
+)
 from hickorymux._internal.coordination.engines.router_ranks import RouterRanks
 from hickorymux._internal.coordination.keyed_follower import (
     KeyedFollower,
     ReadTiming,
 )
+from hickorymux._internal.coordination.limit_exchange import LimitExchange
 from hickorymux._internal.coordination.load_exchange import LoadExchange
-from hickorymux._internal.coordination.load_messages import LoadReport
+from hickorymux._internal.coordination.load_messages import (
+    LimitReport,
+    LoadReport,
+)
 from hickorymux._internal.coordination.membership import Membership
 from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.ports import (
@@ -166,6 +173,7 @@
         'clock',
         'decisions',
         'deployment',
+        'limit_exchange',
         'load_exchange',
         'reported_ready',
         'listed_routers',
@@ -242,6 +250,7 @@
             self.upstream_follower.run(),
             self.membership.run(),
             self.load_exchange.run(),
+            self.limit_exchange.run(),
             self.part_guard.run(),
             self.suspects.run(),
             self._refresh_router_list(),
@@ -391,6 +400,7 @@
         self.allocator = Allocator(
             self.view.registry,
             ColdShare(self.router_ranks),
+            RequestLimits(self.router_ranks),
             self._cold_rate_limit,
             self.clock,
             settings.zone,
@@ -402,6 +412,13 @@
             self.network.send_datagram,
             self.clock,
         )
+        self.limit_exchange = LimitExchange(
+            self.allocator.request_limits,
+            self.membership,
+            self.network.send_datagram,
+            self.clock,
+            self.rng,
+        )
         self.client = UpstreamClient.from_config(
             UpstreamTimeouts(
                 connect=CONNECT_TIMEOUT,
@@ -480,6 +497,8 @@
         """Pass a message of another router to the component it is for."""
         if isinstance(message, LoadReport):
             self.load_exchange.on_message(sender_id, message)
+        elif isinstance(message, LimitReport):
+            self.limit_exchange.on_message(message)
         elif isinstance(message, TopicAsk | TopicPage):
             self.shared_log.on_message(sender_id, message)
         elif isinstance(message, PartCrash | PartsCleared | PartsRefused):
@@ -531,11 +550,21 @@
                 self.router_ranks.update(self.listed_routers | live)
                 self._apply_bounds()
             self.view.expire_held()
+            self._forget_gone_upstreams()
             self.streams.history.observe()
             self._report_readiness()
             self.allocator.log_shares()
             await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
 
+    def _forget_gone_upstreams(self) -> None:
+        """Drop what is kept for each incarnation of an upstream."""
+        upstreams = self.view.registry.upstreams.values()
+        incarnations = {upstream.incarnation for upstream in upstreams}
+        self.router_ranks.prune(incarnations)
+        self.allocator.request_limits.prune(
+            incarnations, self.clock.monotonic()
+        )
+
     def _report_readiness(self) -> None:
         """Log the readiness if it changed."""
         is_ready = self.check_readiness()
--- a/tests/unit/engines/test_allocator.py
+++ b/tests/unit/engines/test_allocator.py
@@ -11,6 +11,9 @@
 from hickorymux._internal.coordination.engines.placement import (
     MAX_RUNNING_SHARE,
 )
+from hickorymux._internal.coordination.engines.request_limits import (
+    RequestLimits,
+)
 from hickorymux._internal.coordination.engines.router_ranks import RouterRanks
 from hickorymux._internal.coordination.engines.wait_queue import (
     CustomerUsage,
@@ -30,6 +33,7 @@
     allocator = Allocator(
         upstreams,
         ColdShare(ranks),
+        RequestLimits(ranks),
         lambda _pool: 29,
         clock,
         'z1',
