Accept many connections of callers in one iteration of the event loop

Cause: uvloop accepts one connection in each iteration of its loop. At a router to which one customer sends 200 connections a second, an iteration takes about 5 ms, so as many connections wait in the listening socket as arrive.

An error such as too many open files pauses for 0.1 s and is logged.

Test: tests/unit/test_listener.py; with one connection in a pass it fails (150 iterations where 8 are allowed).

--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -76,6 +76,7 @@
 from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
 from hickorymux._internal.transport.entry_server import EntryServer, TableView
 from hickorymux._internal.transport.entry_settings import EntrySettings
+from hickorymux._internal.transport.listener import Listener
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.peer_network import PeerNetwork
 from hickorymux._internal.transport.upstream_client import (
@@ -130,7 +131,6 @@
 # How long a server waits for its connections to end when it is closed.
 CLOSE_TIMEOUT_SECONDS: Final = 0.2
 DRAIN_POLL_INTERVAL_SECONDS: Final = 0.05
-LISTEN_BACKLOG: Final = 1024
 
 _logger = logging.getLogger(__name__)
 
@@ -174,6 +174,7 @@
         'decisions',
         'deployment',
         'limit_exchange',
+        'listener',
         'load_exchange',
         'reported_ready',
         'listed_routers',
@@ -258,7 +259,10 @@
         )
         for coroutine in coroutines:
             self._start_task(coroutine)
-        await self._listen(self.server.web_server, self.settings.callers)
+        # The runner closes the connections that the listener accepts.
+        await self._add_runner(self.server.web_server)
+        callers = self.settings.callers
+        self.listener.start(callers.host, callers.port)
         await self._listen(
             web.Server(self._handle_readiness, access_log=None),
             self.settings.readiness,
@@ -305,6 +309,7 @@
     async def close(self) -> None:
         """Cancel all tasks and close all connections at once."""
         running = [*self.tasks, *self.server.running_tasks]
+        self.listener.close()
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
@@ -448,6 +453,7 @@
             ),
             self._choose_pool,
         )
+        self.listener = Listener(self.server.web_server)
         self._apply_bounds()
 
     def _apply_bounds(self) -> None:
@@ -593,21 +599,24 @@
         server: web.Server,
         address: Address,
     ) -> None:
-        runner = web.ServerRunner(
-            server,
-            shutdown_timeout=CLOSE_TIMEOUT_SECONDS,
-        )
-        await runner.setup()
-        self.runners.append(runner)
+        runner = await self._add_runner(server)
         site = web.TCPSite(
             runner,
             address.host,
             address.port,
-            backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
         await site.start()
 
+    async def _add_runner(self, server: web.Server) -> web.ServerRunner:
+        runner = web.ServerRunner(
+            server,
+            shutdown_timeout=CLOSE_TIMEOUT_SECONDS,
+        )
+        await runner.setup()
+        self.runners.append(runner)
+        return runner
+
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         task.add_done_callback(log_task_crash)
--- /dev/null
+++ b/tests/unit/test_listener.py
@@ -0,0 +1,110 @@
+"""Connections of callers are accepted as fast as they arrive."""
+
+import asyncio
+import errno
+import logging
+import socket
+
+import pytest
+import uvloop
+
+from hickorymux._internal.transport import listener as listener_module
+from hickorymux._internal.transport.listener import (
+    ERROR_PAUSE_SECONDS,
+    Listener,
+)
+
+CONNECTIONS = 150
+# A request takes about this many iterations until it is sent to an upstream.
+MAX_ITERATIONS = 8
+
+
+@pytest.fixture(
+    params=(uvloop.EventLoopPolicy(), asyncio.DefaultEventLoopPolicy()),
+    ids=('uvloop', 'asyncio'),
+)
+def event_loop_policy(request):
+    """Run each test on uvloop, as the entry process does, and on asyncio."""
+    return request.param
+
+
+class Greeter(asyncio.Protocol):
+    """Greets each caller and counts them."""
+
+    greeted = 0
+
+    def connection_made(self, transport):
+        """Send a byte and close."""
+        Greeter.greeted += 1
+        transport.write(b'!')
+        transport.close()
+
+
+def connect(opened: Listener, count: int) -> list[socket.socket]:
+    """Open connections that wait to be accepted."""
+    callers = []
+    for _ in range(count):
+        caller = socket.create_connection(
+            opened.listening_socket.getsockname(), timeout=5
+        )
+        callers.append(caller)
+    return callers
+
+
+def started_listener() -> Listener:
+    Greeter.greeted = 0
+    opened = Listener(Greeter)
+    opened.start('127.0.0.1', 0)
+    return opened
+
+
+async def test_connections_of_a_hot_caller_wait_for_one_iteration_each():
+    opened = started_listener()
+    callers = connect(opened, CONNECTIONS)
+    iterations = 0
+    while Greeter.greeted < CONNECTIONS and iterations < CONNECTIONS:
+        iterations += 1
+        await asyncio.sleep(0)
+    assert iterations <= MAX_ITERATIONS
+    opened.close()
+    for caller in callers:
+        assert caller.recv(1) == b'!'
+        caller.close()
+
+
+async def test_connection_is_left_waiting_after_an_error(monkeypatch, caplog):
+    """The process has no file left for a while."""
+    opened = started_listener()
+    real = opened.listening_socket
+
+    class FullSocket:
+        """A socket that can't accept."""
+
+        def __getattr__(self, name):
+            return getattr(real, name)
+
+        def accept(self):
+            """Fail as a process without free descriptors does."""
+            raise OSError(errno.EMFILE, 'too many open files')
+
+    opened.listening_socket = FullSocket()
+    with caplog.at_level(logging.WARNING, listener_module.__name__):
+        callers = connect(opened, 2)
+        await asyncio.sleep(ERROR_PAUSE_SECONDS / 2)
+    assert len(caplog.records) == 1
+    opened.listening_socket = real
+    await asyncio.sleep(2 * ERROR_PAUSE_SECONDS)
+    assert Greeter.greeted == 2
+    opened.close()
+    for caller in callers:
+        caller.close()
+
+
+async def test_address_in_use_is_reported_at_the_start():
+    opened = started_listener()
+    port = opened.listening_socket.getsockname()[1]
+    with pytest.raises(OSError, match='in use'):
+        Listener(Greeter).start('127.0.0.1', port)
+    opened.close()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(('127.0.0.1', port), timeout=5)
