Trust a refusal of an upstream only if it names the request

A faulty engine that writes an earlier refusal once more, without the id that it had, made the router believe that the next request on the connection was not run. It sent the request to a second upstream while the first one ran it.

Cause: an answer without a request id was taken for the answer to the request that was sent last. For whole answers the signature and the status decide; a refusal decides that work may be repeated, and needs a proof of its own.

Now a refusal that names no request counts as a possible run: the caller gets 502, and a request that may not be repeated is not sent again.

Test: tests/functional/test_repeated_refusals.py, kept and new connections, streams and writes. 4 of 8 cases failed before (a request ran at both engines); refusals that name the earlier request were recognized before.

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -378,6 +378,11 @@
                 f'answer belongs to request {facts.request_id}'
             )
         if facts.is_not_run:
+            if not facts.request_id:
+                # It may be a copy of the refusal of an earlier request.
+                raise AnswerNotUsable(
+                    f'refusal with status {status} that names no request'
+                )
             raise UpstreamRefused(f'status {status}')
         if status in _NOT_RUN_STATUSES:
             raise AnswerNotUsable(
