Let requests that resume a stream go before new ones

When all routers come back at once, all callers do.

Cause: load shedding took the newest request of the customer with the most service, whatever its caller had got so far.

Now load shedding refuses resumed streams only when nothing else waits, and among the requests of one customer they are dispatched first. The order among customers is unchanged.

Tests: two of tests/unit/engines/test_waiting.py, which failed before.

--- a/src/hickorymux/_internal/coordination/engines/demands.py
+++ b/src/hickorymux/_internal/coordination/engines/demands.py
@@ -27,6 +27,11 @@
     excluded_ids: set[str] = dataclasses.field(default_factory=set)
     version: str | None = None
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller has a part of the answer already."""
+        return self.version is not None
+
     @property
     def is_restricted(self) -> bool:
         """Return whether some upstreams of the pool must not get it."""
--- a/src/hickorymux/_internal/coordination/engines/wait_queue.py
+++ b/src/hickorymux/_internal/coordination/engines/wait_queue.py
@@ -3,8 +3,10 @@
 Load pattern: more requests arrive than the engines can take, and one customer
 sends many times its share. The customer with the least recent service goes
 first, so a large customer waits behind a small one and never the other way
-round. Among the requests of one customer, the one with the earliest start
-deadline goes first; those that are already late come last.
+round. Among the requests of one customer, those that resume a stream go first, as
+their callers hold a part of an answer that is worth nothing without the rest.
+Then the one with the earliest start deadline goes first; those that are already
+late come last.
 
 Example::
 
@@ -174,17 +176,21 @@
     def next_to_refuse(self, now: float) -> Demand:
         """Return the newest waiting request of the most-served customer.
 
-        It is the first to be refused under overload. Raises ``ValueError`` if
-        the queue is empty.
+        It is the first to be refused under overload. Requests that resume a
+        stream are refused only when no others are left. Raises ``ValueError``
+        if the queue is empty.
         """
+        refusable = {
+            customer: [each for each in demands if not each.resumes_stream]
+            for customer, demands in self.by_customer.items()
+        }
+        if not any(refusable.values()):
+            refusable = self.by_customer
         customer = max(
-            self.by_customer,
+            (name for name, demands in refusable.items() if demands),
             key=lambda name: self.meter.total_service(name, now),
         )
-        return max(
-            self.by_customer[customer],
-            key=lambda demand: demand.arrived_at,
-        )
+        return max(refusable[customer], key=lambda demand: demand.arrived_at)
 
     def usage_by_customer(self, now: float) -> dict[str, CustomerUsage]:
         """Return the usage of each customer at this router alone."""
@@ -267,6 +273,6 @@
     )
 
 
-def _urgency(demand: Demand, now: float) -> tuple[bool, float]:
+def _urgency(demand: Demand, now: float) -> tuple[bool, bool, float]:
     is_late = demand.start_deadline <= now
-    return is_late, demand.start_deadline
+    return not demand.resumes_stream, is_late, demand.start_deadline
--- a/tests/unit/engines/test_waiting.py
+++ b/tests/unit/engines/test_waiting.py
@@ -112,3 +112,31 @@
     tracker.replace_report('b', {('p', 'ann'): CustomerUsage(7, 2)}, 1)
     assert tracker.usage_by_pool(1)['p']['ann'] == CustomerUsage(12, 3)
     assert tracker.usage_by_pool(2)['p']['ann'] == CustomerUsage(7, 2)
+
+
+def resumed(customer='ann', **changes):
+    """Return a request whose caller has a part of the answer."""
+    demand = prompt_demand(customer, **changes)
+    demand.version = 'v1'
+    return demand
+
+
+def test_resumed_stream_is_refused_before_new_ones():
+    """All routers are back at once, and all callers with them."""
+    queue = WaitQueue(0)
+    queue.meter.served.add('hot', 1000, 0)
+    queue.push(resumed('hot', now=2))
+    new = prompt_demand('small', now=1)
+    queue.push(new)
+    assert queue.next_to_refuse(2) is new
+    queue.remove(new)
+    assert queue.next_to_refuse(2).resumes_stream
+
+
+def test_resumed_stream_waits_behind_new_ones_of_its_customer():
+    queue = WaitQueue(0)
+    new = prompt_demand(now=0)
+    late = resumed(now=-2)
+    for demand in (new, late):
+        queue.push(demand)
+    assert list(queue.in_service_order(0)) == [late, new]
