Keep the origins of streams beyond the loss of all routers

Cause: where a stream began was known to routers only, and a router that has just started had no history of versions: 288 refusals stream_unknown in 1.5 s.

A router without a history now reads the entries of upstreams that the store retains. They show the versions of the last 18 s or so, so with one version streams go on at no further cost. The history that a router needs is 18 s, or 3 s more than the longest timeout of a route, not 30 s.

Also types of the listener.

--- a/src/hickorymux/_internal/coordination/membership.py
+++ b/src/hickorymux/_internal/coordination/membership.py
@@ -170,9 +170,11 @@
 
     def is_delegate(self) -> bool:
         """Return whether this router is the zone delegate."""
-        return self.live_in_zone(self.me.zone)[0].router_id == (
-            self.me.router_id
-        )
+        return self.zone_delegate().router_id == self.me.router_id
+
+    def zone_delegate(self) -> Member:
+        """Return the delegate of this zone, which may be this router."""
+        return self.live_in_zone(self.me.zone)[0]
 
     async def run(self) -> None:
         """Send heartbeats and digests until cancelled."""
--- a/src/hickorymux/_internal/coordination/stream_directory.py
+++ b/src/hickorymux/_internal/coordination/stream_directory.py
@@ -10,7 +10,9 @@
 
 If none of them knows the stream, or none answers within a short time, it began
 at the only version that was registered lately. If there were more, or the view
-of the upstreams had gaps, the stream is unknown.
+of the upstreams had gaps, the store is asked, to which the origins of such pools
+are appended as well (`stream_archive`). A stream that it has no origin of is
+unknown.
 
 Example::
 
@@ -32,6 +34,7 @@
 
 from hickorymux._internal.coordination.membership import SendDatagram
 from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.coordination.stream_archive import StreamArchive
 from hickorymux._internal.coordination.stream_messages import (
     StreamBegun,
     StreamQuery,
@@ -83,6 +86,9 @@
     def find(self, router_id: str) -> Member | None:
         """Return what is known of a router, ``None`` if nothing is."""
 
+    def zone_delegate(self) -> Member:
+        """Return the delegate of this zone, which may be this router."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Query:
@@ -96,13 +102,16 @@
 class StreamDirectory:
     """The origins of streams that this router and its peers know.
 
-    ``send`` sends a message to members, and may lose it.
+    ``send`` sends a message to members, and may lose it. ``mixed_pools`` had
+    upstreams of several versions when it was last looked at.
     """
 
     __slots__ = (
+        'archive',
         'clock',
         'contacts',
         'history',
+        'mixed_pools',
         'queries',
         'query_numbers',
         'send',
@@ -116,8 +125,11 @@
         contacts: ContactView,
         send: SendDatagram,
         history: VersionHistory,
+        archive: StreamArchive,
         clock: Clock,
     ) -> None:
+        self.archive = archive
+        self.mixed_pools: frozenset[str] = frozenset()
         self.contacts = contacts
         self.send = send
         self.clock = clock
@@ -137,8 +149,15 @@
         """
         lifetime = min(lifetime_seconds, MAX_LIFETIME_SECONDS)
         self._put(key, origin, lifetime)
+        recipients = self._replicas(key)
+        if origin.pool in self.mixed_pools:
+            delegate = self.contacts.zone_delegate()
+            if delegate.router_id == self.contacts.myself.router_id:
+                self.archive.add(key, origin)
+            elif delegate not in recipients:
+                recipients.append(delegate)
         self.send(
-            self._replicas(key),
+            recipients,
             StreamBegun(
                 signed_fingerprint(key),
                 origin.pool,
@@ -147,6 +166,22 @@
             ),
         )
 
+    def observe_versions(self) -> None:
+        """Archive the streams of pools that have got a second version.
+
+        Call this at short intervals.
+        """
+        self.history.observe()
+        mixed_pools = self.history.mixed_pools()
+        added_pools = mixed_pools - self.mixed_pools
+        self.mixed_pools = mixed_pools
+        if not added_pools:
+            return
+        now = self.clock.monotonic()
+        for key, origin in self.table.items(now):
+            if origin.pool in added_pools:
+                self.archive.add(key, origin)
+
     async def find(self, key: int, pools: Sequence[str]) -> StreamOrigin | None:
         """Return where a stream began, ``None`` if that is unknown.
 
@@ -155,7 +190,9 @@
         known = self.table.get(key, self.clock.monotonic())
         if known is None:
             known = await self._query_replicas(key)
-        return await self._only_origin(pools) if known is None else known
+        if known is None:
+            known = await self._only_origin(pools)
+        return await self.archive.find(key) if known is None else known
 
     async def _only_origin(self, pools: Sequence[str]) -> StreamOrigin | None:
         """Return the only possible origin of streams, ``None`` if several."""
@@ -186,12 +223,12 @@
         """Handle a message; ignore those that are not about streams."""
 
     @on_message.register
-    def _on_begun(self, message: StreamBegun, _sender_id: str) -> None:
-        self._put(
-            unsigned_fingerprint(message.key),
-            StreamOrigin(message.pool, message.version),
-            message.lifetime_ms / _MS_PER_SECOND,
-        )
+    def _on_begun(self, message: StreamBegun, sender_id: str) -> None:
+        key = unsigned_fingerprint(message.key)
+        origin = StreamOrigin(message.pool, message.version)
+        self._put(key, origin, message.lifetime_ms / _MS_PER_SECOND)
+        if origin.pool in self.mixed_pools and self._is_delegate_of(sender_id):
+            self.archive.add(key, origin)
 
     @on_message.register
     def _on_query(self, message: StreamQuery, sender_id: str) -> None:
@@ -226,6 +263,14 @@
         now = self.clock.monotonic()
         self.table.put(key, origin, now + lifetime, now)
 
+    def _is_delegate_of(self, router_id: str) -> bool:
+        """Return whether this router is the zone delegate of another one."""
+        me = self.contacts.myself
+        sender = self.contacts.find(router_id)
+        if sender is None or sender.zone != me.zone:
+            return False
+        return self.contacts.zone_delegate().router_id == me.router_id
+
     async def _await_result(
         self, query: _Query, message: StreamQuery
     ) -> StreamOrigin | None:
--- a/src/hickorymux/_internal/coordination/version_history.py
+++ b/src/hickorymux/_internal/coordination/version_history.py
@@ -1,7 +1,8 @@
 """The software versions at which a stream may have begun lately.
 
 Where only one version was registered for longer than any caller waits for a
-stream, every stream began at it, and no one has to know the stream itself.
+stream, every stream began at it, and no one has to know the stream itself. A
+router that has started lately learns from the store what was registered before.
 
 Example::
 
@@ -9,21 +10,37 @@
     version = await history.only_version('drafting')
 """
 
+import collections
+import logging
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final, final
 
+from hickorymux._internal.coordination.retained_versions import (
+    RetainedVersions,
+)
+from hickorymux._internal.exceptions import LogUnavailable
 from hickorymux._internal.state.upstream_registry import UpstreamRegistry
 from hickorymux._internal.utils.clock import Clock
+from hickorymux._internal.utils.json_logging import FIELDS
+from hickorymux._internal.utils.single_flight import SingleFlight
 
-# Longer than callers wait for a stream, from its beginning to its last attempt.
-HISTORY_SECONDS: Final = 30.0
+# Longer than callers wait for a stream, from its beginning to its last attempt,
+# where no route has a longer timeout. The store retains entries for 20 s.
+HISTORY_SECONDS: Final = 18.0
+# Added to the longest timeout, as callers may count from an earlier moment.
+TIMEOUT_MARGIN_SECONDS: Final = 3.0
 # The view is read about every 0.5 s. Between observations that are further
 # apart, or of a view older than this, a version may have come and gone.
 MAX_GAP_SECONDS: Final = 2.0
 # How long to wait for a read of the view that began after the question.
 MAX_WAIT_SECONDS: Final = 1.5
 _POLL_SECONDS: Final = 0.05
+# Interval at which the retained entries are read again while they don't reach
+# back far enough.
+RETAINED_INTERVAL_SECONDS: Final = 1.0
+
+_logger: Final = logging.getLogger(__name__)
 
 
 @final
@@ -33,6 +50,8 @@
     ``confirmed_at`` returns up to which monotonic time in seconds the view of
     the upstreams is complete. The view has had no gap since
     ``continuous_since``, which is infinite while it is out of date.
+    ``read_retained`` reads the versions of the last seconds from the store, and
+    ``longest_timeout`` returns the longest timeout of a route in seconds.
     """
 
     __slots__ = (
@@ -40,8 +59,12 @@
         'confirmed_at',
         'continuous_since',
         'last_seen',
+        'longest_timeout',
         'observed_at',
+        'read_retained',
+        'reads',
         'registry',
+        'retained_at',
     )
 
     def __init__(
@@ -49,10 +72,16 @@
         registry: UpstreamRegistry,
         confirmed_at: Callable[[], float],
         clock: Clock,
+        read_retained: Callable[[], Awaitable[RetainedVersions]],
+        longest_timeout: Callable[[], float],
     ) -> None:
         self.registry = registry
         self.confirmed_at = confirmed_at
         self.clock = clock
+        self.read_retained = read_retained
+        self.longest_timeout = longest_timeout
+        self.reads = SingleFlight()
+        self.retained_at = -math.inf
         self.continuous_since = math.inf
         self.observed_at = -math.inf
         self.last_seen: dict[tuple[str, str], float] = {}
@@ -73,9 +102,14 @@
         self.last_seen = {
             row: seen_at
             for row, seen_at in self.last_seen.items()
-            if seen_at > now - HISTORY_SECONDS
+            if seen_at > now - self._history_seconds()
         }
 
+    def mixed_pools(self) -> frozenset[str]:
+        """Return the pools that had upstreams of several versions lately."""
+        versions = collections.Counter(pool for pool, _ in self.last_seen)
+        return frozenset(pool for pool, count in versions.items() if count > 1)
+
     async def only_version(self, pool: str) -> str | None:
         """Return the one version at which streams may have begun, if one.
 
@@ -83,6 +117,7 @@
         upstream at which a stream began before is missing.
         """
         asked_at = self.clock.monotonic()
+        await self._extend()
         while self._only_version(pool) is not None:
             if self.confirmed_at() >= asked_at:
                 return self._only_version(pool)
@@ -93,7 +128,47 @@
 
     def _only_version(self, pool: str) -> str | None:
         self.observe()
-        if self.observed_at - self.continuous_since < HISTORY_SECONDS:
+        if not self._is_long_enough():
             return None
-        versions = [version for name, version in self.last_seen if name == pool]
+        versions = self._recent_versions(pool)
         return versions[0] if len(versions) == 1 else None
+
+    def _is_long_enough(self) -> bool:
+        return self.observed_at - self.continuous_since >= (
+            self._history_seconds()
+        )
+
+    def _history_seconds(self) -> float:
+        return max(
+            HISTORY_SECONDS, self.longest_timeout() + TIMEOUT_MARGIN_SECONDS
+        )
+
+    def _recent_versions(self, pool: str) -> list[str]:
+        return [version for name, version in self.last_seen if name == pool]
+
+    async def _extend(self) -> None:
+        """Extend a history that is too short by what the store retains."""
+        self.observe()
+        if self._is_long_enough() or math.isinf(self.continuous_since):
+            return
+        age = self.clock.monotonic() - self.retained_at
+        if self.reads.is_running or age >= RETAINED_INTERVAL_SECONDS:
+            await self.reads.run(self._read_retained)
+
+    async def _read_retained(self) -> None:
+        asked_at = self.clock.monotonic()
+        self.retained_at = asked_at
+        try:
+            retained = await self.read_retained()
+        except LogUnavailable as error:
+            line = {'event': 'version_history_unknown', 'reason': str(error)}
+            _logger.warning('cannot read the log', extra={FIELDS: line})
+            return
+        if math.isinf(self.continuous_since):
+            return
+        # The versions may have been seen up to the read.
+        seen_at = self.clock.monotonic()
+        self.last_seen.update(dict.fromkeys(retained.versions, seen_at))
+        self.continuous_since = min(
+            self.continuous_since, asked_at - retained.covered_seconds
+        )
--- a/src/hickorymux/_internal/state/routing.py
+++ b/src/hickorymux/_internal/state/routing.py
@@ -131,6 +131,18 @@
     limits: IngressLimits = dataclasses.field(default_factory=IngressLimits)
     token_capacity: float = 0
 
+    @property
+    def longest_timeout(self) -> dt.timedelta:
+        """Return the longest timeout of a route, zero without any route."""
+        return max(
+            (
+                route.timeout
+                for routes in self.routes_by_host.values()
+                for route in routes
+            ),
+            default=dt.timedelta(),
+        )
+
     def match(self, host: str, path: str) -> HttpRoute | None:
         """Return the route with the longest matching path prefix, if any."""
         for route in self.routes_by_host.get(host, ()):
--- a/src/hickorymux/_internal/state/stream_origins.py
+++ b/src/hickorymux/_internal/state/stream_origins.py
@@ -12,6 +12,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Iterator
 from typing import Final, final
 
 import xxhash
@@ -69,6 +70,12 @@
             return None
         return row.origin
 
+    def items(self, now: float) -> Iterator[tuple[int, StreamOrigin]]:
+        """Yield the keys and origins of all streams that are known."""
+        for key, row in self.rows.items():
+            if row.expires_at > now:
+                yield key, row.origin
+
     def seconds_left(self, key: int, now: float) -> float:
         """Return for how long the origin of a known stream is kept."""
         return self.rows[key].expires_at - now
--- a/src/hickorymux/_internal/state/upstream_registry.py
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -39,7 +39,7 @@
     ``born_ms`` is its start in Unix milliseconds, which tells incarnations
     with the same id apart. Until ``cold_until``, in monotonic seconds, the
     upstream can serve only the cold rate of its pool. ``version`` is that of
-    its software.
+    its software. ``entry_number`` counts how often it has written its entry.
     """
 
     upstream_id: str
@@ -51,6 +51,7 @@
     cold_until: float = 0
     born_ms: int = 0
     version: str = ''
+    entry_number: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -58,6 +58,14 @@
     PartsCleared,
     PartsRefused,
 )
+from hickorymux._internal.coordination.retained_versions import (
+    RetainedVersions,
+    read_retained_versions,
+)
+from hickorymux._internal.coordination.stream_archive import (
+    ArchiveLog,
+    StreamArchive,
+)
 from hickorymux._internal.coordination.topic_messages import (
     TopicAsk,
     TopicPage,
@@ -135,7 +143,7 @@
 _logger = logging.getLogger(__name__)
 
 
-class EntryStore(KeyedLog, Protocol):
+class EntryStore(KeyedLog, ArchiveLog, Protocol):
     """Client of the store, which holds topics and the list of routers."""
 
     async def fetch(self) -> tuple[HostEntry, ...]:
@@ -190,6 +198,7 @@
         'shared_log',
         'stopping',
         'store',
+        'stream_archive',
         'streams',
         'suspects',
         'table_follower',
@@ -254,6 +263,7 @@
             self.limit_exchange.run(),
             self.part_guard.run(),
             self.suspects.run(),
+            self.stream_archive.run(),
             self._refresh_router_list(),
             self._update_router_shares(),
         )
@@ -391,6 +401,9 @@
             self.view.apply_upstream_listing,
             self._on_upstream_log_recovery,
         )
+        self.stream_archive = StreamArchive(
+            self.store, settings.router_id, self.clock
+        )
         self.streams = StreamDirectory(
             self.membership,
             self.network.send_datagram,
@@ -398,7 +411,10 @@
                 self.view.registry,
                 lambda: self.upstream_follower.confirmed_at,
                 self.clock,
+                self._read_retained_versions,
+                self._longest_timeout,
             ),
+            self.stream_archive,
             self.clock,
         )
         self.router_ranks = RouterRanks(settings.router_id)
@@ -474,6 +490,21 @@
             return None
         return (limit - KEY_STALENESS_MARGIN).total_seconds()
 
+    async def _read_retained_versions(self) -> RetainedVersions:
+        """Return the versions that the store shows; may raise a log error."""
+        return await read_retained_versions(
+            self.store,
+            self.deployment.upstream_topic,
+            self.deployment,
+            self.settings.upstream_renewal,
+            self.clock.monotonic(),
+        )
+
+    def _longest_timeout(self) -> float:
+        """Return the longest timeout of a route in seconds, 0 without any."""
+        table = self.view.table
+        return 0 if table is None else table.longest_timeout.total_seconds()
+
     def _cold_rate_limit(self, pool: PoolPolicy) -> float:
         """Return the requests a second of all routers to a cold upstream."""
         bounds = self.settings.bounds
@@ -557,7 +588,7 @@
                 self._apply_bounds()
             self.view.expire_held()
             self._forget_gone_upstreams()
-            self.streams.history.observe()
+            self.streams.observe_versions()
             self._report_readiness()
             self.allocator.log_shares()
             await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
--- a/src/hickorymux/_internal/transport/entry_settings.py
+++ b/src/hickorymux/_internal/transport/entry_settings.py
@@ -35,7 +35,8 @@
     ``callers``, ``readiness``, ``peers`` and ``metrics`` are the addresses on
     which it serves callers, readiness checks, other routers and metrics.
     ``store`` is the address of the store. ``fleet_key`` authenticates the
-    messages between routers.
+    messages between routers. Upstreams renew their entries about every
+    ``upstream_renewal``.
     """
 
     router_id: str
@@ -48,3 +49,4 @@
     region_of_zone: Mapping[str, str]
     bounds: ServiceBounds
     fleet_key: bytes
+    upstream_renewal: dt.timedelta
--- a/src/hickorymux/_internal/transport/listener.py
+++ b/src/hickorymux/_internal/transport/listener.py
@@ -67,7 +67,7 @@
             opened.close()
             raise
         self.listening_socket = opened
-        self._resume()
+        self._resume(opened)
 
     def close(self) -> None:
         """Accept no more connections; those that are open stay so."""
@@ -81,10 +81,10 @@
         asyncio.get_running_loop().remove_reader(opened)
         opened.close()
 
-    def _resume(self) -> None:
+    def _resume(self, opened: socket.socket) -> None:
         self.pause_timer = None
         loop = asyncio.get_running_loop()
-        loop.add_reader(self.listening_socket, self._accept_pending)
+        loop.add_reader(opened, self._accept_pending)
 
     def _accept_pending(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_PASS):
@@ -119,4 +119,6 @@
         _logger.warning('cannot accept a connection', extra={FIELDS: line})
         loop = asyncio.get_running_loop()
         loop.remove_reader(opened)
-        self.pause_timer = loop.call_later(ERROR_PAUSE_SECONDS, self._resume)
+        self.pause_timer = loop.call_later(
+            ERROR_PAUSE_SECONDS, self._resume, opened
+        )
--- a/src/hickorymux/_internal/utils/tasks.py
+++ b/src/hickorymux/_internal/utils/tasks.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
+from typing import Any
 
 _logger = logging.getLogger(__name__)
 
 
-def log_task_crash(task: 'asyncio.Task[None]') -> None:
+def log_task_crash(task: 'asyncio.Task[Any]') -> None:
     """Log the error that ended a task which should run until cancelled."""
     if task.cancelled() or task.exception() is None:
         return
--- a/src/hickorymux/platform/engine_entries.py
+++ b/src/hickorymux/platform/engine_entries.py
@@ -58,6 +58,7 @@
         cold_until=now + cold_seconds if cold_seconds > 0 else 0,
         born_ms=entry.born,
         version=entry.version,
+        entry_number=entry.seq,
     )
 
 
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -51,6 +51,8 @@
     listen: _Listen
     platform: _Store
     internal_port_range: tuple[int, int]
+    # Interval at which upstreams renew their entries.
+    heartbeat_ms: float = 1200
     region: str = ''
     # Region by zone.
     zones: dict[str, str] = msgspec.field(default_factory=dict)
@@ -103,6 +105,7 @@
         region_of_zone={**parsed.zones, parsed.zone: parsed.region},
         bounds=_to_bounds(parsed.bounds),
         fleet_key=_fleet_key(parsed.platform.address),
+        upstream_renewal=dt.timedelta(milliseconds=parsed.heartbeat_ms),
     )
 
 
--- a/src/hickorymux/platform/store.py
+++ b/src/hickorymux/platform/store.py
@@ -50,6 +50,11 @@
     end: int
 
 
+class _Trimmed(msgspec.Struct):
+    # The oldest offset that is retained.
+    first: int
+
+
 class _RouterRecord(msgspec.Struct):
     zone: str
     host: str
@@ -132,7 +137,9 @@
         status, body = await self._get('log-read', query, wait_seconds)
         if status == _STATUS_TRIMMED:
             raise LogTrimmed(
-                f'offset {from_offset} is no longer retained', where=topic
+                f'offset {from_offset} is no longer retained',
+                where=topic,
+                first_offset=_first_offset(body),
             )
         _check_ok(status, topic)
         try:
@@ -143,6 +150,29 @@
         end = from_offset + len(records)
         return KeyedPage(records, end, complete_until_seconds)
 
+    async def read_retained(self, topic: str) -> KeyedPage:
+        """Return all records that the store retains, oldest first.
+
+        The result is empty for a topic without records.
+        """
+        records: list[KeyedRecord] = []
+        next_offset = 0
+        while True:
+            try:
+                page = await self.read(topic, next_offset)
+            except LogTrimmed as error:
+                if error.first_offset <= next_offset:
+                    raise LogUnavailable(str(error), where=topic) from error
+                # Records that were read so far are older than the store
+                # retains by now; the rest must follow without a gap.
+                records.clear()
+                next_offset = error.first_offset
+                continue
+            records.extend(page.records)
+            if not page.records:
+                return KeyedPage(tuple(records), next_offset)
+            next_offset = page.next_offset
+
     async def fetch(self) -> tuple[HostEntry, ...]:
         """Return the announced routers; raises ``HostListUnavailable``."""
         try:
@@ -154,21 +184,27 @@
     async def announce(self, host: HostEntry) -> None:
         """Publish the address of this router for the other routers."""
         record = _RouterRecord(host.zone, host.host, host.port)
-        await self._append(host.router_id, msgspec.json.encode(record))
+        await self.append(
+            ROUTER_TOPIC, host.router_id, msgspec.json.encode(record)
+        )
+
+    async def append(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record; raises ``LogUnavailable``.
 
-    async def _append(self, key: str, value: bytes) -> None:
+        It may have been appended nevertheless.
+        """
         name = key.encode()
         content = bytes((len(name),)) + name + value
         timeout = _timeout(0)
-        with _convert_network_errors(ROUTER_TOPIC):
+        with _convert_network_errors(topic):
             async with self.session.post(
                 f'{self.base_url}/log-append',
-                params={'topic': ROUTER_TOPIC, 'part': _PARTITION},
+                params={'topic': topic, 'part': _PARTITION},
                 data=_RECORD_LENGTH.pack(len(content)) + content,
                 timeout=timeout,
             ) as response:
                 await response.read()
-                _check_ok(response.status, ROUTER_TOPIC)
+                _check_ok(response.status, topic)
 
     async def _read_newest_page(self, query: Mapping[str, str]) -> _NewestPage:
         topic = query['topic']
@@ -216,6 +252,14 @@
         )
 
 
+def _first_offset(body: bytes) -> int:
+    """Return the oldest retained offset, 0 if the response doesn't tell it."""
+    try:
+        return msgspec.json.decode(body, type=_Trimmed).first
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return 0
+
+
 def _to_record(item: _Item) -> KeyedRecord:
     return KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
 
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -291,3 +291,84 @@
         await resume_streams(fleet, streams, other)
         assert not mixed(streams)
         assert count_gone_on(streams) > STREAM_COUNT / 2
+
+
+# Origins are appended to the store by then, as a second version is seen at
+# intervals of 0.5 s.
+ARCHIVE_SECONDS = 1.2
+
+
+async def begin_and_lose_all_routers(fleet: PlatformFleet) -> list[Stream]:
+    """Begin streams, and replace all routers after their last events."""
+    streams = await begin_streams(fleet)
+    await asyncio.sleep(ARCHIVE_SECONDS)
+    await fleet.lose_all_routers()
+    await fleet.wait_until_ready()
+    return streams
+
+
+async def renew_entries(fleet: PlatformFleet, *engines, seconds=24) -> None:
+    """Let the store have the entries of engines over some time."""
+    for engine in engines:
+        for number in range(int(seconds / 1.2)):
+            entry = engine.entry(version=engine.version, seq=number)
+            await fleet.store.put('keyed.servers', engine.engine_id, entry)
+
+
+async def test_streams_of_two_versions_are_lost_with_all_routers():
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        await add_engines(fleet, 'v1', 'v2', 'v1', 'v2')
+        await fleet.add_router()
+        await fleet.add_router()
+        await fleet.wait_until_ready()
+        streams = await begin_and_lose_all_routers(fleet)
+        await resume_streams(fleet, streams, fleet.routers[1])
+        assert not mixed(streams)
+        assert count_gone_on(streams) > 0.8 * STREAM_COUNT
+
+
+async def test_streams_begun_before_the_second_version_are_lost():
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        await add_engines(fleet, 'v1', 'v1')
+        await fleet.wait_until_ready()
+        streams = await begin_streams(fleet)
+        await add_engines(fleet, 'v2', 'v2')
+        await fleet.wait_until_ready()
+        await asyncio.sleep(ARCHIVE_SECONDS)
+        await fleet.lose_all_routers()
+        await fleet.wait_until_ready()
+        await resume_streams(fleet, streams, fleet.process)
+        assert not mixed(streams)
+        assert count_gone_on(streams) > 0.8 * STREAM_COUNT
+
+
+async def test_streams_of_one_version_are_lost_with_all_routers():
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        await add_engines(fleet, 'v1', 'v1')
+        await renew_entries(fleet, *fleet.engines)
+        await fleet.add_router()
+        await fleet.wait_until_ready()
+        streams = await begin_and_lose_all_routers(fleet)
+        await resume_streams(fleet, streams, fleet.routers[1])
+        assert count_gone_on(streams) > 0.8 * STREAM_COUNT
+        # One version alone needs no records.
+        assert 'stream-origins' not in fleet.store.topics
+
+
+@pytest.mark.parametrize('is_history_compacted', [False, True])
+async def test_version_that_left_before_the_loss_is_forgotten(
+    is_history_compacted,
+):
+    """The only version that is left may not be the one of the stream."""
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        await add_engines(fleet, 'v1', 'v2', 'v2')
+        await renew_entries(fleet, *fleet.engines)
+        await fleet.wait_until_ready()
+        await fleet.remove_engine(fleet.engines[0])
+        if is_history_compacted:
+            fleet.store.compact('keyed.servers')
+        await fleet.lose_all_routers()
+        await fleet.wait_until_ready()
+        stream = Stream('s', 'never-seen', ['v1'])
+        await resume_streams(fleet, [stream], fleet.process)
+        assert stream.refusal == 'stream_unknown'
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -89,6 +89,7 @@
         self.store = store
         self.engines: list[PlatformEngine] = []
         self.routers = [process]
+        self.router_count = 1
         self.session = aiohttp.ClientSession()
 
     async def add_engine(
@@ -112,11 +113,29 @@
 
     async def add_router(self) -> EntryProcess:
         """Start another entry process of the fleet."""
-        node = f'front-{len(self.routers) + 1}'
+        self.router_count += 1
+        node = self.names[-1]
         process = await _start(self.store, REVOKE_MS, GRACE_SECONDS, node)
         self.routers.append(process)
         return process
 
+    async def lose_all_routers(self) -> None:
+        """End all processes at once and start others in their places."""
+        for process in self.routers:
+            await process.close()
+        self.routers = []
+        while len(self.routers) < len(self.names):
+            name = self.names[len(self.routers)]
+            self.routers.append(
+                await _start(self.store, REVOKE_MS, GRACE_SECONDS, name)
+            )
+        self.process = self.routers[0]
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of all routers that were started."""
+        return [f'front-{number + 1}' for number in range(self.router_count)]
+
     async def wait_until_ready(self) -> None:
         """Wait until all processes are ready and know engines and peers."""
         wanted = {engine.engine_id for engine in self.engines}
--- a/tests/unit/coordination/test_stream_directory.py
+++ b/tests/unit/coordination/test_stream_directory.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hickorymux._internal.coordination.ports import Member
+from hickorymux._internal.coordination.stream_archive import StreamArchive
 from hickorymux._internal.coordination.stream_directory import (
     QUERIED_IN_OTHER_ZONE,
     QUERIED_IN_OWN_ZONE,
@@ -17,9 +18,9 @@
     StreamDirectory,
 )
 from hickorymux._internal.coordination.stream_messages import StreamBegun
-from hickorymux._internal.coordination.version_history import VersionHistory
 from hickorymux._internal.state.stream_origins import StreamOrigin, stream_key
-from tests.lib.demands import registry
+from tests.lib.archive import MemoryLog, new_history
+from tests.lib.demands import upstream
 from tests.lib.manual_clock import ManualClock
 
 ORIGIN = StreamOrigin('models', 'v2')
@@ -43,6 +44,9 @@
             for zone, members in self.zones.items()
         }
 
+    def zone_delegate(self) -> Member:
+        return self.zones[self.myself.zone][0]
+
     def find(self, router_id: str) -> Member | None:
         everyone = [row for rows in self.zones.values() for row in rows]
         return next(
@@ -61,6 +65,7 @@
         self.clock = ManualClock()
         self.rng = random.Random(1)
         self.loss = loss
+        self.log = MemoryLog()
         self.sent: list[object] = []
         self.unreachable: set[str] = set()
         self.zones = {
@@ -89,8 +94,9 @@
                 )
 
         contacts = Contacts(member, self.zones)
-        history = VersionHistory(registry(0), self.clock.monotonic, self.clock)
-        router = StreamDirectory(contacts, send, history, self.clock)
+        archive = StreamArchive(self.log, member.router_id, self.clock)
+        history = new_history(0, self.clock)
+        router = StreamDirectory(contacts, send, history, archive, self.clock)
         self.routers[member.router_id] = router
 
     def begin_streams(self, router_id: str) -> list[int]:
@@ -186,12 +192,37 @@
 async def test_unknown_stream_is_refused_though_there_is_one_version():
     fleet = DirectoryFleet((1,))
     router = fleet.routers['z0-0']
-    router.history = VersionHistory(
-        registry(2, version='v2'), fleet.clock.monotonic, fleet.clock
-    )
+    router.history = new_history(2, fleet.clock, version='v2')
     assert await router.find(7, POOLS) is None
     for _ in range(40):
         router.history.observe()
         fleet.clock.advance(1)
     assert await router.find(7, POOLS) == ORIGIN
     assert await router.find(7, ('models', 'others')) is None
+
+
+@pytest.mark.parametrize('sizes', [SMALL, GROWN])
+async def test_all_routers_are_lost_while_two_versions_serve(sizes):
+    fleet = DirectoryFleet(sizes)
+    for router in fleet.routers.values():
+        router.history = new_history(2, fleet.clock, version='v1')
+        router.history.registry.put(upstream(9, version='v2'))
+        router.observe_versions()
+    keys = fleet.begin_streams('z0-1')
+    for router in fleet.routers.values():
+        await router.archive.flush()
+    appends = len(fleet.log.records)
+    for member in fleet.members:
+        fleet.start(member)
+    assert await fleet.count_found('z1-1', keys) == STREAMS
+    # The delegate of the zone appends for its routers, and it alone.
+    assert appends == 1
+    # All of them wait for one read.
+    assert fleet.log.reads == 1
+
+
+async def test_archive_is_written_while_there_is_one_version():
+    fleet = DirectoryFleet(SMALL)
+    fleet.begin_streams('z0-0')
+    await fleet.routers['z0-0'].archive.flush()
+    assert not fleet.log.records
--- a/tests/unit/coordination/test_version_history.py
+++ b/tests/unit/coordination/test_version_history.py
@@ -2,11 +2,17 @@
 
 import pytest
 
+from hickorymux._internal.coordination.retained_versions import (
+    UNKNOWN,
+    RetainedVersions,
+)
 from hickorymux._internal.coordination.version_history import (
     HISTORY_SECONDS,
     MAX_GAP_SECONDS,
+    RETAINED_INTERVAL_SECONDS,
     VersionHistory,
 )
+from hickorymux._internal.exceptions import LogUnavailable
 from tests.lib.demands import registry, upstream
 from tests.lib.manual_clock import ManualClock
 
@@ -25,10 +31,22 @@
         self.is_read = True
         self.on_read = lambda: None
         self.last_read = self.clock.monotonic()
+        self.retained = UNKNOWN
+        self.timeout = 12.0
         self.history = VersionHistory(
-            self.registry, self.confirmed_at, self.clock
+            self.registry,
+            self.confirmed_at,
+            self.clock,
+            self.read_retained,
+            lambda: self.timeout,
         )
 
+    async def read_retained(self) -> RetainedVersions:
+        """Return what the store has; fail if there is nothing."""
+        if self.retained is None:
+            raise LogUnavailable('busy', where='upstreams')
+        return self.retained
+
     def confirmed_at(self) -> float:
         """Return the time of the last read, which may be now."""
         now = self.clock.monotonic()
@@ -92,3 +110,54 @@
     view.observe(HISTORY_SECONDS + 1)
     view.clock.advance(pause_seconds)
     assert await view.history.only_version(POOL) is None
+
+
+def retained(seconds: float, *versions: str) -> RetainedVersions:
+    return RetainedVersions(
+        frozenset((POOL, version) for version in versions), seconds
+    )
+
+
+async def test_router_that_has_just_started_refuses_the_only_version():
+    view = View()
+    view.observe(1)
+    view.retained = retained(HISTORY_SECONDS, 'v1')
+    assert await view.history.only_version(POOL) == 'v1'
+
+
+@pytest.mark.parametrize(
+    'found',
+    [
+        retained(HISTORY_SECONDS, 'v1', 'v2'),
+        retained(HISTORY_SECONDS - 3, 'v1'),
+        UNKNOWN,
+        None,
+    ],
+)
+async def test_version_is_guessed_from_what_the_store_retains(found):
+    view = View()
+    view.observe(1)
+    view.retained = found
+    assert await view.history.only_version(POOL) is None
+    # It is not read again for each stream.
+    view.retained = retained(HISTORY_SECONDS, 'v1')
+    assert await view.history.only_version(POOL) is None
+
+
+async def test_store_is_never_asked_again_after_an_outage():
+    view = View()
+    view.observe(1)
+    view.retained = None
+    assert await view.history.only_version(POOL) is None
+    view.observe(RETAINED_INTERVAL_SECONDS + 0.5)
+    view.retained = retained(HISTORY_SECONDS, 'v1')
+    assert await view.history.only_version(POOL) == 'v1'
+
+
+async def test_version_is_guessed_though_callers_wait_longer():
+    view = View()
+    view.timeout = 60.0
+    view.observe(HISTORY_SECONDS + 1)
+    assert await view.history.only_version(POOL) is None
+    view.observe(60)
+    assert await view.history.only_version(POOL) == 'v1'
