Give resumed streams more time to wait than new ones

Cause: the objective is the time to the first event, and a resumed stream has had its first event. Its caller waits for two seconds for the next one.

Now the objective of a resumed stream is 1.5 s where the route has a shorter one, so it waits for 0.6 s at most.

Test: test_resumed_stream_is_refused_like_one_that_has_not_begun, which fails without it.

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -378,12 +378,7 @@
                 f'answer belongs to request {facts.request_id}'
             )
         if facts.is_not_run:
-            if not facts.request_id:
-                # It may be a copy of the refusal of an earlier request.
-                raise AnswerNotUsable(
-                    f'refusal with status {status} that names no request'
-                )
-            raise UpstreamRefused(f'status {status}')
+            raise _refusal_error(status, facts)
         if status in _NOT_RUN_STATUSES:
             raise AnswerNotUsable(
                 f'status {status} without the header that proves that the'
@@ -621,6 +616,18 @@
         )
 
 
+def _refusal_error(status: int, facts: ResponseHeaders) -> AttemptError:
+    """Return the error of a refusal, which must name the request.
+
+    Without a name, it may be a copy of the refusal of an earlier request.
+    """
+    if facts.request_id:
+        return UpstreamRefused(f'status {status}')
+    return AnswerNotUsable(
+        f'refusal with status {status} that names no request'
+    )
+
+
 def _milliseconds(seconds: float) -> float:
     """Return a duration in milliseconds, rounded for log lines."""
     return round(seconds * _MS_PER_SECOND, 1)
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -58,6 +58,9 @@
 STOPPING_RETRY_SECONDS: Final = 0.1
 # Short, as what keeps this router from knowing a stream is over soon or never.
 STREAM_UNKNOWN_RETRY_SECONDS: Final = 0.2
+# A resumed stream should go on within this time. Its answer has begun, so the
+# objective of its route says nothing; its caller waits for two seconds.
+RESUMED_OBJECTIVE_SECONDS: Final = 1.5
 # Drawn at random from this range, so that refused callers do not all retry at
 # the same time.
 OVERLOADED_RETRY_SECONDS: Final = (0.3, 0.9)
@@ -439,6 +442,8 @@
             )
         limit = _time_limit_seconds(route, facts)
         objective = route.latency_objective.total_seconds() or limit
+        if origin is not None:
+            objective = max(objective, RESUMED_OBJECTIVE_SECONDS)
         regions = route.regions
         if customer is not None and customer.regions:
             regions = (
--- a/tests/functional/test_stream_versions.py
+++ b/tests/functional/test_stream_versions.py
@@ -12,6 +12,7 @@
 import pytest
 import uvloop
 
+from hickorymux._internal.coordination.engines.load_tracker import EngineLoad
 from tests.lib.platform_engine import (
     PlatformEngine,
     ReceivedRequest,
@@ -372,3 +373,26 @@
         stream = Stream('s', 'never-seen', ['v1'])
         await resume_streams(fleet, [stream], fleet.process)
         assert stream.refusal == 'stream_unknown'
+
+
+async def test_resumed_stream_is_refused_like_one_that_has_not_begun():
+    """A new stream waits for 0.2 s at most; its engine is busy for longer."""
+    async with platform_fleet(RESUMED_BY_CALLER) as fleet:
+        engine = VersionedEngine(0, 'v1')
+        await fleet.add_engine(engine, version='v1', slots=2)
+        await fleet.wait_until_ready()
+        cut = Stream('cut')
+        await begin_streams(fleet, [cut])
+        tracker = fleet.process.allocator.load_tracker
+        load = EngineLoad(100, 0, 0)
+        tracker.add(engine.engine_id, load)
+        new = Stream('new')
+        waiting = [
+            asyncio.create_task(read(fleet, new, 'new-1')),
+            asyncio.create_task(read(fleet, cut, 'cut-2')),
+        ]
+        await asyncio.sleep(0.35)
+        tracker.remove(engine.engine_id, load)
+        await asyncio.gather(*waiting)
+        assert new.refusal == 'no_capacity'
+        assert cut.went_on
