Dispatch resumed streams before the new ones of all customers

Cause: resumed streams went first among the requests of one customer only, and those of customers beyond their share were deferred.

Now they go before all others, and are not deferred. A stream that breaks off brings one such request, so they can't crowd out a customer for long.

Test: test_resumed_stream_waits_behind_new_ones_of_other_customers.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -444,9 +444,10 @@
 
         A customer beyond its fair share may use only a part of each engine,
         the smaller the further it is beyond. The rest stays free for requests
-        of other customers, which may arrive at any router.
+        of other customers, which may arrive at any router. Resumed streams are
+        not deferred, as their callers wait for two seconds only.
         """
-        if not isinstance(demand, PromptDemand):
+        if not isinstance(demand, PromptDemand) or demand.resumes_stream:
             return False
         due = queue.meter.due_share(demand.customer, now)
         return _utilization(demand, choice) >= max(due, LOW_UTILIZATION)
--- a/src/hickorymux/_internal/coordination/engines/wait_queue.py
+++ b/src/hickorymux/_internal/coordination/engines/wait_queue.py
@@ -3,10 +3,10 @@
 Load pattern: more requests arrive than the engines can take, and one customer
 sends many times its share. The customer with the least recent service goes
 first, so a large customer waits behind a small one and never the other way
-round. Among the requests of one customer, those that resume a stream go first, as
-their callers hold a part of an answer that is worth nothing without the rest.
-Then the one with the earliest start deadline goes first; those that are already
-late come last.
+round. Among the requests of one customer, the one with the earliest start
+deadline goes first; those that are already late come last. Requests that resume
+a stream go before all others, as their callers hold a part of an answer that is
+worth nothing without the rest. A stream that breaks off brings only one of them.
 
 Example::
 
@@ -162,6 +162,7 @@
     def in_service_order(self, now: float) -> Iterator[Demand]:
         """Yield the waiting requests, least-served customer first.
 
+        Those that resume a stream come before all others.
         The order is as of the call, so call again after each change to the
         queue or to the service counted.
         """
@@ -170,8 +171,13 @@
             key=lambda customer: self.meter.total_service(customer, now),
         )
         by_urgency = functools.partial(_urgency, now=now)
-        for customer in customers:
-            yield from sorted(self.by_customer[customer], key=by_urgency)
+        in_order = [
+            demand
+            for customer in customers
+            for demand in sorted(self.by_customer[customer], key=by_urgency)
+        ]
+        yield from (each for each in in_order if each.resumes_stream)
+        yield from (each for each in in_order if not each.resumes_stream)
 
     def next_to_refuse(self, now: float) -> Demand:
         """Return the newest waiting request of the most-served customer.
@@ -273,6 +279,6 @@
     )
 
 
-def _urgency(demand: Demand, now: float) -> tuple[bool, bool, float]:
+def _urgency(demand: Demand, now: float) -> tuple[bool, float]:
     is_late = demand.start_deadline <= now
-    return not demand.resumes_stream, is_late, demand.start_deadline
+    return is_late, demand.start_deadline
--- a/tests/unit/engines/test_waiting.py
+++ b/tests/unit/engines/test_waiting.py
@@ -140,3 +140,13 @@
     for demand in (new, late):
         queue.push(demand)
     assert list(queue.in_service_order(0)) == [late, new]
+
+
+def test_resumed_stream_waits_behind_new_ones_of_other_customers():
+    """The engines are full; each slot that becomes free goes to a new stream."""
+    queue = WaitQueue(0)
+    queue.meter.served.add('hot', 1000, 0)
+    new, other = prompt_demand('small'), resumed('hot')
+    for demand in (new, other):
+        queue.push(demand)
+    assert list(queue.in_service_order(0)) == [other, new]
