Log what a router's processor is spent on

The log did not tell whose requests were refused for the lag of the event loop, nor how many connections and events a router handles in a second, nor why its loop lags. The line router_work has these counts by customer, the longest lag, and the time in the garbage collector, at most once a second and only while the router is busy or refuses for its load. No decision uses them.

--- a/src/hickorymux/_internal/protocol/upstream_http.py
+++ b/src/hickorymux/_internal/protocol/upstream_http.py
@@ -87,6 +87,9 @@
         ``head`` has the bytes of the request line and the headers.
         """
 
+    def key_of(self, head: bytes) -> str:
+        """Return the caller's API key in raw request headers, else empty."""
+
     def read_response_headers(
         self,
         status: int,
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -41,6 +41,7 @@
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.relay import EventRelay, Reply, relay_plain
+from hickorymux._internal.transport.router_work import RouterWork
 from hickorymux._internal.transport.upstream_client import (
     Attempt,
     AttemptError,
@@ -111,6 +112,7 @@
         'retry_budget',
         'streams',
         'suspects',
+        'work',
     )
 
     def __init__(
@@ -136,6 +138,7 @@
         self.decisions = decisions
         self.metrics = metrics
         self.clock = clock
+        self.work = RouterWork(clock.monotonic)
 
     async def run(self, call: EntryCall, reply: Reply) -> None:
         """Run the call until an answer has been relayed to ``reply``.
@@ -289,6 +292,7 @@
             answer.close()
             raise
         answer.release()
+        self.work.counts.answered += 1
         spent = self.clock.monotonic() - call.demand.arrived_at
         self.metrics.observe('whole_answer', call.demand.pool.name, spent)
         self.decisions.record(
@@ -414,7 +418,8 @@
         reservation: Reservation,
         events: int,
     ) -> None:
-        """Record when a model engine begins to stream its answer."""
+        """Count events, and record when an engine begins to stream."""
+        self.work.counts.events += events
         if call.demand.version is None:
             self._record_origin(call, reservation)
         former_events = call.attempt_events - events
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -253,6 +253,7 @@
     async def start(self) -> None:
         """Listen and start all tasks."""
         self.server.loop_lag.start()
+        self.server.work.watch_collector()
         peers = self.settings.peers
         await self.network.start(peers.host, peers.port)
         coroutines = (
@@ -319,6 +320,7 @@
     async def close(self) -> None:
         """Cancel all tasks and close all connections at once."""
         running = [*self.tasks, *self.server.running_tasks]
+        self.server.work.unwatch_collector()
         self.listener.close()
         for task in running:
             task.cancel()
@@ -591,6 +593,7 @@
             self.streams.observe_versions()
             self._report_readiness()
             self.allocator.log_shares()
+            self.server.work.write_due(len(self.server.running_tasks))
             await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
 
     def _forget_gone_upstreams(self) -> None:
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -143,6 +143,7 @@
         'running_tasks',
         'view',
         'web_server',
+        'work',
     )
 
     def __init__(
@@ -158,7 +159,8 @@
         self.clock: Clock = dispatcher.clock
         self.decisions: DecisionLog = dispatcher.decisions
         self.metrics: RouterMetrics = dispatcher.metrics
-        self.loop_lag = LoopLag(self.clock)
+        self.work = dispatcher.work
+        self.loop_lag = LoopLag(self.clock, self.work.observe_lag)
         self.running_tasks: set[asyncio.Task[Any]] = set()
         self.is_stopping = False
         self.refuse_after = math.inf
@@ -180,12 +182,17 @@
         )
 
     def _is_overloaded(self) -> bool:
+        self.work.counts.connections += 1
         return self.loop_lag.is_high
 
     def _build_refusal(self, head: bytes) -> bytes:
         """Return the refusal of a request of which only the head was read."""
         request_id = self.dialect.request_id_of(head)
         error = self._overload_error()
+        self.work.counts.refused_unread += 1
+        self.work.count_customer(
+            self._customer_name(self.dialect.key_of(head)), is_refused=True
+        )
         self._record_refusal(error, request_id)
         text = f'{error.code}: {error.detail}\n'
         lines = [
@@ -247,7 +254,7 @@
     ) -> None:
         arrived_at = self.clock.monotonic()
         self._check_not_stopping(arrived_at)
-        self._check_not_overloaded()
+        self._check_not_overloaded(facts)
         table = self.view.table
         if table is None:
             raise NotReady(
@@ -305,11 +312,23 @@
             retry_after=STOPPING_RETRY_SECONDS,
         )
 
-    def _check_not_overloaded(self) -> None:
+    def _check_not_overloaded(self, facts: RequestHeaders) -> None:
         """Refuse a request while the event loop lags, before any work on it."""
-        if self.loop_lag.is_high:
+        is_high = self.loop_lag.is_high
+        self.work.counts.requests += 1
+        self.work.count_customer(
+            self._customer_name(facts.key), is_refused=is_high
+        )
+        if is_high:
+            self.work.counts.refused_busy += 1
             raise self._overload_error()
 
+    def _customer_name(self, key: str) -> str:
+        """Return the name of the customer with a key, empty if unknown."""
+        table = self.view.table
+        customer = None if table is None else table.customers_by_key.get(key)
+        return '' if customer is None else customer.name
+
     def _overload_error(self) -> NotReady:
         return NotReady(
             f'the event loop lags by {self.loop_lag.seconds:.2f} s',
--- a/src/hickorymux/_internal/transport/loop_lag.py
+++ b/src/hickorymux/_internal/transport/loop_lag.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, final
 
 from hickorymux._internal.utils.clock import Clock
@@ -23,12 +24,18 @@
 
 @final
 class LoopLag:
-    """Measures by how much a periodic timer of the event loop is late."""
+    """Measures by how much a periodic timer of the event loop is late.
 
-    __slots__ = ('clock', 'next_probe_at', 'previous_seconds')
+    ``on_probe`` is called with the lag of each probe in seconds.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    __slots__ = ('clock', 'next_probe_at', 'on_probe', 'previous_seconds')
+
+    def __init__(
+        self, clock: Clock, on_probe: Callable[[float], None] | None = None
+    ) -> None:
         self.clock = clock
+        self.on_probe = on_probe
         self.next_probe_at = clock.monotonic()
         self.previous_seconds: float = 0
 
@@ -45,6 +52,8 @@
         now = self.clock.monotonic()
         self.previous_seconds = max(0, now - self.next_probe_at)
         self.next_probe_at = now + PROBE_INTERVAL_SECONDS
+        if self.on_probe is not None:
+            self.on_probe(self.previous_seconds)
 
     @property
     def seconds(self) -> float:
--- a/src/hickorymux/platform/headers.py
+++ b/src/hickorymux/platform/headers.py
@@ -47,6 +47,7 @@
 REQUEST_LIMIT: Final = 'Server-Limit'
 
 _REQUEST_ID_NAME: Final = REQUEST_ID.lower().encode()
+_API_KEY_NAME: Final = API_KEY.lower().encode()
 _MS_PER_SECOND: Final = 1000
 _STATUS_MISDIRECTED_REQUEST: Final = 421
 _READY_PATH: Final = '/v1/ready'
@@ -100,12 +101,13 @@
     An id with control characters counts as none, as it would corrupt the
     headers of the response.
     """
-    for line in head.split(b'\r\n'):
-        name, _, value = line.partition(b':')
-        if name.lower() == _REQUEST_ID_NAME:
-            request_id = value.strip().decode('latin-1')
-            return request_id if request_id.isprintable() else ''
-    return ''
+    request_id = _raw_header(head, _REQUEST_ID_NAME)
+    return request_id if request_id.isprintable() else ''
+
+
+def key_of(head: bytes) -> str:
+    """Return the caller's API key in raw request headers, else empty."""
+    return _raw_header(head, _API_KEY_NAME)
 
 
 def read_response_headers(
@@ -232,3 +234,12 @@
     except ValueError:
         return None
     return seconds if math.isfinite(seconds) else None
+
+
+def _raw_header(head: bytes, wanted: bytes) -> str:
+    """Return the value of the first header with a lowercase name."""
+    for line in head.split(b'\r\n'):
+        name, _, value = line.partition(b':')
+        if name.lower() == wanted:
+            return value.strip().decode('latin-1')
+    return ''
