Share out a router's processor by customer

What callers saw: a customer with a few requests was refused, all of them, because another one flooded the router that both reach. Cause: the gate that sheds load while the event loop lags asks nothing but the lag. It closes for everybody for an iteration, then opens for everybody. Change: while the loop lags, a limit on what is taken follows the lag, and is divided among the customers by max-min fairness; those below an even part are taken whole. Refused callers return later, the more is refused for each request that is taken.

--- a/src/hickorymux/_internal/coordination/engines/wait_queue.py
+++ b/src/hickorymux/_internal/coordination/engines/wait_queue.py
@@ -28,6 +28,7 @@
 # The weight of past service halves in this time, so that customers are not
 # held back for service that they received long ago.
 HALF_LIFE_SECONDS: Final = 1.5
+NEGLIGIBLE_COST: Final = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +70,17 @@
         elapsed = now - self.updated_at[customer]
         return cost * math.exp2(-elapsed / HALF_LIFE_SECONDS)
 
+    def prune(self, now: float) -> None:
+        """Forget the customers whose requests no longer count for anything."""
+        for customer in tuple(self.costs):
+            if self.total(customer, now) < NEGLIGIBLE_COST:
+                self.costs.pop(customer)
+                self.updated_at.pop(customer)
+
+    def sum_total(self, now: float) -> float:
+        """Return the discounted cost of all requests."""
+        return sum(self.total(customer, now) for customer in self.costs)
+
 
 @final
 class ServiceMeter:
@@ -234,10 +246,22 @@
     customers.
     """
     rows = list(usage)
-    left = sum(each.service for each in rows)
-    demands = sorted(each.service + each.unmet for each in rows)
-    for index, demand in enumerate(demands):
-        even_part = left / (len(demands) - index)
+    return max_min_share(
+        [each.service + each.unmet for each in rows],
+        sum(each.service for each in rows),
+    )
+
+
+def max_min_share(demands: Iterable[float], total: float) -> float:
+    """Return the part of a total that no customer gets more of.
+
+    The total is divided by max-min fairness among customers with these
+    demands. Returns infinity if it exceeds all demands together.
+    """
+    ascending = sorted(demands)
+    left = total
+    for index, demand in enumerate(ascending):
+        even_part = left / (len(ascending) - index)
         if demand >= even_part:
             return even_part
         left -= demand
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -14,6 +14,10 @@
 
 from aiohttp import web
 
+from hickorymux._internal.coordination.admission import (
+    MAX_LAG_SECONDS,
+    Admission,
+)
 from hickorymux._internal.coordination.decisions import DecisionLog
 from hickorymux._internal.coordination.deployment_view import DeploymentView
 from hickorymux._internal.coordination.engines.demands import (
@@ -21,6 +25,7 @@
     PlainDemand,
     PromptDemand,
 )
+from hickorymux._internal.coordination.engines.refusal import RETRY_SPREAD
 from hickorymux._internal.exceptions import (
     BadRequest,
     BodyTooLarge,
@@ -61,9 +66,6 @@
 # A resumed stream should go on within this time. Its answer has begun, so the
 # objective of its route says nothing; its caller waits for two seconds.
 RESUMED_OBJECTIVE_SECONDS: Final = 1.5
-# Drawn at random from this range, so that refused callers do not all retry at
-# the same time.
-OVERLOADED_RETRY_SECONDS: Final = (0.3, 0.9)
 # Above this staleness of the tables, a route or key that is not found may have
 # been added meanwhile, so the refusal asks the caller to retry.
 MAX_CONCLUSIVE_STALENESS_SECONDS: Final = 3.0
@@ -131,6 +133,7 @@
     """
 
     __slots__ = (
+        'admission',
         'choose_pool',
         'clock',
         'decisions',
@@ -160,6 +163,7 @@
         self.decisions: DecisionLog = dispatcher.decisions
         self.metrics: RouterMetrics = dispatcher.metrics
         self.work = dispatcher.work
+        self.admission = Admission()
         self.loop_lag = LoopLag(self.clock, self.work.observe_lag)
         self.running_tasks: set[asyncio.Task[Any]] = set()
         self.is_stopping = False
@@ -183,16 +187,17 @@
 
     def _is_overloaded(self) -> bool:
         self.work.counts.connections += 1
-        return self.loop_lag.is_high
+        return self.loop_lag.seconds > MAX_LAG_SECONDS
 
     def _build_refusal(self, head: bytes) -> bytes:
         """Return the refusal of a request of which only the head was read."""
         request_id = self.dialect.request_id_of(head)
-        error = self._overload_error()
+        customer = self._customer_name(self.dialect.key_of(head))
+        now = self.clock.monotonic()
+        self.admission.on_refused(customer, now)
+        error = self._overload_error(now)
         self.work.counts.refused_unread += 1
-        self.work.count_customer(
-            self._customer_name(self.dialect.key_of(head)), is_refused=True
-        )
+        self.work.count_customer(customer, is_refused=True)
         self._record_refusal(error, request_id)
         text = f'{error.code}: {error.detail}\n'
         lines = [
@@ -254,7 +259,7 @@
     ) -> None:
         arrived_at = self.clock.monotonic()
         self._check_not_stopping(arrived_at)
-        self._check_not_overloaded(facts)
+        self._check_not_overloaded(facts, arrived_at)
         table = self.view.table
         if table is None:
             raise NotReady(
@@ -312,16 +317,23 @@
             retry_after=STOPPING_RETRY_SECONDS,
         )
 
-    def _check_not_overloaded(self, facts: RequestHeaders) -> None:
-        """Refuse a request while the event loop lags, before any work on it."""
-        is_high = self.loop_lag.is_high
-        self.work.counts.requests += 1
-        self.work.count_customer(
-            self._customer_name(facts.key), is_refused=is_high
+    def _check_not_overloaded(self, facts: RequestHeaders, now: float) -> None:
+        """Refuse a request that exceeds its customer's share of the processor.
+
+        That is checked before any work on it is done.
+        """
+        customer = self._customer_name(facts.key)
+        is_refused = self.admission.is_refused(
+            customer, self.loop_lag.seconds, now
         )
-        if is_high:
-            self.work.counts.refused_busy += 1
-            raise self._overload_error()
+        self.work.counts.requests += 1
+        self.work.count_customer(customer, is_refused=is_refused)
+        if not is_refused:
+            self.admission.on_taken(customer, now)
+            return
+        self.admission.on_refused(customer, now)
+        self.work.counts.refused_busy += 1
+        raise self._overload_error(now)
 
     def _customer_name(self, key: str) -> str:
         """Return the name of the customer with a key, empty if unknown."""
@@ -329,10 +341,12 @@
         customer = None if table is None else table.customers_by_key.get(key)
         return '' if customer is None else customer.name
 
-    def _overload_error(self) -> NotReady:
+    def _overload_error(self, now: float) -> NotReady:
         return NotReady(
-            f'the event loop lags by {self.loop_lag.seconds:.2f} s',
-            retry_after=random.uniform(*OVERLOADED_RETRY_SECONDS),
+            'the router is asked for more than its processor can serve, and'
+            f' its event loop lags by {self.loop_lag.seconds:.2f} s',
+            retry_after=self.admission.retry_seconds(now)
+            * random.uniform(*RETRY_SPREAD),
         )
 
     def _match_route(
