Free the objects of a request at its end

What callers saw: at its limit a router paused for 30 to 60 ms several times a second, and for 0.2 s now and then, also with its imported objects frozen. Cause: two reference cycles. The relay of a stream refers to its call, which refers to the relay; and the error of a request that waited in vain refers to the frame of its wait. So each request, with its body, stayed until the collector ran: 46 MB after 4,000 streams with the collector turned off. Evidence: the objects that only a collection frees, by type, had one EntryCall, EventRelay and functools.partial for each of 1,230 streams. Change: both cycles are broken.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -379,9 +379,14 @@
             _release_unclaimed(future)
             raise
         finally:
-            self.futures.pop(demand, None)
-            if demand in queue.by_customer.get(demand.customer, ()):
-                queue.remove(demand)
+            self._end_wait(demand, queue)
+            # The error of a refusal refers to this frame, and so to itself.
+            del future
+
+    def _end_wait(self, demand: Demand, queue: WaitQueue) -> None:
+        self.futures.pop(demand, None)
+        if demand in queue.by_customer.get(demand.customer, ()):
+            queue.remove(demand)
 
     def _try_reserve(
         self, demand: Demand, queue: WaitQueue
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -155,6 +155,10 @@
                     is_answered = await self._run_attempt(call, reply)
         except TimeoutError:
             raise self._timeout_error(call) from None
+        finally:
+            # The relay refers to the call. Without the cycle, the memory of a
+            # request is free at once and not when the collector runs.
+            call.relay = None
 
     async def _run_attempt(self, call: EntryCall, reply: Reply) -> bool:
         """Run one attempt; return whether the whole answer was relayed."""
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -92,7 +92,10 @@
     UpstreamTimeouts,
 )
 from hickorymux._internal.utils.clock import Clock, SystemClock
-from hickorymux._internal.utils.collector import limit_collector_pauses
+from hickorymux._internal.utils.collector import (
+    limit_collector_pauses,
+    run_when_quiet,
+)
 from hickorymux._internal.utils.ids import new_incarnation
 from hickorymux._internal.utils.json_logging import FIELDS
 from hickorymux._internal.utils.tasks import log_task_crash
@@ -248,6 +251,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         limit_collector_pauses()
+        self._start_task(run_when_quiet(self.server.running_tasks, self.clock))
         _report('started', settings=str(self.settings))
         await self.stopping.wait()
         await self.shut_down()
--- a/src/hickorymux/_internal/transport/router_process.py
+++ b/src/hickorymux/_internal/transport/router_process.py
@@ -69,7 +69,10 @@
 )
 from hickorymux._internal.transport.upstream_client import UpstreamClient
 from hickorymux._internal.utils.clock import Clock, SystemClock
-from hickorymux._internal.utils.collector import limit_collector_pauses
+from hickorymux._internal.utils.collector import (
+    limit_collector_pauses,
+    run_when_quiet,
+)
 from hickorymux._internal.utils.ids import new_incarnation
 from hickorymux._internal.utils.tasks import log_task_crash
 
@@ -144,6 +147,9 @@
             loop.add_signal_handler(signal_number, self._on_signal)
         announce(await self.start())
         limit_collector_pauses()
+        self._spawn(
+            run_when_quiet(self.caller_server.running_tasks, self.clock)
+        )
         await self.stopping.wait()
         await self.shut_down()
 
