--- a/src/hickorymux/_internal/coordination/decisions.py
+++ b/src/hickorymux/_internal/coordination/decisions.py
@@ -10,7 +10,7 @@
 from typing import Any, final
 
 from hickorymux._internal.utils.clock import Clock
-from hickorymux._internal.utils.json_logging import FIELDS
+from hickorymux._internal.utils.json_logging import FIELDS, routine_writer
 
 MAX_EXPLAINED_REQUESTS = 2000
 
@@ -24,7 +24,13 @@
     With ``max_kept_requests`` of 0, ``record`` only writes to the log.
     """
 
-    __slots__ = ('clock', 'lines_by_request', 'max_kept_requests', 'router_id')
+    __slots__ = (
+        'clock',
+        'lines_by_request',
+        'max_kept_requests',
+        'router_id',
+        'write_routine',
+    )
 
     def __init__(
         self,
@@ -35,6 +41,7 @@
         self.max_kept_requests = max_kept_requests
         self.router_id = router_id
         self.clock = clock
+        self.write_routine = routine_writer()
         self.lines_by_request: collections.OrderedDict[
             str, list[dict[str, Any]]
         ] = collections.OrderedDict()
@@ -54,7 +61,10 @@
             'reason': reason,
             **fields,
         }
-        _logger.info(event, extra={FIELDS: line})
+        if self.write_routine is None:
+            _logger.info(event, extra={FIELDS: line})
+        else:
+            self.write_routine('decisions', event, line)
         if self.max_kept_requests:
             self.keep_for_explain(request_id, line)
 
--- a/src/hickorymux/_internal/utils/json_logging.py
+++ b/src/hickorymux/_internal/utils/json_logging.py
@@ -11,7 +11,7 @@
 import datetime as dt
 import logging
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, TextIO, final
 
 import msgspec
@@ -30,6 +30,9 @@
 )
 FIELDS = 'fields'
 
+# Gets the name of the logger, the message and the fields of a line.
+WriteRoutine = Callable[[str, str, Mapping[str, Any]], None]
+
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -61,6 +64,25 @@
             line['exception'] = self.formatException(record.exc_info)
         return _encoder.encode(line).decode()
 
+    def format_fields(
+        self,
+        created: float,
+        logger: str,
+        message: str,
+        fields: Mapping[str, Any],
+    ) -> bytes:
+        """Return the line of a routine event, without the final newline."""
+        return _encoder.encode(
+            {
+                'time': _time_text(created),
+                'level': 'info',
+                'logger': logger,
+                'message': message,
+                **self.common,
+                **fields,
+            }
+        )
+
 
 @final
 class JsonHandler(absl_logging.PythonHandler[TextIO]):
@@ -101,6 +123,20 @@
     _skip_unused_record_fields()
 
 
+def routine_writer() -> WriteRoutine | None:
+    """Return what writes routine lines at little cost, if there is any.
+
+    There is one after ``configure_output`` unless routine lines are turned
+    off.
+    """
+    if not logging.getLogger('hickorymux').isEnabledFor(logging.INFO):
+        return None
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler, BoundedOutput):
+            return handler.write_routine
+    return None
+
+
 def _skip_unused_record_fields() -> None:
     """Turn off the collection of record attributes that lines don't show.
 
