Keep odd entries of other writers from stopping a router's view

What another operator saw: one odd entry among those of the upstreams, and the machines that read the list ended or stopped following it. Cause: here too. A deeply nested entry raised RecursionError and a port of 5,000 digits ValueError, neither of which the follower of the topic catches, so its task ended and no later entry was seen. Entries with a port of 0, a host that is no address, or 10**30 slots were taken for upstreams.

--- a/src/hickorymux/_internal/coordination/keyed_follower.py
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -140,7 +140,7 @@
         )
         self._mark_confirmed(started_at + page.complete_until_seconds)
         for record in page.records:
-            self.on_record(record)
+            self._apply(record)
         self.next_offset = page.next_offset
 
     def mark_lost(self, error: LogUnavailable) -> None:
@@ -164,10 +164,27 @@
         page = await self.log.read_newest(self.topic)
         self._mark_confirmed(started_at)
         for record in page.records:
-            self.on_record(record)
+            self._apply(record)
         self.on_listing(_listed_keys(page))
         self.next_offset = page.next_offset
 
+    def _apply(self, record: KeyedRecord) -> None:
+        """Pass on a record; one that can't be applied hides no later ones."""
+        try:
+            self.on_record(record)
+        except Exception:
+            _logger.exception(
+                'cannot apply a record',
+                extra={
+                    FIELDS: {
+                        'event': 'record_failed',
+                        'topic': self.topic,
+                        'key': record.key,
+                        'offset': record.offset,
+                    },
+                },
+            )
+
     def _mark_confirmed(self, confirmed_at: float) -> None:
         former_staleness = self.staleness_seconds()
         self.confirmed_at = max(
--- a/src/hickorymux/platform/engine_entries.py
+++ b/src/hickorymux/platform/engine_entries.py
@@ -1,5 +1,6 @@
 """Decodes the store entries by which upstreams register."""
 
+import ipaddress
 from typing import Final
 
 import msgspec
@@ -11,6 +12,11 @@
 _READY: Final = 'ready'
 _MS_PER_SECOND: Final = 1000
 _MAX_PORT: Final = 65535
+_MAX_PORT_DIGITS: Final = 5
+# Larger numbers come from writers that are no upstreams.
+_MAX_SLOTS: Final = 1_000_000
+_MAX_COLD_MS: Final = 86_400_000
+_MAX_INTEGER: Final = 2**63 - 1
 
 
 class _Entry(msgspec.Struct, rename='camel'):
@@ -44,7 +50,7 @@
     """
     try:
         entry = _decoder.decode(text)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ConfigError(str(error), where=upstream_id) from error
     _check(entry, upstream_id)
     cold_seconds = entry.cold_remaining_ms / _MS_PER_SECOND
@@ -68,13 +74,39 @@
             f'state "{entry.state}" is neither ready nor draining',
             where=upstream_id,
         )
-    if entry.slots < 1:
-        raise ConfigError(
-            f'slots is {entry.slots}, must be at least 1', where=upstream_id
-        )
-    host, _, port = entry.address.rpartition(':')
-    if not host or not port.isdecimal() or int(port) > _MAX_PORT:
+    ranges = (
+        ('slots', entry.slots, 1, _MAX_SLOTS),
+        (
+            'coldRemainingMs',
+            entry.cold_remaining_ms,
+            -_MAX_COLD_MS,
+            _MAX_COLD_MS,
+        ),
+        ('seq', entry.seq, 0, _MAX_INTEGER),
+        ('born', entry.born, 0, _MAX_INTEGER),
+    )
+    for name, number, least, most in ranges:
+        if not least <= number <= most:
+            raise ConfigError(
+                f'{name} is {number}, must be {least} to {most}',
+                where=upstream_id,
+            )
+    if not _is_address(entry.address):
         raise ConfigError(
-            f'address "{entry.address}" is not a valid host:port',
+            f'address "{entry.address}" is not a valid IP:port',
             where=upstream_id,
         )
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port."""
+    host, _, port = text.rpartition(':')
+    if not port.isascii() or not port.isdecimal():
+        return False
+    if len(port) > _MAX_PORT_DIGITS or not 0 < int(port) <= _MAX_PORT:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/src/hickorymux/platform/manifest.py
+++ b/src/hickorymux/platform/manifest.py
@@ -100,8 +100,16 @@
     """
     try:
         manifest = _decoder.decode(text)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ConfigError(str(error), where=MANIFEST_KEY) from error
+    try:
+        return _to_table(manifest)
+    except OverflowError as error:
+        # A time that no duration can hold.
+        raise ConfigError(str(error), where=MANIFEST_KEY) from error
+
+
+def _to_table(manifest: _Manifest) -> RoutingTable:
     return RoutingTable(
         version=manifest.version,
         routes_by_host=_group_by_host(manifest),
--- a/src/hickorymux/platform/store.py
+++ b/src/hickorymux/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import contextlib
+import logging
 import struct
 from collections.abc import Iterator, Mapping
 from typing import Final, Self, final
@@ -21,6 +22,7 @@
 )
 from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.sockets import open_keepalive_socket
+from hickorymux._internal.utils.json_logging import FIELDS
 
 CONNECT_TIMEOUT_SECONDS: Final = 0.4
 # On top of the time for which a read lets the store wait for a record. The
@@ -31,10 +33,15 @@
 _STATUS_OK: Final = 200
 _STATUS_TRIMMED: Final = 410
 _MS_PER_SECOND: Final = 1000
+_MAX_PORT: Final = 65535
+# Not empty, which would delete the key, and no valid record.
+_UNREADABLE_VALUE: Final = b'?'
 
 _RECORD_LENGTH: Final = struct.Struct('>I')
 _READ_HEADER: Final = struct.Struct('>QQ')
 
+_logger: Final = logging.getLogger(__name__)
+
 
 class _Item(msgspec.Struct):
     key: str
@@ -261,7 +268,13 @@
 
 
 def _to_record(item: _Item) -> KeyedRecord:
-    return KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
+    try:
+        value = base64.b64decode(item.value)
+    except ValueError as error:
+        # An unreadable value is neither a deletion nor an entry.
+        _report_unreadable(item.key, item.offset, repr(error))
+        value = _UNREADABLE_VALUE
+    return KeyedRecord(item.key, value, item.offset)
 
 
 def _parse_records(body: bytes, from_offset: int) -> Iterator[KeyedRecord]:
@@ -278,10 +291,15 @@
         content = body[position : position + size]
         if len(content) < size:
             raise struct.error('record is truncated')
-        value_start = 1 + content[0]
-        # Other writers may use keys that are not UTF-8.
-        key = content[1:value_start].decode(errors='replace')
-        yield KeyedRecord(key, content[value_start:], offset)
+        value_start = 1 + content[0] if content else 1
+        if len(content) < value_start:
+            # It names no key, so no key changes.
+            _report_unreadable('', offset, 'the key is truncated')
+            yield KeyedRecord('', b'', offset)
+        else:
+            # Other writers may use keys that are not UTF-8.
+            key = content[1:value_start].decode(errors='replace')
+            yield KeyedRecord(key, content[value_start:], offset)
         position += size
         offset += 1
 
@@ -290,7 +308,22 @@
     for record in page.records:
         try:
             row = msgspec.json.decode(record.value, type=_RouterRecord)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             # The record was deleted or has an unknown format.
             continue
-        yield HostEntry(record.key, row.zone, row.host, row.port)
+        if 0 < row.port <= _MAX_PORT:
+            yield HostEntry(record.key, row.zone, row.host, row.port)
+        else:
+            _report_unreadable(
+                record.key, record.offset, f'port {row.port} is out of range'
+            )
+
+
+def _report_unreadable(key: str, offset: int, reason: str) -> None:
+    line = {
+        'event': 'record_unreadable',
+        'key': key,
+        'offset': offset,
+        'reason': reason,
+    }
+    _logger.warning('a record cannot be read', extra={FIELDS: line})
