Take only the rest of a stream for the rest of a stream

What another operator saw: a stream had begun and broke off, the next upstream answered with an error, and callers found the error's text in their stream, or the stream ended as if it were complete. Cause: any answer with a status of 200 to 299 and a signature went on with the stream, whatever its content type and its events were. Change: the answer to an attempt that resumes a stream must have the status 200 and the type of an event stream, and its first event an id after the last one relayed.

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -321,16 +321,13 @@
         reply: Reply,
     ) -> None:
         self._check_answer(call, answer, facts)
+        _check_resumption(call, answer)
         is_success = _STATUS_OK <= answer.status < _FIRST_NOT_OK
         if call.route.kind is RequestKind.streaming and is_success:
             await self._relay_stream(call, reservation, answer, reply)
             self.part_guard.on_answer_begun(call.shared_parts)
             self.suspects.on_answered(call.fingerprint)
             return
-        if call.relay is not None:
-            raise AnswerNotUsable(
-                f'status {answer.status} in reply to a resumed stream'
-            )
         headers = self.dialect.headers_to_caller(answer.response.headers)
         await relay_plain(answer, reply, headers)
         if not is_success:
@@ -625,6 +622,25 @@
         )
 
 
+def _check_resumption(call: EntryCall, answer: UpstreamAnswer) -> None:
+    """Raise unless the answer can be the rest of a stream that has begun.
+
+    The caller gets one answer, so the text of an error would be taken for a
+    part of the stream.
+    """
+    if call.relay is None:
+        return
+    if answer.status != _STATUS_OK:
+        raise AnswerNotUsable(
+            f'status {answer.status} in reply to a resumed stream'
+        )
+    if call.relay.reply.has_started and not answer.is_event_stream:
+        raise AnswerNotUsable(
+            f'content type "{answer.response.content_type}" in reply to a'
+            ' resumed stream'
+        )
+
+
 def _refusal_error(status: int, facts: ResponseHeaders) -> AttemptError:
     """Return the error of a refusal, which must name the request.
 
--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -66,6 +66,8 @@
     ``needs_end_marker`` tells whether a complete stream ends with
     ``http.STREAM_DONE``. ``event_count`` is the number of events relayed,
     ``last_event_id`` the last id among them, empty if none had an id.
+    ``resumes_after`` is the id after which the next event must go on, empty if
+    any event will do.
     """
 
     reply: Reply
@@ -76,6 +78,7 @@
     event_count: int = 0
     partial_event: bytes = b''
     last_event_id: str = ''
+    resumes_after: str = ''
     tail: bytes = b''
 
     @property
@@ -95,9 +98,11 @@
 
         Raises ``UpstreamCut`` if the answer ends inside an event, if it is not
         framed and ends before its first event, if an event is larger than
-        ``MAX_EVENT_BYTES``, or if the end marker is needed and missing.
+        ``MAX_EVENT_BYTES``, if the end marker is needed and missing, or if the
+        answer does not go on after the last event of a stream with ids.
         """
         self.partial_event = b''
+        self.resumes_after = self.last_event_id
         former_events = self.event_count
         async for chunk in chunks:
             await self._forward(chunk)
@@ -130,6 +135,9 @@
             return
         self.partial_event = chunk[end:]
         whole = chunk[:end] if self.partial_event else chunk
+        if self.resumes_after:
+            _check_goes_on(whole, self.resumes_after)
+            self.resumes_after = ''
         events = whole.count(http.EVENT_END)
         self.event_count += events
         self.tail = whole[-_TAIL_BYTES:]
@@ -143,6 +151,25 @@
         await self.reply.write(chunk)
 
 
+def _check_goes_on(events: bytes, after: str) -> None:
+    """Raise ``UpstreamCut`` unless the first event has an id after another."""
+    first_event = events.partition(http.EVENT_END)[0]
+    event_id = _last_event_id(first_event + http.EVENT_END)
+    if not event_id:
+        raise UpstreamCut('resumed stream goes on with an event without an id')
+    if event_id == after or _is_earlier(event_id, after):
+        raise UpstreamCut(
+            f'resumed stream goes on with event {event_id}, after {after}'
+        )
+
+
+def _is_earlier(event_id: str, after: str) -> bool:
+    """Return whether an id is less than another, if both are numbers."""
+    if not (event_id.isdecimal() and after.isdecimal()):
+        return False
+    return (len(event_id), event_id) < (len(after), after)
+
+
 def _last_event_id(events: bytes) -> str:
     """Return the id of the last event that has one, else an empty string."""
     start = events.rfind(_EVENT_ID)
