Aim at a shorter lag, and limit no router with little load

Cause: with a target of 50 ms the loop of the hot router lagged by 0.1 s, so that half of what it served was late; and a single lag limited a router whose customers had sent a few requests only. Change: a target of 30 ms, and no limit below 40 recent requests.

--- a/src/hickorymux/_internal/coordination/admission.py
+++ b/src/hickorymux/_internal/coordination/admission.py
@@ -32,14 +32,17 @@
 # A request takes about five iterations of the event loop until it is sent to
 # an upstream. They must fit into the 400 ms within which callers of model
 # engines expect the answer to begin.
-TARGET_LAG_SECONDS: Final = 0.05
+TARGET_LAG_SECONDS: Final = 0.03
 # Above this lag every request would be late.
 MAX_LAG_SECONDS: Final = 0.15
 # Change of the limit in a second, as a part of it: at no lag, and the most while
 # the lag exceeds its target. The work of a request lasts for seconds after it
 # was taken, so the lag follows the limit with a delay.
-MAX_GROWTH_PER_SECOND: Final = 1.5
-MAX_CUT_PER_SECOND: Final = 1.5
+MAX_GROWTH_PER_SECOND: Final = 1.0
+MAX_CUT_PER_SECOND: Final = 2.0
+# A router that takes fewer recent requests lags for another reason than its
+# callers.
+MIN_LIMIT: Final = 40.0
 ADJUST_INTERVAL_SECONDS: Final = 0.02
 # The lag says nothing of the time since longer ago.
 MAX_CUT_SECONDS: Final = 0.1
@@ -129,8 +132,9 @@
         self.adjusted_at = now
         if self.is_limiting:
             self.limit *= _change(lag_seconds, elapsed)
+            self.limit = max(MIN_LIMIT, self.limit)
         elif lag_seconds > TARGET_LAG_SECONDS:
-            self.limit = self.taken.sum_total(now)
+            self.limit = max(MIN_LIMIT, self.taken.sum_total(now))
         else:
             return
         self.taken.prune(now)
