Send nothing to upstreams that leave or want a pause

What callers would see: requests cut by an upstream that had said that it leaves, and upstreams in need that get more requests for each one that they turn away. Cause: no code read either signal. Change: a header of all answers says that an upstream leaves, and Retry-After of a 503 for how long it wants nothing from this router. Both hold for the incarnation, are asked by the allocator, and once more directly before a request is sent.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Sequence
 from typing import Final, final
@@ -43,6 +44,9 @@
     PREFILL_TOKENS_PER_SECOND,
     UpstreamSpeeds,
 )
+from hickorymux._internal.coordination.engines.upstream_notices import (
+    UpstreamNotices,
+)
 from hickorymux._internal.coordination.engines.usage_tracker import UsageTracker
 from hickorymux._internal.coordination.engines.wait_queue import (
     CustomerUsage,
@@ -76,6 +80,8 @@
 # for those far beyond their fair share.
 LOW_UTILIZATION: Final = 0.1
 
+# Retry-After while all upstreams of a pool leave. Nobody knows when others join.
+LEAVING_RETRY_SECONDS: Final = 1.0
 # Waiting requests that are kept though the queue is not expected to clear in
 # time. Each dispatch tries all that wait, which costs a busy router more of its
 # processor the more there are.
@@ -145,6 +151,7 @@
         'cold_share',
         'futures',
         'health',
+        'notices',
         'wait_queues',
         'placement',
         'candidate_cache',
@@ -173,6 +180,7 @@
         self.load_tracker = LoadTracker()
         self.speeds = UpstreamSpeeds()
         self.health = UpstreamHealth()
+        self.notices = UpstreamNotices()
         self.usage_tracker = UsageTracker()
         self.share_log = ShareLog()
         self.cold_share = cold_share
@@ -196,6 +204,7 @@
         has the version of the stream.
         """
         self._check_version(demand)
+        self._check_notices(demand)
         queue = self.wait_queue_of(demand.pool.name)
         if not queue.by_customer:
             reservation = self._try_reserve(demand, queue)
@@ -221,7 +230,7 @@
         if queue is None or not queue.by_customer:
             return
         self._refuse_overdue(queue)
-        self._refuse_without_version(queue)
+        self._refuse_unserved(queue)
         has_dispatched = True
         while has_dispatched:
             has_dispatched = self._dispatch_next(queue)
@@ -341,6 +350,8 @@
     def _takes_requests(self, upstream: RegisteredUpstream, now: float) -> bool:
         if not self.health.is_available(upstream.upstream_id, now):
             return False
+        if not self.notices.may_send(upstream.incarnation, now):
+            return False
         return self.request_limits.may_send(upstream, now)
 
     def _check_version(self, demand: Demand) -> None:
@@ -348,6 +359,7 @@
         if demand.version is None or any(
             upstream.version == demand.version
             and upstream.upstream_id not in demand.excluded_ids
+            and not self.notices.is_leaving(upstream.incarnation)
             for upstream in self.registry.available_in_pool(demand.pool.name)
         ):
             return
@@ -356,6 +368,32 @@
             f' "{demand.version}", which began the stream'
         )
 
+    def _check_notices(self, demand: Demand) -> None:
+        """Raise if all upstreams for a request pause or leave."""
+        if not self.notices.paused_until:
+            return
+        now = self.clock.monotonic()
+        seconds = self.notices.seconds_until_return(
+            (
+                upstream.incarnation
+                for upstream in self.registry.available_in_pool(
+                    demand.pool.name
+                )
+                if upstream.upstream_id not in demand.excluded_ids
+                and _is_version_allowed(demand, upstream)
+            ),
+            now,
+        )
+        if seconds is None or now + seconds < refusal.give_up_at(demand):
+            return
+        raise NoCapacity(
+            f'all upstreams of pool "{demand.pool.name}" leave or want no'
+            ' requests for a time',
+            retry_after=(
+                LEAVING_RETRY_SECONDS if math.isinf(seconds) else seconds
+            ),
+        )
+
     def _is_region_allowed(
         self,
         demand: Demand,
@@ -485,17 +523,17 @@
         for demand in overdue:
             self._refuse(queue, demand, 'no upstream slot became free in time')
 
-    def _refuse_without_version(self, queue: WaitQueue) -> None:
-        """Refuse resumed streams of which no upstream has the version."""
-        resumed = [
-            demand
-            for demand in queue.all_waiting()
-            if demand.version is not None
-        ]
-        for demand in resumed:
+    def _refuse_unserved(self, queue: WaitQueue) -> None:
+        """Refuse requests that no upstream takes any more, or for a time.
+
+        These are resumed streams of which no upstream has the version, and
+        requests to a pool that pauses or leaves whole.
+        """
+        for demand in tuple(queue.all_waiting()):
             try:
                 self._check_version(demand)
-            except StreamVersionGone as error:
+                self._check_notices(demand)
+            except (NoCapacity, StreamVersionGone) as error:
                 self._fail(queue, demand, error)
 
     def _shed(self, queue: WaitQueue) -> None:
--- a/src/hickorymux/_internal/protocol/upstream_http.py
+++ b/src/hickorymux/_internal/protocol/upstream_http.py
@@ -70,7 +70,10 @@
     upstream than the expected one listens at the address. ``request_limit`` is
     the rate in requests per second that the upstream takes from all routers
     together, ``None`` if it names none. ``invalid_limit`` is the text of a
-    limit that can't be read.
+    limit that can't be read. ``is_leaving`` tells that the upstream is about to
+    leave. ``pause_seconds`` is how long it wants no request from this router,
+    ``None`` if it did not say, and ``invalid_pause`` the text of a time that
+    can't be read.
     """
 
     request_id: str
@@ -80,6 +83,9 @@
     load: UpstreamLoad | None
     request_limit: float | None = None
     invalid_limit: str = ''
+    is_leaving: bool = False
+    pause_seconds: float | None = None
+    invalid_pause: str = ''
 
 
 class Dialect(Protocol):
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -272,6 +272,13 @@
             raise UpstreamChanged(
                 f'upstream {chosen.incarnation} is {current.incarnation} now'
             )
+        if not self.allocator.notices.may_send(
+            chosen.incarnation, self.clock.monotonic()
+        ):
+            raise UpstreamChanged(
+                f'upstream {chosen.incarnation} leaves or pauses since it was'
+                ' chosen'
+            )
         call.sent_attempts += 1
 
     async def _exchange(
@@ -290,6 +297,7 @@
             answer.status, answer.response.headers
         )
         self._note_limit(call, reservation, facts)
+        self._note_readiness(call, reservation, facts)
         try:
             await self._relay_answer(call, reservation, answer, facts, reply)
         except BaseException:
@@ -370,6 +378,39 @@
                 requests_per_second=facts.request_limit,
             )
 
+    def _note_readiness(
+        self, call: EntryCall, reservation: Reservation, facts: ResponseHeaders
+    ) -> None:
+        """Record that the upstream leaves, or wants nothing for a time."""
+        if facts.is_wrong_upstream or facts.request_id not in {
+            call.request_id,
+            '',
+        }:
+            return
+        upstream = reservation.upstream
+        notices = self.allocator.notices
+        now = self.clock.monotonic()
+        event = ''
+        if facts.invalid_pause:
+            event = 'pause_unreadable'
+        elif facts.pause_seconds is not None and notices.on_pause(
+            upstream.incarnation, facts.pause_seconds, now
+        ):
+            event = 'upstream_paused'
+        if facts.is_leaving and notices.on_leaving(upstream.incarnation, now):
+            event = 'upstream_leaving'
+        if event:
+            self.allocator.clear_candidate_cache()
+            self.decisions.record(
+                call.request_id,
+                event,
+                'said by the upstream in its answer',
+                upstream=upstream.upstream_id,
+                incarnation=upstream.incarnation,
+                seconds=facts.pause_seconds,
+                text=facts.invalid_pause,
+            )
+
     def _check_answer(
         self,
         call: EntryCall,
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -608,6 +608,10 @@
         upstreams = self.view.registry.upstreams.values()
         incarnations = {upstream.incarnation for upstream in upstreams}
         self.router_ranks.prune(incarnations)
+        now = self.clock.monotonic()
+        for incarnation in self.allocator.notices.prune(incarnations, now):
+            _report('upstream_pause_ended', incarnation=incarnation)
+            self.allocator.clear_candidate_cache()
         self.allocator.request_limits.prune(
             incarnations, self.clock.monotonic()
         )
--- a/src/hickorymux/platform/headers.py
+++ b/src/hickorymux/platform/headers.py
@@ -46,6 +46,8 @@
 # Requests per second, a decimal number, that the upstream takes from all routers
 # together. An answer without it says that there is no such limit.
 REQUEST_LIMIT: Final = 'Server-Limit'
+# "1" in all answers of an upstream that is about to leave.
+UPSTREAM_LEAVING: Final = 'Server-Leaving'
 
 _REQUEST_ID_NAME: Final = REQUEST_ID.lower().encode()
 _API_KEY_NAME: Final = API_KEY.lower().encode()
@@ -53,6 +55,7 @@
 _RAW_NAMES: Final = (_REQUEST_ID_NAME, _API_KEY_NAME, _REMAINING_MS_NAME)
 _MS_PER_SECOND: Final = 1000
 _STATUS_MISDIRECTED_REQUEST: Final = 421
+_STATUS_UNAVAILABLE: Final = 503
 _READY_PATH: Final = '/v1/ready'
 
 # Callers' headers that are not forwarded: only routers set them, or they hold
@@ -126,6 +129,10 @@
     """Return the decoded headers of an upstream's response."""
     limit_text = headers.get(REQUEST_LIMIT, '')
     limit = _read_limit(limit_text)
+    pause_text = ''
+    if status == _STATUS_UNAVAILABLE:
+        pause_text = _only_value(headers, RETRY_AFTER_SECONDS)
+    pause = _read_pause(pause_text)
     return ResponseHeaders(
         request_id=headers.get(REQUEST_ID, ''),
         is_signed=UPSTREAM_SIGNATURE in headers,
@@ -134,6 +141,9 @@
         load=_read_load(headers.get(UPSTREAM_LOAD, '')),
         request_limit=limit,
         invalid_limit=limit_text if limit is None else '',
+        is_leaving=headers.get(UPSTREAM_LEAVING, '').strip() == '1',
+        pause_seconds=pause,
+        invalid_pause=pause_text if pause is None else '',
     )
 
 
@@ -244,3 +254,20 @@
     except ValueError:
         return None
     return seconds if math.isfinite(seconds) else None
+
+
+def _only_value(headers: Mapping[str, str], name: str) -> str:
+    """Return the value of a header; several are joined, and mean nothing."""
+    found = [
+        text for key, text in headers.items() if key.lower() == name.lower()
+    ]
+    return ', '.join(found)
+
+
+def _read_pause(text: str) -> float | None:
+    """Return a number of seconds, ``None`` if the text is none."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if seconds >= 0 and math.isfinite(seconds) else None
