Keep a hangup from ending a process that still starts

Cause: the handler was installed after all modules were imported and the settings read. What remains is the start of the interpreter itself.

--- a/src/hickorymux/platform/__main__.py
+++ b/src/hickorymux/platform/__main__.py
@@ -3,8 +3,12 @@
 The platform passes the path of the settings file in an environment variable.
 """
 
+# Before all other modules, which take long to import.
+from hickorymux.platform.early_hangup import EARLY_HANGUP  # isort: skip
+
 import asyncio
 import os
+import signal
 import sys
 
 import uvloop
@@ -22,7 +26,11 @@
 async def _serve() -> None:
     settings = load_settings(os.environ)
     configure_output({'router': settings.router_id})
-    await EntryProcess.from_config(settings, PlatformDeployment()).run()
+    process = EntryProcess.from_config(settings, PlatformDeployment())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, process.reload)
+    if EARLY_HANGUP.was_received:
+        process.reload()
+    await process.run()
 
 
 def main() -> int:
