Keep the port of an upstream that refuses connections in a test

The test now holds the port without listening, so that connections are refused whatever else runs. What it checks is unchanged.

--- a/tests/functional/test_platform_path.py
+++ b/tests/functional/test_platform_path.py
@@ -154,7 +154,7 @@
     async with platform_fleet(WRITE) as fleet:
         stopped, running = PlatformEngine('e1'), PlatformEngine('e2')
         await fleet.add_engine(stopped)
-        await stopped.close()
+        stopped.refuse_connections()
         await fleet.add_engine(running)
         await fleet.wait_until_ready()
         for _ in range(3):
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -88,16 +88,20 @@
 
         The port then refuses connections, or answers none if ``is_silent``.
         """
+        holder = self.refuse_connections()
+        if is_silent:
+            self._fill_backlog(holder, holder.getsockname())
+        reset_connection(received)
+
+    def refuse_connections(self) -> socket.socket:
+        """Stop listening and keep the port, which no other program gets."""
         host, _, port = self.address.rpartition(':')
-        address = (host, int(port))
         self.server.close()
         holder = socket.socket()
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(address)
+        holder.bind((host, int(port)))
         self.held_sockets.append(holder)
-        if is_silent:
-            self._fill_backlog(holder, address)
-        reset_connection(received)
+        return holder
 
     def _fill_backlog(
         self, holder: socket.socket, address: tuple[str, int]
