Cancel tasks of a closing router until they have ended

Cause: a read of the store that is cancelled at the moment of its own timeout ends with the timeout, so its follower goes on, and the close waited for it for ever.

--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -98,7 +98,10 @@
 )
 from hickorymux._internal.utils.ids import new_incarnation
 from hickorymux._internal.utils.json_logging import FIELDS
-from hickorymux._internal.utils.tasks import log_task_crash
+from hickorymux._internal.utils.tasks import (
+    cancel_until_ended,
+    log_task_crash,
+)
 
 # A read of the tables returns at once when they change. The wait limits how
 # long the view goes unconfirmed while nothing changes.
@@ -329,9 +332,7 @@
         self.server.work.unwatch_collector()
         self.listener.close()
         self.server.socket_refusals.close()
-        for task in running:
-            task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
+        await cancel_until_ended(running)
         await asyncio.gather(*(runner.cleanup() for runner in self.runners))
         await self.network.close()
         await self.client.close()
--- a/src/hickorymux/_internal/utils/tasks.py
+++ b/src/hickorymux/_internal/utils/tasks.py
@@ -1,8 +1,12 @@
-"""Callbacks that log the errors of finished background tasks."""
+"""Ends background tasks, and logs the errors of those that have ended."""
 
 import asyncio
 import logging
-from typing import Any
+from collections.abc import Iterable
+from typing import Any, Final
+
+# A task that goes on after its cancellation is cancelled again after this time.
+CANCEL_AGAIN_SECONDS: Final = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -27,3 +31,23 @@
             'request task failed: %r',
             task.exception(),
         )
+
+
+async def cancel_until_ended(tasks: 'Iterable[asyncio.Task[Any]]') -> None:
+    """Cancel tasks and wait until all of them have ended.
+
+    A library may report a cancellation as another error, such as a timeout
+    that ended at the same moment. A task that handles this error goes on, and
+    is cancelled again.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        ended, pending = await asyncio.wait(
+            pending, timeout=CANCEL_AGAIN_SECONDS
+        )
+        for task in ended:
+            if not task.cancelled():
+                # Marks the error as retrieved; it was logged where it matters.
+                task.exception()
