Wait out the pause that an engine asked for in a test of its refusals

Its engines refuse with Retry-After: 0.1, which routers now keep to. The requests are now 0.3 s apart; what is checked, that no request runs twice or is called not run, is unchanged, on more requests that run.

--- a/tests/functional/test_repeated_refusals.py
+++ b/tests/functional/test_repeated_refusals.py
@@ -18,6 +18,8 @@
 STREAM = route('/stream/', 'streaming', maxAttempts=3)
 WRITE = route('/write/', 'non_idempotent', maxAttempts=3)
 REFUSAL_LINES = ('Content-Length: 0', 'X-Not-Executed: 1', 'Retry-After: 0.1')
+# Longer than the router leaves an engine alone after such a refusal.
+REQUEST_INTERVAL_SECONDS = 0.3
 
 
 class RepeatingEngine(PlatformEngine):
@@ -60,7 +62,7 @@
             'POST', path, headers=headers, data=b'1'
         ) as answer:
             answers.append((f'r{number}', answer.status))
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(REQUEST_INTERVAL_SECONDS)
     return answers
 
 
