--- a/src/hickorymux/_internal/protocol/http.py
+++ b/src/hickorymux/_internal/protocol/http.py
@@ -27,8 +27,6 @@
 COST_HINT: Final = 'X-Cost-Hint'
 PROBLEM_TYPE: Final = 'application/problem+json'
 EVENT_STREAM_TYPE: Final = 'text/event-stream'
-EVENT_END: Final = b'\n\n'
-STREAM_DONE: Final = b'data: [DONE]'
 
 _BEARER_PREFIX = 'bearer '
 _HOP_BY_HOP = frozenset(
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -717,7 +717,7 @@
     relay = call.relay
     if relay is None or not relay.reply.has_started:
         return False
-    return not (call.route.is_resumable and relay.last_event_id)
+    return not (call.route.is_resumable and relay.position.can_resume)
 
 
 async def _is_listening(address: str) -> bool:
--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -13,7 +13,14 @@
 
 from multidict import CIMultiDict
 
-from hickorymux._internal.protocol import http
+from hickorymux._internal.protocol.event_stream import (
+    EventStreamParser,
+    StreamBlock,
+)
+from hickorymux._internal.protocol.stream_position import (
+    ResumptionMismatch,
+    StreamPosition,
+)
 from hickorymux._internal.transport.upstream_client import (
     UpstreamAnswer,
     UpstreamCut,
@@ -22,9 +29,6 @@
 MAX_BUFFERED_ANSWER_BYTES: Final = 1 << 20
 # No event of a stream is larger; a rest that is has no end.
 MAX_EVENT_BYTES: Final = 1 << 20
-# How much of the end of a stream is kept to search it for the end marker.
-_TAIL_BYTES: Final = 64
-_EVENT_ID: Final = b'id:'
 
 # Gets the number of events that are about to be relayed.
 OnEvents = Callable[[int], Any]
@@ -63,11 +67,10 @@
     A stream that was cut goes on with the answer of the attempt that resumes
     it: call ``run`` once for each answer, then ``finish``.
 
-    ``needs_end_marker`` tells whether a complete stream ends with
-    ``http.STREAM_DONE``. ``event_count`` is the number of events relayed,
-    ``last_event_id`` the last id among them, empty if none had an id.
-    ``resumes_after`` is the id after which the next event must go on, empty if
-    any event will do.
+    ``needs_end_marker`` tells whether a complete stream ends with an event
+    whose data is ``[DONE]``, and ``has_end_marker`` whether the last event
+    relayed is one. ``event_count`` is the number of events relayed. ``rest`` is
+    what follows the last event of a complete answer.
     """
 
     reply: Reply
@@ -76,15 +79,17 @@
     on_events: OnEvents
     needs_end_marker: bool
     event_count: int = 0
-    partial_event: bytes = b''
-    last_event_id: str = ''
-    resumes_after: str = ''
-    tail: bytes = b''
+    has_end_marker: bool = False
+    rest: bytes = b''
+    parser: EventStreamParser = dataclasses.field(
+        default_factory=EventStreamParser
+    )
+    position: StreamPosition = dataclasses.field(default_factory=StreamPosition)
 
     @property
-    def has_end_marker(self) -> bool:
-        """Return whether the end marker of the stream was relayed."""
-        return http.STREAM_DONE in self.tail
+    def last_event_id(self) -> str:
+        """Return the id after which the stream can go on, empty if none."""
+        return self.position.last_event_id
 
     async def run(
         self, chunks: AsyncIterator[bytes], *, is_framed: bool
@@ -101,82 +106,62 @@
         ``MAX_EVENT_BYTES``, if the end marker is needed and missing, or if the
         answer does not go on after the last event of a stream with ids.
         """
-        self.partial_event = b''
-        self.resumes_after = self.last_event_id
+        self.parser = EventStreamParser()
+        self.position.begin_answer()
         former_events = self.event_count
-        async for chunk in chunks:
-            await self._forward(chunk)
-        if self.needs_end_marker and not self.has_end_marker:
-            raise UpstreamCut('stream ended without its end marker')
-        if self.partial_event.strip():
-            raise UpstreamCut('stream ended inside an event')
+        try:
+            async for chunk in chunks:
+                await self._forward(chunk)
+            self._check_end()
+            left = self.position.end_answer()
+        except ResumptionMismatch as error:
+            raise UpstreamCut(error.detail) from error
         if not is_framed and self.event_count == former_events:
             raise UpstreamCut(
                 'stream with neither a length nor chunks ended before its'
                 ' first event'
             )
+        self.rest = b''.join(block.raw for block in left) + self.parser.rest
 
     async def finish(self) -> None:
         """End the stream to the caller and mark it as complete."""
-        if not self.reply.has_started:
-            await self.reply.start(self.status, self.headers)
+        if self.rest or not self.reply.has_started:
+            await self._write(self.rest)
         await self.reply.finish()
 
+    def _check_end(self) -> None:
+        if self.needs_end_marker and not self.has_end_marker:
+            raise UpstreamCut('stream ended without its end marker')
+        if self.parser.is_inside_event:
+            raise UpstreamCut('stream ended inside an event')
+
     async def _forward(self, chunk: bytes) -> None:
-        if self.partial_event:
-            chunk = self.partial_event + chunk
-        end = chunk.rfind(http.EVENT_END) + len(http.EVENT_END)
-        if end < len(http.EVENT_END):
-            if len(chunk) > MAX_EVENT_BYTES:
-                raise UpstreamCut(
-                    f'event of over {MAX_EVENT_BYTES} bytes without an end'
-                )
-            self.partial_event = chunk
-            return
-        self.partial_event = chunk[end:]
-        whole = chunk[:end] if self.partial_event else chunk
-        if self.resumes_after:
-            _check_goes_on(whole, self.resumes_after)
-            self.resumes_after = ''
-        events = whole.count(http.EVENT_END)
-        self.event_count += events
-        self.tail = whole[-_TAIL_BYTES:]
-        self.last_event_id = _last_event_id(whole) or self.last_event_id
-        self.on_events(events)
-        await self._write(whole)
+        relayed = [
+            ready
+            for block in self.parser.feed(chunk)
+            for ready in self.position.advance(block)
+        ]
+        if relayed:
+            self._count(relayed)
+            await self._write(b''.join([ready.raw for ready in relayed]))
+        waiting = self.parser.buffered_bytes + self.position.held_bytes
+        if waiting > MAX_EVENT_BYTES:
+            raise UpstreamCut(
+                f'event of over {MAX_EVENT_BYTES} bytes without an end'
+            )
+
+    def _count(self, blocks: list[StreamBlock]) -> None:
+        events = [block for block in blocks if block.has_data]
+        if events:
+            self.has_end_marker = events[-1].is_end_marker
+            self.event_count += len(events)
+            self.on_events(len(events))
 
     async def _write(self, chunk: bytes) -> None:
         if not self.reply.has_started:
             await self.reply.start(self.status, self.headers)
-        await self.reply.write(chunk)
-
-
-def _check_goes_on(events: bytes, after: str) -> None:
-    """Raise ``UpstreamCut`` unless the first event has an id after another."""
-    first_event = events.partition(http.EVENT_END)[0]
-    event_id = _last_event_id(first_event + http.EVENT_END)
-    if not event_id:
-        raise UpstreamCut('resumed stream goes on with an event without an id')
-    if event_id == after or _is_earlier(event_id, after):
-        raise UpstreamCut(
-            f'resumed stream goes on with event {event_id}, after {after}'
-        )
-
-
-def _is_earlier(event_id: str, after: str) -> bool:
-    """Return whether an id is less than another, if both are numbers."""
-    if not (event_id.isdecimal() and after.isdecimal()):
-        return False
-    return (len(event_id), event_id) < (len(after), after)
-
-
-def _last_event_id(events: bytes) -> str:
-    """Return the id of the last event that has one, else an empty string."""
-    start = events.rfind(_EVENT_ID)
-    if start < 0 or (start and events[start - 1 : start] != b'\n'):
-        return ''
-    end = events.find(b'\n', start)
-    return events[start + len(_EVENT_ID) : end].decode('latin-1').strip()
+        if chunk:
+            await self.reply.write(chunk)
 
 
 async def relay_plain(
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -18,6 +18,7 @@
 class FakeReply:
     def __init__(self) -> None:
         self.has_started = False
+        self.is_finished = False
         self.body = b''
 
     async def start(self, status, headers) -> None:
@@ -29,6 +30,7 @@
 
     async def finish(self) -> None:
         assert self.has_started
+        self.is_finished = True
 
 
 async def stream(*chunks: bytes) -> AsyncIterator[bytes]:
@@ -87,3 +89,11 @@
     await relay.run(stream(b'data: 1\n\n'), is_framed=False)
     with pytest.raises(UpstreamCut):
         await relay.run(stream(), is_framed=False)
+
+
+async def test_text_like_the_end_marker_ends_a_stream() -> None:
+    for event in (b'data: "data: [DONE]"\n\n', b'x: data: [DONE]\n\n'):
+        relay = new_relay()
+        with pytest.raises(UpstreamCut):
+            await relay.run(stream(b'data: 1\n\n', event), is_framed=True)
+        assert not relay.has_end_marker
