--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import functools
+import math
 from typing import Any, Final, final
 
 from hickorymux._internal.coordination.crash_suspects import CrashSuspects
@@ -27,6 +28,7 @@
     AnswerCut,
     CrashSuspect,
     NoCapacity,
+    NotReady,
     Ran,
     RequestError,
     UpstreamFailed,
@@ -64,6 +66,8 @@
 MIN_PROOF_EVENTS: Final = 2
 # Retry-After of a request that was not run for lack of a usable upstream.
 NO_CAPACITY_RETRY_SECONDS: Final = 0.3
+# Short, as another router can take the request at once.
+STOPPING_RETRY_SECONDS: Final = 0.1
 _MS_PER_SECOND: Final = 1000
 _STATUS_SERVER_ERROR: Final = 500
 _STATUS_OK: Final = 200
@@ -99,7 +103,12 @@
 
 @final
 class EntryDispatcher:
-    """Runs the calls of all callers; one instance for the whole process."""
+    """Runs the calls of all callers; one instance for the whole process.
+
+    ``running`` has the time limits of the calls that have not ended. From
+    ``refuse_after`` on, in monotonic seconds, no request is sent for the first
+    time, as it might not end before the process does.
+    """
 
     __slots__ = (
         'allocator',
@@ -109,7 +118,9 @@
         'dialect',
         'metrics',
         'part_guard',
+        'refuse_after',
         'retry_budget',
+        'running',
         'streams',
         'suspects',
         'work',
@@ -138,6 +149,8 @@
         self.decisions = decisions
         self.metrics = metrics
         self.clock = clock
+        self.refuse_after = math.inf
+        self.running: dict[asyncio.Timeout, EntryCall] = {}
         self.work = RouterWork(clock.monotonic)
 
     async def run(self, call: EntryCall, reply: Reply) -> None:
@@ -149,17 +162,35 @@
         self.retry_budget.count_request(call.demand.pool.name)
         seconds = call.demand.deadline - self.clock.monotonic()
         is_answered = False
+        limit = asyncio.timeout(seconds - ANSWER_MARGIN_SECONDS)
+        self.running[limit] = call
         try:
-            async with asyncio.timeout(seconds - ANSWER_MARGIN_SECONDS):
+            async with limit:
                 while not is_answered:
                     is_answered = await self._run_attempt(call, reply)
         except TimeoutError:
             raise self._timeout_error(call) from None
         finally:
+            self.running.pop(limit)
             # The relay refers to the call. Without the cycle, the memory of a
             # request is free at once and not when the collector runs.
             call.relay = None
 
+    def raise_if_stopping(self) -> None:
+        """Raise ``NotReady`` if a new request might outlast this process."""
+        if self.clock.monotonic() >= self.refuse_after:
+            raise NotReady(
+                'the router is shutting down',
+                retry_after=STOPPING_RETRY_SECONDS,
+            )
+
+    def refuse_unsent(self) -> None:
+        """Refuse the requests that wait and that no upstream has got."""
+        now = asyncio.get_running_loop().time()
+        for limit, call in self.running.items():
+            if not call.sent_attempts and not limit.expired():
+                limit.reschedule(now)
+
     async def _run_attempt(self, call: EntryCall, reply: Reply) -> bool:
         """Run one attempt; return whether the whole answer was relayed."""
         self._raise_if_refused(call)
@@ -657,6 +688,7 @@
                 'no answer before the deadline',
                 ran=Ran.unknown,
             )
+        self.raise_if_stopping()
         return NoCapacity(
             'not sent to any upstream before the deadline',
             retry_after=NO_CAPACITY_RETRY_SECONDS,
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -140,6 +140,9 @@
 # the balancer opens no new connections, and requests on kept-alive ones might
 # not end before the process does.
 REFUSE_AFTER_SECONDS: Final = 2.5
+# The same as a share of the shutdown time where that is short, so that most of
+# it is left for what has been taken.
+REFUSE_AFTER_SHARE: Final = 0.35
 # Share of the shutdown time after which running requests are cut. Callers may
 # rely on five sixths of it; the rest is for closing.
 CUT_AFTER_SHARE: Final = 0.88
@@ -309,18 +312,25 @@
     async def shut_down(self) -> None:
         """Announce the stop, let running requests end, and close.
 
-        Requests that still run after ``CUT_AFTER_SHARE`` of the shutdown time
-        are cut.
+        Requests that no upstream has got after ``REFUSE_AFTER_SECONDS`` are
+        refused. Those that still run after ``CUT_AFTER_SHARE`` of the shutdown
+        time are cut.
         """
         started_at = self.clock.monotonic()
         _report('stopping', running=len(self.server.running_tasks))
         self.server.is_stopping = True
-        self.server.refuse_after = started_at + REFUSE_AFTER_SECONDS
+        limit = self.settings.bounds.shutdown.total_seconds()
+        refuse_after = min(REFUSE_AFTER_SECONDS, limit * REFUSE_AFTER_SHARE)
+        end_after = limit * CUT_AFTER_SHARE
+        end_at = started_at + end_after
+        dispatcher = self.server.dispatcher
+        dispatcher.refuse_after = started_at + refuse_after
         self.membership.update_myself(is_leaving=True)
         self.membership.tick()
-        limit = self.settings.bounds.shutdown.total_seconds()
-        end_at = started_at + limit * CUT_AFTER_SHARE
-        await self.clock.sleep(BALANCER_NOTICE_SECONDS)
+        await self.clock.sleep(refuse_after)
+        dispatcher.refuse_unsent()
+        notice = min(BALANCER_NOTICE_SECONDS, end_after)
+        await self.clock.sleep(notice - refuse_after)
         while self.server.running_tasks and self.clock.monotonic() < end_at:
             await self.clock.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         _report('stopped', cut_requests=len(self.server.running_tasks))
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import math
 import random
 import socket
 from collections.abc import Callable
@@ -73,8 +72,6 @@
 from hickorymux._internal.utils.tasks import log_unawaited_error
 
 NOT_READY_RETRY_SECONDS: Final = 0.5
-# Short, as another router can take the request at once.
-STOPPING_RETRY_SECONDS: Final = 0.1
 # Short, as what keeps this router from knowing a stream is over soon or never.
 STREAM_UNKNOWN_RETRY_SECONDS: Final = 0.2
 # A resumed stream should go on within this time. Its answer has begun, so the
@@ -142,8 +139,6 @@
     """Answers the requests of callers; one instance for the process.
 
     ``choose_pool`` returns the name of the pool for a request on a route.
-    Requests that arrive at or after ``refuse_after``, in monotonic seconds,
-    are refused.
     """
 
     __slots__ = (
@@ -156,7 +151,6 @@
         'is_stopping',
         'loop_lag',
         'metrics',
-        'refuse_after',
         'running_tasks',
         'socket_refusals',
         'view',
@@ -183,7 +177,6 @@
         self.socket_refusals = SocketRefusals(self._decide_refusal)
         self.running_tasks: set[asyncio.Task[Any]] = set()
         self.is_stopping = False
-        self.refuse_after = math.inf
         self.web_server = self._new_web_server()
 
     def _new_web_server(self) -> web.Server:
@@ -302,7 +295,7 @@
         reply: HttpReply,
     ) -> None:
         arrived_at = self.clock.monotonic()
-        self._check_not_stopping(arrived_at)
+        self.dispatcher.raise_if_stopping()
         self._check_not_overloaded(facts, arrived_at)
         table = self.view.table
         if table is None:
@@ -314,6 +307,8 @@
         route = self._match_route(table, host, request.raw_path)
         customer = self._authorize(table, route, facts)
         body = await self._read_body(request, route)
+        # The body may have taken long to arrive.
+        self.dispatcher.raise_if_stopping()
         origin = await self._find_origin(route, customer, facts)
         demand = self._build_demand(
             table, route, customer, facts, arrived_at, origin
@@ -352,15 +347,6 @@
                 work.cancel()
             raise
 
-    def _check_not_stopping(self, now: float) -> None:
-        """Refuse a request that might not end before this process does."""
-        if now < self.refuse_after:
-            return
-        raise NotReady(
-            'the router is shutting down',
-            retry_after=STOPPING_RETRY_SECONDS,
-        )
-
     def _check_not_overloaded(self, facts: RequestHeaders, now: float) -> None:
         """Refuse a request that exceeds its customer's share of the processor.
 
