--- a/src/hickorymux/_internal/coordination/keyed_follower.py
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -138,10 +138,19 @@
             self.next_offset,
             wait_seconds=self.timing.wait_seconds,
         )
-        self._mark_confirmed(started_at + page.complete_until_seconds)
-        for record in page.records:
-            self._apply(record)
-        self.next_offset = page.next_offset
+        self._apply_page(page, started_at)
+
+    async def catch_up(self, log: KeyedLog) -> None:
+        """Read the records since the last read from ``log`` at once.
+
+        Does nothing before the first listing. Raises ``LogTrimmed`` and
+        ``LogUnavailable``.
+        """
+        if self.next_offset is None:
+            return
+        started_at = self.clock.monotonic()
+        page = await log.read(self.topic, self.next_offset)
+        self._apply_page(page, started_at)
 
     def mark_lost(self, error: LogUnavailable) -> None:
         """Record that a read failed and the view may be out of date."""
@@ -160,6 +169,16 @@
             },
         )
 
+    def _apply_page(self, page: KeyedPage, started_at: float) -> None:
+        """Apply the records that no other read has brought meanwhile."""
+        if self.next_offset is None:
+            return
+        self._mark_confirmed(started_at + page.complete_until_seconds)
+        for record in page.records:
+            if record.offset >= self.next_offset:
+                self._apply(record)
+        self.next_offset = max(self.next_offset, page.next_offset)
+
     async def _read_listing(self, started_at: float) -> None:
         page = await self.log.read_newest(self.topic)
         self._mark_confirmed(started_at)
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -24,6 +24,7 @@
 from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.retry_budget import RetryBudget
 from hickorymux._internal.coordination.stream_directory import StreamDirectory
+from hickorymux._internal.coordination.view_refresh import ViewRefresh
 from hickorymux._internal.exceptions import (
     AnswerCut,
     CrashSuspect,
@@ -123,6 +124,7 @@
         'running',
         'streams',
         'suspects',
+        'view_refresh',
         'work',
     )
 
@@ -134,6 +136,7 @@
         suspects: CrashSuspects,
         part_guard: PartGuard,
         streams: StreamDirectory,
+        view_refresh: ViewRefresh,
         retry_budget: RetryBudget,
         decisions: DecisionLog,
         metrics: RouterMetrics,
@@ -145,6 +148,7 @@
         self.suspects = suspects
         self.part_guard = part_guard
         self.streams = streams
+        self.view_refresh = view_refresh
         self.retry_budget = retry_budget
         self.decisions = decisions
         self.metrics = metrics
@@ -323,6 +327,10 @@
 
         Raises ``AttemptError`` if there is no answer that may be passed on.
         """
+        if call.demand.version is not None:
+            # An upstream of another version may have taken the chosen one's
+            # place; the check before the send compares them.
+            await self.view_refresh.run()
         answer = await self.client.open(attempt)
         facts = self.dialect.read_response_headers(
             answer.status, answer.response.headers
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -71,6 +71,7 @@
     TopicPage,
 )
 from hickorymux._internal.coordination.version_history import VersionHistory
+from hickorymux._internal.coordination.view_refresh import ViewRefresh
 from hickorymux._internal.exceptions import (
     HickorymuxError,
     HostListUnavailable,
@@ -477,6 +478,7 @@
                 self.suspects,
                 self.part_guard,
                 self.streams,
+                ViewRefresh(self.upstream_follower, self.store, self.clock),
                 self.retry_budget,
                 self.decisions,
                 self.metrics,
--- a/tests/unit/engines/test_keyed_follower.py
+++ b/tests/unit/engines/test_keyed_follower.py
@@ -12,7 +12,8 @@
     KeyedFollower,
     ReadTiming,
 )
-from hickorymux._internal.coordination.ports import KeyedPage
+from hickorymux._internal.coordination.ports import KeyedPage, KeyedRecord
+from hickorymux._internal.coordination.view_refresh import ViewRefresh
 from hickorymux._internal.exceptions import LogUnavailable
 from tests.lib.fake_clock import FakeClock
 
@@ -106,3 +107,74 @@
         await asyncio.sleep(0)
     assert regained_at[0] - recovered_at <= 1
     running.cancel()
+
+
+class HeldLog(Log):
+    """A log whose next read is held until ``gate`` is set."""
+
+    def __init__(self):
+        super().__init__()
+        self.values = []
+        self.gate = asyncio.Event()
+
+    async def read(self, topic, from_offset, *, wait_seconds=0):
+        offsets = range(from_offset, len(self.values))
+        records = [KeyedRecord('e1', self.values[at], at) for at in offsets]
+        self.reads += 1
+        await self.gate.wait()
+        return KeyedPage(
+            tuple(records), len(self.values[:from_offset]) + len(records)
+        )
+
+
+def held_follower(clock, log):
+    applied = []
+    follower = KeyedFollower(
+        log,
+        clock,
+        't',
+        ReadTiming(wait_seconds=0, interval_seconds=0.5),
+        lambda record: applied.append(record.value),
+        lambda listing: None,
+        lambda: None,
+    )
+    return follower, applied
+
+
+async def test_slow_read_brings_replaced_entries_back(clock):
+    log = HeldLog()
+    follower, applied = held_follower(clock, log)
+    await follower.read_once()
+    log.values = [b'v1']
+    slow = asyncio.create_task(follower.read_once())
+    await asyncio.sleep(0)
+    log.values = [b'v1', b'v2']
+    other = HeldLog()
+    other.values = log.values
+    other.gate.set()
+    await follower.catch_up(other)
+    log.gate.set()
+    await slow
+    assert applied == [b'v1', b'v2']
+    assert follower.next_offset == 2
+
+
+async def test_each_of_many_streams_reads_the_log(clock):
+    log = HeldLog()
+    log.gate.set()
+    follower, _ = held_follower(clock, log)
+    await follower.read_once()
+    clock.advance(1)
+    refresh = ViewRefresh(follower, log, clock)
+    assert all(await asyncio.gather(*(refresh.run() for _ in range(50))))
+    assert log.reads == 1
+    assert follower.staleness_seconds() == 0
+
+
+async def test_stream_waits_for_a_log_that_is_down(clock):
+    log = Log()
+    follower, _ = held_follower(clock, log)
+    await follower.read_once()
+    clock.advance(1)
+    log.is_down = True
+    assert not await ViewRefresh(follower, log, clock).run()
