--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -8,7 +8,7 @@
 from hickorymux._internal.coordination.engines.demands import Demand
 from hickorymux._internal.protocol.upstream_http import RequestHeaders
 from hickorymux._internal.state.routing import HttpRoute
-from hickorymux._internal.transport.relay import EventRelay
+from hickorymux._internal.transport.relay import EventRelay, Reply
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -22,6 +22,7 @@
     engine began to stream its answer, in monotonic seconds. ``relay`` is the
     stream to the caller; the attempts that resume the stream share it, and
     ``events_before_attempt`` is how many events the earlier ones relayed.
+    ``reply`` is the answer to the caller while the request runs.
     ``is_trial`` is set for a request that tries again what is refused, itself
     or a part of its prompt, and so is sent once only.
     """
@@ -37,6 +38,7 @@
     failed_connects: int = 0
     may_have_run: bool = False
     answer_started_at: float | None = None
+    reply: Reply | None = None
     relay: EventRelay | None = None
     events_before_attempt: int = 0
     is_trial: bool = False
@@ -53,6 +55,20 @@
             return self.route.timeout.total_seconds()
         return self.facts.caller_timeout_seconds
 
+    @property
+    def has_answer_begun(self) -> bool:
+        """Return whether the caller has been sent any part of an answer.
+
+        No other attempt may then write to the caller, except one that resumes
+        the stream.
+        """
+        return self.reply is not None and self.reply.has_started
+
+    def forget_answer(self) -> None:
+        """Drop the references to the answer once the call has ended."""
+        self.relay = None
+        self.reply = None
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that others may share."""
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -168,6 +168,7 @@
         is_answered = False
         limit = asyncio.timeout(seconds - ANSWER_MARGIN_SECONDS)
         self.running[limit] = call
+        call.reply = reply
         try:
             async with limit:
                 while not is_answered:
@@ -178,7 +179,7 @@
             self.running.pop(limit)
             # The relay refers to the call. Without the cycle, the memory of a
             # request is free at once and not when the collector runs.
-            call.relay = None
+            call.forget_answer()
 
     def raise_if_stopping(self) -> None:
         """Raise ``NotReady`` if a new request might outlast this process."""
@@ -642,7 +643,7 @@
         """Return the error that ends the call, ``None`` if it is retried."""
         if self._may_retry(call, attempt, error):
             return None
-        if call.relay is not None and call.relay.reply.has_started:
+        if call.has_answer_begun:
             return AnswerCut(str(error), ran=Ran.unknown)
         if not call.may_have_run:
             return NoCapacity(
@@ -686,7 +687,7 @@
         )
 
     def _timeout_error(self, call: EntryCall) -> RequestError:
-        if call.relay is not None and call.relay.reply.has_started:
+        if call.has_answer_begun:
             return AnswerCut(
                 'the answer was not complete at the deadline',
                 ran=Ran.unknown,
@@ -753,11 +754,13 @@
 
 
 def _is_unresumable(call: EntryCall) -> bool:
-    """Return whether the caller got part of a stream that can't be resumed."""
-    relay = call.relay
-    if relay is None or not relay.reply.has_started:
+    """Return whether the caller got part of an answer that can't go on."""
+    if not call.has_answer_begun:
         return False
-    return not (call.route.is_resumable and relay.position.can_resume)
+    if call.relay is None:
+        # Only streams of events can go on with another answer.
+        return True
+    return not (call.route.is_resumable and call.relay.position.can_resume)
 
 
 async def _is_listening(address: str) -> bool:
