--- a/src/hickorymux/_internal/utils/single_flight.py
+++ b/src/hickorymux/_internal/utils/single_flight.py
@@ -24,7 +24,8 @@
     async def run(self, start: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Wait for the run in progress, or start one and wait for it."""
         task = self.task
-        if task is None:
+        # The task may have ended before its callback has run.
+        if task is None or task.done():
             task = asyncio.create_task(start())
             self.task = task
             task.add_done_callback(self._on_done)
@@ -33,7 +34,8 @@
     @property
     def is_running(self) -> bool:
         """Return whether the work is in progress."""
-        return self.task is not None
+        return self.task is not None and not self.task.done()
 
-    def _on_done(self, _task: 'asyncio.Task[None]') -> None:
-        self.task = None
+    def _on_done(self, task: 'asyncio.Task[None]') -> None:
+        if self.task is task:
+            self.task = None
