--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -166,8 +166,9 @@
     def is_framed(self) -> bool:
         """Return whether the answer itself tells where its body ends."""
         headers = self.response.headers
-        coding = headers.get('Transfer-Encoding', '').lower()
-        return 'Content-Length' in headers or 'chunked' in coding
+        codings = ','.join(headers.getall('Transfer-Encoding', ())).split(',')
+        is_chunked = codings[-1].strip().lower() == 'chunked'
+        return 'Content-Length' in headers or is_chunked
 
     @property
     def is_event_stream(self) -> bool:
--- a/tests/functional/test_unframed_answers.py
+++ b/tests/functional/test_unframed_answers.py
@@ -216,12 +216,15 @@
             assert answer.status == 502
 
 
-async def test_transfer_coding_without_chunks_counts_as_a_length():
+@pytest.mark.parametrize('coding', ['gzip', 'x-unchunked'])
+async def test_transfer_coding_without_chunks_counts_as_a_length(coding):
     async with platform_fleet(ONE_STREAM) as fleet:
 
         async def end_before_the_first_event(received: ReceivedRequest) -> None:
             received.writer.write(
-                received.head('200 OK', EVENT_STREAM, 'Transfer-Encoding: gzip')
+                received.head(
+                    '200 OK', EVENT_STREAM, f'Transfer-Encoding: {coding}'
+                )
             )
             received.writer.close()
 
