Keep connections to engines for as long as the engines announce

Callers saw nothing; operators pay for each new connection to an engine. Idle connections were kept for 1.5 s, while a pair of 58 routers and 30 engines has a request only each 6 s, and each request that may not be repeated had a connection of its own.

A policy without I/O decides: up to the engine's Keep-Alive timeout less a second, at most 60 s, lowered by pool after a reset on an idle connection. A reset before any byte of the answer is no failure of the engine; the retry uses a new connection. Requests that may not be repeated use a connection that was idle for at most a second and has no input. Where no engine announces a timeout or maxConnections, all is as before.

--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -24,7 +24,8 @@
     ``events_before_attempt`` is how many events the earlier ones relayed.
     ``reply`` is the answer to the caller while the request runs.
     ``is_trial`` is set for a request that tries again what is refused, itself
-    or a part of its prompt, and so is sent once only.
+    or a part of its prompt, and so is sent once only. ``needs_new_connection``
+    is set once a reused connection was reset.
     """
 
     facts: RequestHeaders
@@ -42,6 +43,7 @@
     relay: EventRelay | None = None
     events_before_attempt: int = 0
     is_trial: bool = False
+    needs_new_connection: bool = False
 
     @property
     def request_id(self) -> str:
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -41,6 +41,7 @@
     StreamOrigin,
     stream_key,
 )
+from hickorymux._internal.transport.connection_policy import ConnectionEvent
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.relay import EventRelay, Reply, relay_plain
@@ -49,6 +50,7 @@
     Attempt,
     AttemptError,
     ConnectFailed,
+    IdleDrop,
     UpstreamAnswer,
     UpstreamClient,
     UpstreamCut,
@@ -208,7 +210,11 @@
         except AttemptError as error:
             self._update_health(reservation, attempt, error)
             if isinstance(error, UpstreamCut) and attempt.sent:
-                await self._report_crash(call, reservation)
+                has_crashed = await self._report_crash(call, reservation)
+                if isinstance(error, IdleDrop):
+                    self._note_idle_drop(
+                        call, reservation, attempt, has_crashed=has_crashed
+                    )
             self._raise_unless_retryable(call, reservation, attempt, error)
             return False
         finally:
@@ -282,6 +288,10 @@
             headers=headers,
             body=call.body,
             may_reuse_connection=is_stream or call.route.is_repeatable,
+            may_be_resent=self._may_be_resent(call),
+            needs_new_connection=call.needs_new_connection,
+            pool=reservation.upstream.pool,
+            max_connections=reservation.upstream.max_connections,
             verify_connection=_accept_any_connection,
             check_before_send=functools.partial(
                 self._check_send, call, reservation
@@ -551,7 +561,7 @@
     ) -> None:
         """Record a failed attempt in the health of the upstream."""
         self.allocator.clear_candidate_cache()
-        if isinstance(error, UpstreamChanged):
+        if isinstance(error, UpstreamChanged | IdleDrop):
             return
         health = self.allocator.health
         upstream_id = reservation.upstream.upstream_id
@@ -567,10 +577,42 @@
             ids = [upstream.upstream_id for upstream in pool]
             health.on_failure(upstream_id, ids, now)
 
+    def _note_idle_drop(
+        self,
+        call: EntryCall,
+        reservation: Reservation,
+        attempt: Attempt,
+        *,
+        has_crashed: bool,
+    ) -> None:
+        """Record that the upstream reset a connection that was idle before.
+
+        The cause of a reset is the crash if the upstream is down.
+        """
+        policy = self.client.policy
+        policy.count(attempt.address, ConnectionEvent.reset_on_reuse)
+        call.needs_new_connection = True
+        if has_crashed or attempt.idle_seconds is None:
+            return
+        limit = policy.on_idle_drop(attempt.address, attempt.idle_seconds)
+        if limit is not None:
+            self.decisions.record(
+                call.request_id,
+                'idle_limit_lowered',
+                'the upstream reset a connection that was idle',
+                upstream=reservation.upstream.upstream_id,
+                pool=reservation.upstream.pool,
+                idle_seconds=attempt.idle_seconds,
+                limit_seconds=limit,
+            )
+
     async def _report_crash(
         self, call: EntryCall, reservation: Reservation
-    ) -> None:
-        """Report the request as a crash suspect if its upstream is down."""
+    ) -> bool:
+        """Report the request as a crash suspect if its upstream is down.
+
+        Returns whether it is.
+        """
         if await _is_listening(reservation.upstream.address):
             self.decisions.record(
                 call.request_id,
@@ -579,7 +621,7 @@
                 upstream=reservation.upstream.upstream_id,
                 fingerprint=_hexadecimal(call.fingerprint),
             )
-            return
+            return False
         self.decisions.record(
             call.request_id,
             'upstream_crashed',
@@ -605,6 +647,7 @@
             str(reservation.upstream.born_ms),
             [call.fingerprint],
         )
+        return True
 
     def _raise_unless_retryable(
         self,
@@ -614,7 +657,8 @@
         error: AttemptError,
     ) -> None:
         """Record a failed attempt and raise unless the call may be retried."""
-        call.demand.excluded_ids.add(reservation.upstream.upstream_id)
+        if not isinstance(error, IdleDrop):
+            call.demand.excluded_ids.add(reservation.upstream.upstream_id)
         if not attempt.sent:
             call.failed_connects += 1
         elif not isinstance(error, UpstreamRefused):
@@ -678,6 +722,14 @@
             return False
         return self.retry_budget.try_acquire(pool)
 
+    def _may_be_resent(self, call: EntryCall) -> bool:
+        """Return whether the next attempt can be followed by another."""
+        return (
+            call.route.is_repeatable
+            and not call.is_trial
+            and call.sent_attempts + 1 < call.route.max_attempts
+        )
+
     def _may_repeat(self, call: EntryCall) -> bool:
         """Return whether a server error is retried rather than relayed."""
         return (
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -82,6 +82,7 @@
 from hickorymux._internal.protocol.upstream_http import Dialect
 from hickorymux._internal.state.routing import HttpRoute, PoolPolicy
 from hickorymux._internal.transport.address import Address
+from hickorymux._internal.transport.connection_policy import ConnectionPolicy
 from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
 from hickorymux._internal.transport.entry_server import EntryServer, TableView
 from hickorymux._internal.transport.entry_settings import EntrySettings
@@ -124,6 +125,7 @@
 MAX_READY_STALENESS_SHARE: Final = 0.6
 CONNECT_TIMEOUT: Final = dt.timedelta(milliseconds=250)
 # Below the idle timeouts of upstreams, which close connections without notice.
+# Longer where the upstreams announce theirs; see ``ConnectionPolicy``.
 UPSTREAM_KEEP_ALIVE: Final = dt.timedelta(seconds=1.5)
 # Above the timeouts of all routes, which are what limits an answer.
 UPSTREAM_TIMEOUT: Final = dt.timedelta(seconds=120)
@@ -467,8 +469,12 @@
                 keep_alive=UPSTREAM_KEEP_ALIVE,
                 first_byte=UPSTREAM_TIMEOUT,
                 idle=UPSTREAM_TIMEOUT,
-            )
+            ),
+            ConnectionPolicy(
+                self.clock, settings.connections, UPSTREAM_KEEP_ALIVE
+            ),
         )
+        self.metrics.connections = self.client.policy.events
         self.retry_budget = RetryBudget.from_config(self.clock)
         self.server = EntryServer(
             EntryDispatcher(
@@ -498,6 +504,8 @@
         """Apply this router's share of the operators' limits."""
         bounds = self.settings.bounds
         routers = max(1, len(self.router_ranks.routers))
+        self.client.policy.router_count = routers
+        self.client.policy.settings = self.settings.connections
         self.server.view.max_key_staleness = self._max_key_staleness()
         self.retry_budget.settings = RetrySettings(
             share=bounds.retry_share * USED_RETRY_SHARE,
--- a/src/hickorymux/_internal/transport/entry_settings.py
+++ b/src/hickorymux/_internal/transport/entry_settings.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from hickorymux._internal.transport.address import Address
+from hickorymux._internal.transport.connection_policy import ConnectionSettings
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -36,7 +37,7 @@
     which it serves callers, readiness checks, other routers and metrics.
     ``store`` is the address of the store. ``fleet_key`` authenticates the
     messages between routers. Upstreams renew their entries about every
-    ``upstream_renewal``.
+    ``upstream_renewal``. ``connections`` is for those to upstreams.
     """
 
     router_id: str
@@ -50,3 +51,4 @@
     bounds: ServiceBounds
     fleet_key: bytes
     upstream_renewal: dt.timedelta
+    connections: ConnectionSettings = ConnectionSettings()
--- a/src/hickorymux/_internal/transport/metrics.py
+++ b/src/hickorymux/_internal/transport/metrics.py
@@ -17,6 +17,8 @@
 )
 from prometheus_client.registry import Collector
 
+from hickorymux._internal.transport.connection_policy import ConnectionEvent
+
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 3
@@ -38,7 +40,8 @@
 
     Histograms are kept by name and pool, ``outcomes`` by pool and outcome, and
     ``service`` by pool and customer. ``peer_message_bytes`` has the bytes sent
-    to peers by message class.
+    to peers by message class. ``connections`` counts by pool and event what
+    happened to connections to upstreams.
     """
 
     def __init__(self) -> None:
@@ -51,6 +54,9 @@
         )
         self.gauges: dict[str, float] = {}
         self.peer_message_bytes: dict[str, int] = {}
+        self.connections: collections.Counter[tuple[str, ConnectionEvent]] = (
+            collections.Counter()
+        )
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -102,9 +108,21 @@
         for message, byte_count in self.peer_message_bytes.items():
             peer_bytes.add_metric((message,), byte_count)
         yield peer_bytes
+        yield self._connection_counts()
         for name, reading in self.gauges.items():
             yield GaugeMetricFamily(f'hickorymux_{name}', name, value=reading)
 
+    def _connection_counts(self) -> CounterMetricFamily:
+        counts = CounterMetricFamily(
+            'hickorymux_upstream_connections',
+            'Connections to upstreams: new, reused, closed_idle by the'
+            ' upstream, reset_on_reuse',
+            labels=('pool', 'event'),
+        )
+        for labels, count in self.connections.items():
+            counts.add_metric(labels, count)
+        return counts
+
     def _summaries(self) -> Iterator[Any]:
         for name, help_text in _HELP.items():
             quantiles = GaugeMetricFamily(
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -11,6 +11,8 @@
 import dataclasses
 import datetime as dt
 import functools
+import select
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, final
 
@@ -21,7 +23,14 @@
 
 from hickorymux._internal.exceptions import HickorymuxError
 from hickorymux._internal.protocol import http
+from hickorymux._internal.transport.connection_policy import (
+    ConnectionEvent,
+    ConnectionPolicy,
+    ConnectionSettings,
+    ReuseMode,
+)
 from hickorymux._internal.transport.sockets import open_keepalive_socket
+from hickorymux._internal.utils.clock import SystemClock
 
 KEEPALIVE_SECONDS = 30
 CANCEL_TIMEOUT_SECONDS = 2
@@ -34,6 +43,8 @@
 MAX_HEAD_BYTES = 1 << 17
 # Stale connections that one attempt discards before it fails.
 MAX_STALE_CONNECTIONS = 8
+# How often idle connections are checked for their age.
+IDLE_CHECK_SECONDS = 1.0
 
 _FIRST_FINAL_STATUS = 200
 
@@ -72,6 +83,16 @@
     code = 'upstream_cut'
 
 
+class IdleDrop(UpstreamCut):
+    """A reused connection was reset before any byte of an answer.
+
+    The upstream had probably dropped it while it was idle. Nothing proves
+    that, so the request may have run.
+    """
+
+    code = 'idle_drop'
+
+
 class AttemptTimeout(AttemptError):
     """The upstream sent nothing for longer than the timeout."""
 
@@ -101,6 +122,13 @@
     echo. ``verify_connection`` and then ``check_before_send`` run directly
     before the first byte is sent; either may raise to prevent it. ``sent``
     is set once any byte may have been sent.
+
+    ``may_be_resent`` tells that a reset before the answer costs no more than
+    another attempt, and ``needs_new_connection`` that an earlier attempt was
+    reset on an idle connection. ``pool`` and ``max_connections`` are those of
+    the upstream, the latter 0 if unknown. ``protocol`` is the connection that
+    the attempt uses and ``idle_seconds`` how long that was idle, ``None`` if
+    it is new or the connections of the pool are kept for a short time only.
     """
 
     attempt_id: str
@@ -114,6 +142,12 @@
     verify_connection: Callable[[Any], Awaitable[None]]
     check_before_send: Callable[[], None]
     sent: bool = False
+    may_be_resent: bool = False
+    needs_new_connection: bool = False
+    pool: str = ''
+    max_connections: int = 0
+    protocol: Any = None
+    idle_seconds: float | None = None
 
     @property
     def url(self) -> URL:
@@ -135,6 +169,9 @@
                 raise StaleConnection(
                     'connection was closed or got bytes after its last answer'
                 )
+            attempt.protocol = conn.protocol
+            if conn.protocol.is_kept_long:
+                attempt.idle_seconds = conn.protocol.idle_seconds
             await attempt.verify_connection(conn.protocol)
             attempt.check_before_send()
             attempt.sent = True
@@ -210,34 +247,47 @@
 class UpstreamClient:
     """HTTP client for upstreams; one instance for the whole router.
 
-    Each request that may not be repeated gets a connection of its own. A
-    kept-alive connection might be closed by the upstream at the same moment,
-    which leaves open whether the request ran.
+    A kept-alive connection might be closed by the upstream at the same moment,
+    which leaves open whether the request ran. So each request that may not be
+    repeated gets a connection of its own, unless ``policy`` trusts an idle one.
     """
 
-    __slots__ = ('single_use_session', 'session', 'timeouts')
+    __slots__ = ('policy', 'single_use_session', 'session', 'timeouts')
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
         single_use_session: aiohttp.ClientSession,
         timeouts: UpstreamTimeouts,
+        policy: ConnectionPolicy,
     ) -> None:
+        self.policy = policy
         self.session = session
         self.single_use_session = single_use_session
         self.timeouts = timeouts
 
     @classmethod
-    def from_config(cls, timeouts: UpstreamTimeouts) -> 'UpstreamClient':
-        """Return a client; must be called on a running event loop."""
-        reusing = _UpstreamConnector(
-            keepalive_timeout=timeouts.keep_alive.total_seconds(),
+    def from_config(
+        cls,
+        timeouts: UpstreamTimeouts,
+        policy: ConnectionPolicy | None = None,
+    ) -> 'UpstreamClient':
+        """Return a client; must be called on a running event loop.
+
+        Without a policy, connections are kept for ``timeouts.keep_alive``.
+        """
+        policy = policy or ConnectionPolicy(
+            SystemClock(),
+            ConnectionSettings(reuse=ReuseMode.disabled),
+            timeouts.keep_alive,
         )
-        closing = _UpstreamConnector(force_close=True)
+        reusing = _UpstreamConnector(policy, keepalive_timeout=None)
+        closing = _UpstreamConnector(policy, force_close=True)
         return cls(
             _new_session(reusing, timeouts),
             _new_session(closing, timeouts),
             timeouts,
+            policy,
         )
 
     async def close(self) -> None:
@@ -251,6 +301,9 @@
         Raises ``ConnectFailed``, ``UpstreamCut`` or ``AttemptTimeout``, and
         whatever the checks of the attempt raise.
         """
+        self.policy.note_upstream(
+            attempt.address, attempt.pool, attempt.max_connections
+        )
         token = _current_attempt.set(attempt)
         try:
             async with asyncio.timeout(self._first_byte_seconds()):
@@ -259,6 +312,9 @@
             raise _attempt_error(attempt, error) from error
         finally:
             _current_attempt.reset(token)
+        self.policy.on_response(
+            attempt.address, response.headers.get('Keep-Alive', '')
+        )
         _check_request_id(attempt, response)
         return UpstreamAnswer(attempt, response, self.timeouts.idle)
 
@@ -305,6 +361,8 @@
     def _session_for(self, attempt: Attempt) -> aiohttp.ClientSession:
         if attempt.may_reuse_connection:
             return self.session
+        if self.policy.is_active(attempt.address):
+            return self.session
         return self.single_use_session
 
     def _first_byte_seconds(self) -> float:
@@ -339,12 +397,19 @@
     aiohttp takes any end of the connection for the end of such an answer.
 
     Also ends a connection on which bytes arrive and no response begins.
+
+    ``idle_since`` is when the last request on it ended, in monotonic seconds,
+    and ``idle_seconds`` how long it was idle before the present one, ``None``
+    for the first. ``is_kept_long`` tells that the policy was active then.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.is_awaiting_head = False
         self.head_bytes = 0
+        self.idle_since: float = 0
+        self.idle_seconds: float | None = None
+        self.is_kept_long = False
 
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the response to the request that is being sent."""
@@ -383,17 +448,105 @@
 
 @final
 class _UpstreamConnector(aiohttp.TCPConnector):
-    """Opens connections that detect unreachable upstreams and resets."""
+    """Opens connections that detect unreachable upstreams and resets.
+
+    The policy decides which idle connections are kept and reused. Where it is
+    active, the one that was used last is reused first, so that the others can
+    expire.
+    """
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, policy: ConnectionPolicy, **options: Any) -> None:
         super().__init__(
             limit=0, socket_factory=open_keepalive_socket, **options
         )
+        self.policy = policy
+        self.idle_check: asyncio.TimerHandle | None = None
         self._factory: Any = functools.partial(
             _StrictResponseHandler,
             loop=asyncio.get_running_loop(),
         )
 
+    async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
+        """Return an idle connection that may be reused, or a new one."""
+        connection: Any = await super().connect(req, traces, timeout)
+        is_new = connection.protocol.idle_seconds is None
+        event = ConnectionEvent.new if is_new else ConnectionEvent.reused
+        self.policy.count(_address_of(req.connection_key), event)
+        return connection
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        """Take an idle connection, ``None`` if none may be reused."""
+        address = _address_of(key)
+        self._close_expired(key, address)
+        idle = self._conns.get(key)
+        if not idle:
+            return None
+        protocol: Any = idle[0][0]
+        idle_seconds = self.policy.clock.monotonic() - protocol.idle_since
+        attempt = _current_attempt.get()
+        if attempt is not None and attempt.needs_new_connection:
+            return None
+        limit = self.policy.reuse_limit(
+            address, may_be_resent=attempt is None or attempt.may_be_resent
+        )
+        if idle_seconds > limit:
+            return None
+        protocol.idle_seconds = idle_seconds
+        protocol.is_kept_long = self.policy.is_active(address)
+        return await super()._get(key, traces)
+
+    def _release(
+        self, key: Any, protocol: Any, *, should_close: bool = False
+    ) -> None:
+        """Keep the connection idle if it may be reused, else close it."""
+        protocol.idle_since = self.policy.clock.monotonic()
+        super()._release(key, protocol, should_close=should_close)
+        idle = self._conns.get(key)
+        if not idle or idle[-1][0] is not protocol:
+            return
+        address = _address_of(key)
+        if self.policy.is_active(address):
+            idle.rotate(1)
+            while len(idle) > self.policy.max_idle_connections(address):
+                idle.pop()[0].close()
+        if self.idle_check is None:
+            self.idle_check = self._loop.call_later(
+                IDLE_CHECK_SECONDS, self._check_idle
+            )
+
+    def _check_idle(self) -> None:
+        """Close the connections that were idle for too long."""
+        self.idle_check = None
+        for key in tuple(self._conns):
+            self._close_expired(key, _address_of(key))
+            if not self._conns[key]:
+                self._conns.pop(key)
+        self.policy.prune()
+        if self._conns:
+            self.idle_check = self._loop.call_later(
+                IDLE_CHECK_SECONDS, self._check_idle
+            )
+
+    def _close_expired(self, key: Any, address: str) -> None:
+        idle = self._conns.get(key)
+        if not idle:
+            return
+        oldest = self.policy.clock.monotonic() - self.policy.idle_limit(address)
+        kept: deque[Any] = deque()
+        for protocol, stamp in idle:
+            reusing: Any = protocol
+            if not reusing.is_connected():
+                self.policy.count(address, ConnectionEvent.closed_idle)
+            elif reusing.idle_since >= oldest:
+                kept.append((protocol, stamp))
+                continue
+            reusing.close()
+        self._conns[key] = kept
+
+
+def _address_of(key: Any) -> str:
+    return f'{key.host}:{key.port}'
+
 
 def _is_stale(protocol: Any) -> bool:
     """Return whether a kept-alive connection was closed or got more bytes.
@@ -401,7 +554,22 @@
     Bytes after a complete answer belong to no request; aiohttp would take
     them for the answer to the next one.
     """
-    return bool(protocol.should_close or protocol.exception() is not None)
+    if protocol.should_close or protocol.exception() is not None:
+        return True
+    return protocol.is_kept_long and _has_input(protocol.transport)
+
+
+def _has_input(transport: Any) -> bool:
+    """Return whether a socket has bytes or was closed by its other end.
+
+    The event loop may not have seen that yet.
+    """
+    poll = select.poll()
+    poll.register(
+        transport.get_extra_info('socket').fileno(),
+        select.POLLIN | select.POLLRDHUP,
+    )
+    return bool(poll.poll(0))
 
 
 def _new_session(
@@ -468,4 +636,9 @@
         return ConnectFailed(str(error) or f'no connection: {error!r}')
     if isinstance(error, TimeoutError):
         return AttemptTimeout('no answer within the first-byte timeout')
+    if attempt.idle_seconds is not None and not attempt.protocol.head_bytes:
+        return IdleDrop(
+            f'connection was reset, idle for {attempt.idle_seconds:.1f} s'
+            f' before: {error!r}'
+        )
     return UpstreamCut(f'no answer: {error!r}')
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -9,6 +9,10 @@
 
 from hickorymux._internal.exceptions import ConfigError
 from hickorymux._internal.transport.address import Address
+from hickorymux._internal.transport.connection_policy import (
+    ConnectionSettings,
+    ReuseMode,
+)
 from hickorymux._internal.transport.entry_settings import (
     EntrySettings,
     ServiceBounds,
@@ -17,6 +21,7 @@
 SETTINGS_VARIABLE: Final = 'HICKORYMUX_CONFIG'
 # Must match the metrics port in deploy/system.toml.
 METRICS_PORT: Final = 9464
+_MAX_IDLE_MS: Final = 3_600_000
 
 
 class _Listen(msgspec.Struct):
@@ -44,6 +49,14 @@
     cold_slack: float = 5
 
 
+class _Connections(msgspec.Struct, rename='camel'):
+    # Where connections to upstreams are kept for long: "auto" is where the
+    # upstreams announce a Keep-Alive timeout or maxConnections.
+    reuse: ReuseMode = ReuseMode.auto
+    max_idle_ms: float = 60_000
+    unrepeatable_idle_ms: float = 1000
+
+
 class _SettingsFile(msgspec.Struct, rename='camel'):
     node: str
     zone: str
@@ -57,6 +70,7 @@
     # Region by zone.
     zones: dict[str, str] = msgspec.field(default_factory=dict)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    connections: _Connections = msgspec.field(default_factory=_Connections)
 
 
 def load_settings(environment: Mapping[str, str]) -> EntrySettings:
@@ -106,6 +120,23 @@
         bounds=_to_bounds(parsed.bounds),
         fleet_key=_fleet_key(parsed.platform.address),
         upstream_renewal=dt.timedelta(milliseconds=parsed.heartbeat_ms),
+        connections=_to_connections(parsed.connections),
+    )
+
+
+def _to_connections(parsed: _Connections) -> ConnectionSettings:
+    times = (parsed.max_idle_ms, parsed.unrepeatable_idle_ms)
+    if not all(0 <= milliseconds <= _MAX_IDLE_MS for milliseconds in times):
+        raise ConfigError(
+            f'idle times {times} ms must be 0 to {_MAX_IDLE_MS} ms',
+            where='connections',
+        )
+    return ConnectionSettings(
+        reuse=parsed.reuse,
+        max_idle=dt.timedelta(milliseconds=parsed.max_idle_ms),
+        unrepeatable_idle=dt.timedelta(
+            milliseconds=parsed.unrepeatable_idle_ms
+        ),
     )
 
 
--- /dev/null
+++ b/tests/functional/test_upstream_connections.py
@@ -0,0 +1,70 @@
+"""Connections to engines that are reused, and engines that drop them."""
+
+import asyncio
+
+from hickorymux._internal.transport.connection_policy import ConnectionEvent
+from tests.lib.platform_engine import PlatformEngine
+from tests.lib.platform_fleet import platform_fleet, route
+
+READ = route('/read', 'idempotent', maxAttempts=2)
+WRITE = route('/write', 'non_idempotent', maxAttempts=2)
+
+
+async def answer_keep_alive(received):
+    """Respond with a timeout for idle connections."""
+    received.writer.write(
+        received.head('200 OK', 'Content-Length: 2', 'Keep-Alive: timeout=20')
+        + b'ok'
+    )
+
+
+async def status_of(fleet, method, path, number):
+    headers = {'X-Request-Id': f'r{number}'}
+    async with fleet.request(method, path, headers=headers) as response:
+        await response.read()
+        return response.status
+
+
+async def test_connections_are_reused():
+    """Guards against a connection of its own for each request."""
+    async with platform_fleet(READ, WRITE) as fleet:
+        engine = PlatformEngine('e1', answer_keep_alive)
+        await fleet.add_engine(engine)
+        await fleet.wait_until_ready()
+        # The engine has announced its timeout with the first response.
+        assert await status_of(fleet, 'GET', '/read', 0) == 200
+        await asyncio.sleep(2.0)
+        for number in range(1, 6):
+            assert await status_of(fleet, 'GET', '/read', number) == 200
+            assert await status_of(fleet, 'POST', '/write', -number) == 200
+        assert engine.connections == 1
+        events = fleet.process.client.policy.events
+        assert events['pool', ConnectionEvent.new] == 1
+        assert events['pool', ConnectionEvent.reused] == 10
+
+
+async def test_silently_dropped_connections_cost_no_request():
+    """Guards against failures, and engines marked as failed, after drops."""
+    async with platform_fleet(READ, WRITE) as fleet:
+        engine = PlatformEngine('e1', answer_keep_alive)
+        engine.drops_idle_after = 1.2
+        await fleet.add_engine(engine)
+        await fleet.wait_until_ready()
+        numbers = iter(range(100))
+        for _ in range(2):
+            reads = [
+                status_of(fleet, 'GET', '/read', next(numbers))
+                for _ in range(4)
+            ]
+            assert set(await asyncio.gather(*reads)) == {200}
+            await asyncio.sleep(1.4)
+        # The oldest connections are beyond the idle time of requests that may
+        # run only once, so these use a new one.
+        assert await status_of(fleet, 'POST', '/write', next(numbers)) == 200
+        assert 1 <= engine.dropped <= 4
+        events = fleet.process.client.policy.events
+        assert events['pool', ConnectionEvent.reset_on_reuse] == engine.dropped
+        dropped = engine.dropped
+        await asyncio.sleep(1.4)
+        assert await status_of(fleet, 'GET', '/read', next(numbers)) == 200
+        assert engine.dropped == dropped
--- a/tests/lib/platform_engine.py
+++ b/tests/lib/platform_engine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import math
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -53,7 +54,9 @@
 class PlatformEngine:
     """An emulated engine.
 
-    ``version`` is that of its software. ``received`` has all requests,
+    ``version`` is that of its software. A connection that was idle for
+    longer than ``drops_idle_after`` seconds is reset by the next request on
+    it, and ``dropped`` counts them. ``received`` has all other requests,
     ``connections`` counts the connections and ``closed`` those that the router
     closed before the script had ended. ``held_sockets`` keep the port of an
     engine that has crashed.
@@ -65,6 +68,8 @@
         self.version = 'v1'
         self.received: list[ReceivedRequest] = []
         self.closed = 0
+        self.dropped = 0
+        self.drops_idle_after = math.inf
         self.connections = 0
         self.server: asyncio.Server | None = None
         self.address = ''
@@ -135,9 +140,15 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.connections += 1
+        idle_since = math.inf
+        now = asyncio.get_running_loop().time
         try:
             while True:
                 received = await _read_request(reader, writer)
+                if now() - idle_since > self.drops_idle_after:
+                    self.dropped += 1
+                    reset_connection(received)
+                    break
                 self.received.append(received)
                 disconnect = asyncio.ensure_future(reader.read(1))
                 response = asyncio.ensure_future(self.script(received))
@@ -152,6 +163,7 @@
                 await asyncio.wait((disconnect,))
                 await response
                 await writer.drain()
+                idle_since = now()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
