Decide when a slow request gets a second copy

Callers wait for as long as the one engine takes that their request is at; a few slow engines make the tail. Nothing decided when a copy elsewhere would help.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import dataclasses
 import math
 import random
 from collections.abc import Callable, Sequence
@@ -212,6 +213,29 @@
                 return reservation
         return await self._wait(demand, queue)
 
+    def try_acquire_hedge(
+        self, demand: Demand, first_id: str
+    ) -> Reservation | None:
+        """Return a reservation for a second copy of a request.
+
+        It is at another upstream than the first copy, and at none that is cold
+        or names a request limit. ``None`` if there is none with room now or
+        other requests wait for the pool.
+        """
+        queue = self.wait_queue_of(demand.pool.name)
+        if queue.by_customer:
+            return None
+        now = self.clock.monotonic()
+        excluded = {
+            upstream.upstream_id
+            for upstream in self.registry.available_in_pool(demand.pool.name)
+            if self.registry.is_cold(upstream, now)
+            or self.request_limits.is_limited(upstream.incarnation)
+        }
+        excluded |= {first_id, *demand.excluded_ids}
+        hedge = dataclasses.replace(demand, excluded_ids=excluded)
+        return self._try_reserve(hedge, queue)
+
     def wait_queue_of(self, pool: str) -> WaitQueue:
         """Return the wait queue of a pool, new if it has none yet."""
         queue = self.wait_queues.get(pool)
--- a/src/hickorymux/_internal/coordination/engines/request_limits.py
+++ b/src/hickorymux/_internal/coordination/engines/request_limits.py
@@ -117,6 +117,11 @@
         self._refill(upstream, limit, limit.per_second, now)
         return limit.tokens >= 1 - _ROUNDING_ERROR
 
+    def is_limited(self, incarnation: str) -> bool:
+        """Return whether the upstream names a limit at present."""
+        limit = self.limits.get(incarnation)
+        return limit is not None and limit.per_second is not None
+
     def on_sent(self, upstream: RegisteredUpstream, now: float) -> bool:
         """Record a request that is sent; return whether it counts."""
         limit = self.limits.get(upstream.incarnation)
--- a/src/hickorymux/_internal/coordination/retry_budget.py
+++ b/src/hickorymux/_internal/coordination/retry_budget.py
@@ -68,6 +68,13 @@
 
     def try_acquire(self, pool: str) -> bool:
         """Count a retry and return ``True`` if it is within the budget."""
+        if not self.has_room(pool):
+            return False
+        self._bucket(pool).retries += 1
+        return True
+
+    def has_room(self, pool: str) -> bool:
+        """Return whether a retry is within the budget, without counting it."""
         bucket = self._bucket(pool)
         in_window = [
             candidate
@@ -77,10 +84,7 @@
         requests = sum(candidate.requests for candidate in in_window)
         retries = sum(candidate.retries for candidate in in_window)
         allowed = max(self.settings.floor, requests * self.settings.share)
-        if retries >= allowed:
-            return False
-        bucket.retries += 1
-        return True
+        return retries < allowed
 
     def _bucket(self, pool: str) -> _Bucket:
         buckets = self.pools.get(pool)
