Send a second copy of slow requests that may be repeated

With hedgeShare in the bounds of the settings, a request that may be repeated and whose answer is later than nearly all similar ones is sent to another upstream too. The answer that begins first is relayed, the other copy is cancelled at once. Without the setting nothing changes.

The dispatcher opens the answer, which now includes its check and, for hedged requests, the first byte of the body, before it relays it. What one attempt holds is a SentCopy, so that the copy that goes on may be either.

Functional tests with an engine that does not respond, or begins a stream without an event: the caller gets the whole answer of the other engine, the first one sees its connection closed within 0.5 s; a request that may run only once reaches one engine. Not measured on a deployment yet.

--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -25,7 +25,8 @@
     ``reply`` is the answer to the caller while the request runs.
     ``is_trial`` is set for a request that tries again what is refused, itself
     or a part of its prompt, and so is sent once only. ``needs_new_connection``
-    is set once a reused connection was reset.
+    is set once a reused connection was reset. ``is_racing`` is set while two
+    copies of the request run.
     """
 
     facts: RequestHeaders
@@ -44,6 +45,7 @@
     events_before_attempt: int = 0
     is_trial: bool = False
     needs_new_connection: bool = False
+    is_racing: bool = False
 
     @property
     def request_id(self) -> str:
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -21,6 +21,11 @@
     Reservation,
 )
 from hickorymux._internal.coordination.engines.demands import PlainDemand
+from hickorymux._internal.coordination.engines.hedging import (
+    Hedging,
+    group_of,
+    may_hedge,
+)
 from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.retry_budget import RetryBudget
 from hickorymux._internal.coordination.stream_directory import StreamDirectory
@@ -43,6 +48,12 @@
 )
 from hickorymux._internal.transport.connection_policy import ConnectionEvent
 from hickorymux._internal.transport.entry_call import EntryCall
+from hickorymux._internal.transport.hedge_race import HedgeRace
+from hickorymux._internal.transport.hedged_copies import (
+    CopyActions,
+    HedgedCopies,
+    SentCopy,
+)
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.relay import EventRelay, Reply, relay_plain
 from hickorymux._internal.transport.router_work import RouterWork
@@ -118,7 +129,9 @@
         'client',
         'clock',
         'decisions',
+        'copy_actions',
         'dialect',
+        'hedging',
         'metrics',
         'part_guard',
         'refuse_after',
@@ -140,6 +153,7 @@
         streams: StreamDirectory,
         view_refresh: ViewRefresh,
         retry_budget: RetryBudget,
+        hedging: Hedging,
         decisions: DecisionLog,
         metrics: RouterMetrics,
         clock: Clock,
@@ -152,6 +166,10 @@
         self.streams = streams
         self.view_refresh = view_refresh
         self.retry_budget = retry_budget
+        self.hedging = hedging
+        self.copy_actions = CopyActions(
+            self._new_copy, self._open_copy, self._on_copy_failed
+        )
         self.decisions = decisions
         self.metrics = metrics
         self.clock = clock
@@ -166,6 +184,7 @@
         Its ``ran`` tells whether the request may have run.
         """
         self.retry_budget.count_request(call.demand.pool.name)
+        self.hedging.count_request(call.demand.pool.name)
         seconds = call.demand.deadline - self.clock.monotonic()
         is_answered = False
         limit = asyncio.timeout(seconds - ANSWER_MARGIN_SECONDS)
@@ -201,27 +220,101 @@
     async def _run_attempt(self, call: EntryCall, reply: Reply) -> bool:
         """Run one attempt; return whether the whole answer was relayed."""
         self._raise_if_refused(call)
-        reservation = await self._acquire(call)
-        attempt = self._new_attempt(call, reservation)
+        race = HedgeRace(self._new_copy(call, await self._acquire(call)))
         if call.relay is not None:
             call.events_before_attempt = call.relay.event_count
         try:
-            await self._exchange(call, reservation, attempt, reply)
+            await self._open_first(call, race)
+            await self._exchange(call, race.kept, reply)
         except AttemptError as error:
-            self._update_health(reservation, attempt, error)
-            if isinstance(error, UpstreamCut) and attempt.sent:
-                has_crashed = await self._report_crash(call, reservation)
-                if isinstance(error, IdleDrop):
-                    self._note_idle_drop(
-                        call, reservation, attempt, has_crashed=has_crashed
-                    )
-            self._raise_unless_retryable(call, reservation, attempt, error)
+            await self._note_failure(call, race.kept, error)
+            self._raise_unless_retryable(call, race.kept, error)
             return False
         finally:
-            reservation.release()
-        self.allocator.health.on_success(reservation.upstream.upstream_id)
+            race.kept.reservation.release()
+        self.allocator.health.on_success(
+            race.kept.reservation.upstream.upstream_id
+        )
         return True
 
+    async def _open_first(
+        self, call: EntryCall, race: 'HedgeRace[SentCopy]'
+    ) -> None:
+        """Send the request and wait until its answer begins.
+
+        If that takes too long, a hedge is sent to another upstream.
+        """
+        delay = None
+        if race.kept.waits_for_body:
+            delay = self.hedging.delay_seconds(
+                group_of(call.route, call.demand)
+            )
+        if delay is None:
+            await self._open_copy(call, race.kept)
+            return
+        copies = HedgedCopies(
+            call,
+            race.kept,
+            self.copy_actions,
+            self.hedging,
+            self.allocator,
+            self.retry_budget,
+            self.decisions,
+        )
+        try:
+            await race.run(copies, delay)
+        except BaseException:
+            race.kept.close_answer()
+            raise
+        copies.record_winner(race.kept)
+
+    async def _open_copy(self, call: EntryCall, copy: SentCopy) -> None:
+        """Send a copy and wait until its answer begins.
+
+        Raises ``AttemptError`` if there is no answer that may be passed on.
+        """
+        if call.demand.version is not None:
+            # An upstream of another version may have taken the chosen one's
+            # place; the check before the send compares them.
+            await self.view_refresh.run()
+        answer = await self.client.open(copy.attempt)
+        copy.answer = answer
+        facts = self.dialect.read_response_headers(
+            answer.status, answer.response.headers
+        )
+        copy.facts = facts
+        self._note_limit(call, copy.reservation, facts)
+        self._note_readiness(call, copy.reservation, facts)
+        try:
+            self._check_answer(call, answer, facts)
+            if copy.waits_for_body:
+                await answer.begin()
+        except BaseException:
+            answer.close()
+            raise
+        if copy.waits_for_body:
+            seconds = self.clock.monotonic() - copy.started_at
+            self.hedging.observe(group_of(call.route, call.demand), seconds)
+
+    async def _note_failure(
+        self, call: EntryCall, copy: SentCopy, error: AttemptError
+    ) -> None:
+        """Record a failed copy in the health of its upstream."""
+        self._update_health(copy.reservation, copy.attempt, error)
+        if not isinstance(error, UpstreamCut) or not copy.attempt.sent:
+            return
+        has_crashed = await self._report_crash(call, copy.reservation)
+        if isinstance(error, IdleDrop):
+            self._note_idle_drop(call, copy, has_crashed=has_crashed)
+
+    async def _on_copy_failed(
+        self, call: EntryCall, copy: SentCopy, error: AttemptError
+    ) -> None:
+        """Record that a copy failed while the other one runs."""
+        self._count_failure(call, copy, error)
+        self._record_failure(call, copy, error, 'copy_failed')
+        await self._note_failure(call, copy, error)
+
     def _raise_if_refused(self, call: EntryCall) -> None:
         """Raise if the request or a part of its prompt crashes upstreams."""
         if call.is_trial:
@@ -266,6 +359,19 @@
         )
         return reservation
 
+    def _new_copy(self, call: EntryCall, reservation: Reservation) -> SentCopy:
+        is_hedgeable = (
+            self.hedging.is_active
+            and not call.is_trial
+            and may_hedge(call.route, call.demand, call.sent_attempts)
+        )
+        return SentCopy(
+            reservation,
+            self._new_attempt(call, reservation),
+            self.clock.monotonic(),
+            waits_for_body=is_hedgeable,
+        )
+
     def _new_attempt(
         self, call: EntryCall, reservation: Reservation
     ) -> Attempt:
@@ -330,26 +436,18 @@
     async def _exchange(
         self,
         call: EntryCall,
-        reservation: Reservation,
-        attempt: Attempt,
+        copy: SentCopy,
         reply: Reply,
     ) -> None:
-        """Send the attempt and relay the answer.
+        """Relay the answer that has begun.
 
-        Raises ``AttemptError`` if there is no answer that may be passed on.
+        Raises ``AttemptError`` if it must not be passed on, or is cut.
         """
-        if call.demand.version is not None:
-            # An upstream of another version may have taken the chosen one's
-            # place; the check before the send compares them.
-            await self.view_refresh.run()
-        answer = await self.client.open(attempt)
-        facts = self.dialect.read_response_headers(
-            answer.status, answer.response.headers
-        )
-        self._note_limit(call, reservation, facts)
-        self._note_readiness(call, reservation, facts)
+        answer, facts, reservation = copy.answer, copy.facts, copy.reservation
+        if answer is None or facts is None:
+            raise RuntimeError('the answer has not begun')
         try:
-            await self._relay_answer(call, reservation, answer, facts, reply)
+            await self._relay_answer(call, reservation, answer, reply)
         except BaseException:
             answer.close()
             raise
@@ -375,10 +473,8 @@
         call: EntryCall,
         reservation: Reservation,
         answer: UpstreamAnswer,
-        facts: ResponseHeaders,
         reply: Reply,
     ) -> None:
-        self._check_answer(call, answer, facts)
         _check_resumption(call, answer)
         is_success = _STATUS_OK <= answer.status < _FIRST_NOT_OK
         if call.route.kind is RequestKind.streaming and is_success:
@@ -482,7 +578,8 @@
             )
         if not facts.is_signed:
             raise AnswerNotUsable(f'status {status} without a signature')
-        if status >= _STATUS_SERVER_ERROR and self._may_repeat(call):
+        may_repeat = call.is_racing or self._may_repeat(call)
+        if status >= _STATUS_SERVER_ERROR and may_repeat:
             raise UpstreamError(f'status {status}')
 
     async def _relay_stream(
@@ -580,8 +677,7 @@
     def _note_idle_drop(
         self,
         call: EntryCall,
-        reservation: Reservation,
-        attempt: Attempt,
+        copy: SentCopy,
         *,
         has_crashed: bool,
     ) -> None:
@@ -590,6 +686,7 @@
         The cause of a reset is the crash if the upstream is down.
         """
         policy = self.client.policy
+        attempt = copy.attempt
         policy.count(attempt.address, ConnectionEvent.reset_on_reuse)
         call.needs_new_connection = True
         if has_crashed or attempt.idle_seconds is None:
@@ -600,8 +697,8 @@
                 call.request_id,
                 'idle_limit_lowered',
                 'the upstream reset a connection that was idle',
-                upstream=reservation.upstream.upstream_id,
-                pool=reservation.upstream.pool,
+                upstream=copy.reservation.upstream.upstream_id,
+                pool=attempt.pool,
                 idle_seconds=attempt.idle_seconds,
                 limit_seconds=limit,
             )
@@ -652,31 +749,46 @@
     def _raise_unless_retryable(
         self,
         call: EntryCall,
-        reservation: Reservation,
-        attempt: Attempt,
+        copy: SentCopy,
         error: AttemptError,
     ) -> None:
         """Record a failed attempt and raise unless the call may be retried."""
+        self._count_failure(call, copy, error)
+        final_error = self._error_unless_retryable(call, copy.attempt, error)
+        outcome = 'retry' if final_error is None else 'failed'
+        self._record_failure(call, copy, error, outcome)
+        if final_error is not None:
+            raise final_error from error
+
+    def _count_failure(
+        self, call: EntryCall, copy: SentCopy, error: AttemptError
+    ) -> None:
+        """Record in the call what a failed attempt means for the next one."""
         if not isinstance(error, IdleDrop):
-            call.demand.excluded_ids.add(reservation.upstream.upstream_id)
-        if not attempt.sent:
+            call.demand.excluded_ids.add(copy.reservation.upstream.upstream_id)
+        if not copy.attempt.sent:
             call.failed_connects += 1
         elif not isinstance(error, UpstreamRefused):
             call.may_have_run = True
-        final_error = self._error_unless_retryable(call, attempt, error)
+
+    def _record_failure(
+        self,
+        call: EntryCall,
+        copy: SentCopy,
+        error: AttemptError,
+        outcome: str,
+    ) -> None:
         self.decisions.record(
             call.request_id,
-            'retry' if final_error is None else 'failed',
+            outcome,
             str(error),
-            upstream=reservation.upstream.upstream_id,
+            upstream=copy.reservation.upstream.upstream_id,
             method=call.method,
             fingerprint=_hexadecimal(call.fingerprint),
-            sent=attempt.sent,
+            sent=copy.attempt.sent,
             attempt=call.sent_attempts,
             events=call.attempt_events,
         )
-        if final_error is not None:
-            raise final_error from error
 
     def _error_unless_retryable(
         self,
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -26,6 +26,7 @@
 )
 from hickorymux._internal.coordination.engines.allocator import Allocator
 from hickorymux._internal.coordination.engines.cold_share import ColdShare
+from hickorymux._internal.coordination.engines.hedging import Hedging
 from hickorymux._internal.coordination.engines.request_limits import (
     RequestLimits,
 )
@@ -194,6 +195,7 @@
         'clock',
         'decisions',
         'deployment',
+        'hedging',
         'limit_exchange',
         'listener',
         'load_exchange',
@@ -476,6 +478,8 @@
         )
         self.metrics.connections = self.client.policy.events
         self.retry_budget = RetryBudget.from_config(self.clock)
+        self.hedging = Hedging(self.clock)
+        self.metrics.hedges = self.hedging.events
         self.server = EntryServer(
             EntryDispatcher(
                 self.allocator,
@@ -486,6 +490,7 @@
                 self.streams,
                 ViewRefresh(self.upstream_follower, self.store, self.clock),
                 self.retry_budget,
+                self.hedging,
                 self.decisions,
                 self.metrics,
                 self.clock,
@@ -504,6 +509,7 @@
         """Apply this router's share of the operators' limits."""
         bounds = self.settings.bounds
         routers = max(1, len(self.router_ranks.routers))
+        self.hedging.share = bounds.hedge_share
         self.client.policy.router_count = routers
         self.client.policy.settings = self.settings.connections
         self.server.view.max_key_staleness = self._max_key_staleness()
--- a/src/hickorymux/_internal/transport/entry_settings.py
+++ b/src/hickorymux/_internal/transport/entry_settings.py
@@ -17,7 +17,9 @@
     keys may no longer be used, ``None`` for no limit. Retries of a pool are
     limited to ``retry_share`` of its requests plus ``retry_floor`` within a
     ``retry_window``. A cold upstream gets at most its cold rate times
-    ``cold_burst`` plus ``cold_floor`` requests in any second.
+    ``cold_burst`` plus ``cold_floor`` requests in any second. At most
+    ``hedge_share`` of the requests of a pool are sent to a second upstream
+    because the first is slow.
     """
 
     shutdown: dt.timedelta
@@ -27,6 +29,7 @@
     retry_floor: float
     cold_burst: float
     cold_floor: float
+    hedge_share: float = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/hickorymux/_internal/transport/metrics.py
+++ b/src/hickorymux/_internal/transport/metrics.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any, final
 
 from hdrh.histogram import HdrHistogram
@@ -17,6 +17,7 @@
 )
 from prometheus_client.registry import Collector
 
+from hickorymux._internal.coordination.engines.hedging import HedgeEvent
 from hickorymux._internal.transport.connection_policy import ConnectionEvent
 
 LOWEST_US = 1
@@ -41,7 +42,8 @@
     Histograms are kept by name and pool, ``outcomes`` by pool and outcome, and
     ``service`` by pool and customer. ``peer_message_bytes`` has the bytes sent
     to peers by message class. ``connections`` counts by pool and event what
-    happened to connections to upstreams.
+    happened to connections to upstreams, and ``hedges`` what became of second
+    copies of requests.
     """
 
     def __init__(self) -> None:
@@ -54,6 +56,9 @@
         )
         self.gauges: dict[str, float] = {}
         self.peer_message_bytes: dict[str, int] = {}
+        self.hedges: collections.Counter[tuple[str, HedgeEvent]] = (
+            collections.Counter()
+        )
         self.connections: collections.Counter[tuple[str, ConnectionEvent]] = (
             collections.Counter()
         )
@@ -108,20 +113,19 @@
         for message, byte_count in self.peer_message_bytes.items():
             peer_bytes.add_metric((message,), byte_count)
         yield peer_bytes
-        yield self._connection_counts()
-        for name, reading in self.gauges.items():
-            yield GaugeMetricFamily(f'hickorymux_{name}', name, value=reading)
-
-    def _connection_counts(self) -> CounterMetricFamily:
-        counts = CounterMetricFamily(
+        yield _event_counts(
             'hickorymux_upstream_connections',
             'Connections to upstreams: new, reused, closed_idle by the'
             ' upstream, reset_on_reuse',
-            labels=('pool', 'event'),
+            self.connections,
         )
-        for labels, count in self.connections.items():
-            counts.add_metric(labels, count)
-        return counts
+        yield _event_counts(
+            'hickorymux_hedges',
+            'Second copies of slow requests, and why none was sent',
+            self.hedges,
+        )
+        for name, reading in self.gauges.items():
+            yield GaugeMetricFamily(f'hickorymux_{name}', name, value=reading)
 
     def _summaries(self) -> Iterator[Any]:
         for name, help_text in _HELP.items():
@@ -150,6 +154,15 @@
             yield totals
 
 
+def _event_counts(
+    name: str, help_text: str, counts: Mapping[Any, int]
+) -> CounterMetricFamily:
+    family = CounterMetricFamily(name, help_text, labels=('pool', 'event'))
+    for (pool, event), count in counts.items():
+        family.add_metric((pool, event), count)
+    return family
+
+
 def _add_quantiles(family: Any, pool: str, histogram: Any) -> None:
     for quantile in QUANTILES:
         value_us = histogram.get_value_at_percentile(quantile * _PERCENT)
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -182,7 +182,7 @@
 class UpstreamAnswer:
     """The answer of an upstream, with its body as a stream of chunks."""
 
-    __slots__ = ('attempt', 'idle_timeout_seconds', 'response')
+    __slots__ = ('attempt', 'first_chunk', 'idle_timeout_seconds', 'response')
 
     def __init__(
         self,
@@ -192,6 +192,7 @@
     ) -> None:
         self.attempt = attempt
         self.response = response
+        self.first_chunk = b''
         self.idle_timeout_seconds = idle.total_seconds()
 
     @property
@@ -212,23 +213,24 @@
         """Return whether the body is a stream of server-sent events."""
         return self.response.content_type == http.EVENT_STREAM_TYPE
 
+    async def begin(self) -> None:
+        """Wait for the first bytes of the body; raises like ``chunks``.
+
+        ``chunks`` yields them first.
+        """
+        self.first_chunk = await self._read_chunk()
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
         Raises ``UpstreamCut`` when it ends before it is complete and
         ``AttemptTimeout`` when nothing arrives within the idle timeout.
         """
-        body = self.response.content
-        try:
-            while True:
-                chunk = await body.readany()
-                if not chunk:
-                    return
-                yield chunk
-        except aiohttp.ServerTimeoutError as error:
-            raise AttemptTimeout('no data within the idle timeout') from error
-        except (aiohttp.ClientError, OSError) as error:
-            raise UpstreamCut(f'answer was cut: {error!r}') from error
+        chunk = self.first_chunk or await self._read_chunk()
+        self.first_chunk = b''
+        while chunk:
+            yield chunk
+            chunk = await self._read_chunk()
 
     async def read(self) -> bytes:
         """Return the whole body; raises like ``chunks``."""
@@ -242,6 +244,15 @@
         """Return the connection for reuse after a complete answer."""
         self.response.release()
 
+    async def _read_chunk(self) -> bytes:
+        """Return some bytes of the body, none at its end."""
+        try:
+            return await self.response.content.readany()
+        except aiohttp.ServerTimeoutError as error:
+            raise AttemptTimeout('no data within the idle timeout') from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise UpstreamCut(f'answer was cut: {error!r}') from error
+
 
 @final
 class UpstreamClient:
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -47,6 +47,8 @@
     budget_slack: float = 50
     cold_burst_factor: float = 1.5
     cold_slack: float = 5
+    # Share of the requests of which a second copy may be sent; 0 for none.
+    hedge_share: float = 0
 
 
 class _Connections(msgspec.Struct, rename='camel'):
@@ -141,6 +143,11 @@
 
 
 def _to_bounds(parsed: _Bounds) -> ServiceBounds:
+    if not 0 <= parsed.hedge_share <= 1:
+        raise ConfigError(
+            f'hedgeShare is {parsed.hedge_share}, must be 0 to 1',
+            where='bounds',
+        )
     return ServiceBounds(
         shutdown=dt.timedelta(seconds=parsed.grace_s),
         key_revocation=(
@@ -153,6 +160,7 @@
         retry_floor=parsed.budget_slack,
         cold_burst=parsed.cold_burst_factor,
         cold_floor=parsed.cold_slack,
+        hedge_share=parsed.hedge_share,
     )
 
 
