Test the order of reuse, and make the hedging test independent of load

The functional test of hedged requests failed in 4 of 10 runs on a busy machine (load average 19): requests of its preparation were hedged as well, which the count of hedges included, and used up the credit. Once a request of the preparation was refused with 503. The counts now begin after the preparation, which repeats refused requests; what is checked of the hedged request is the same.

No test failed when idle connections were used in the order of their release; test_the_connection_used_last_is_reused_first does.

--- a/tests/functional/test_hedged_requests.py
+++ b/tests/functional/test_hedged_requests.py
@@ -47,10 +47,17 @@
     for engine in engines:
         await fleet.add_engine(engine)
     await fleet.wait_until_ready()
-    for number in range(FAST_READS):
+    answered = number = 0
+    while answered < FAST_READS:
+        number += 1
         headers = {'X-Request-Id': f'fast{number}'}
         async with fleet.request('GET', path, headers=headers) as response:
-            assert response.status == 200
+            # The router refuses requests while other programs delay it.
+            assert response.status in {200, 503}, await response.text()
+            answered += response.status == 200
+    # Some of these may have been hedged, on a busy machine.
+    fleet.process.hedging.events.clear()
+    fleet.process.hedging.credits['pool'] = 1.0
     return engines
 
 
--- a/tests/functional/test_upstream_connections.py
+++ b/tests/functional/test_upstream_connections.py
@@ -18,6 +18,12 @@
     )
 
 
+async def answer_after_a_while(received):
+    """Respond so late that requests sent together need own connections."""
+    await asyncio.sleep(0.2)
+    await answer_keep_alive(received)
+
+
 async def status_of(fleet, method, path, number):
     headers = {'X-Request-Id': f'r{number}'}
     async with fleet.request(method, path, headers=headers) as response:
@@ -43,6 +49,21 @@
         assert events['pool', ConnectionEvent.reused] == 10
 
 
+async def test_the_connection_used_last_is_reused_first():
+    """Guards against idle connections that take turns and never expire."""
+    async with platform_fleet(READ) as fleet:
+        await fleet.add_engine(PlatformEngine('e1', answer_after_a_while))
+        await fleet.wait_until_ready()
+        reads = [status_of(fleet, 'GET', '/read', n) for n in range(3)]
+        assert set(await asyncio.gather(*reads)) == {200}
+        used_together = fleet.process.clock.monotonic()
+        for number in range(3, 9):
+            assert await status_of(fleet, 'GET', '/read', number) == 200
+        (idle,) = fleet.process.client.session.connector._conns.values()
+        used_since = [one for one, _ in idle if one.idle_since > used_together]
+        assert (len(idle), len(used_since)) == (3, 1)
+
+
 async def test_silently_dropped_connections_cost_no_request():
     """Guards against failures, and engines marked as failed, after drops."""
     async with platform_fleet(READ, WRITE) as fleet:
