Place requests by the load that engines state, and long prompts by load

Long prompts went to an engine by the hash of their shared part and waited for each other while other engines of their class were free.

The fourth figure of the load header scales the expected times, discounted by its age, and the engine's count of requests corrects the routers' reports. Long prompts go to the engine that begins them first. Upstreams that don't state how long work takes keep the former estimates.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -54,6 +54,7 @@
     cost_of,
     due_part,
 )
+from hickorymux._internal.protocol.upstream_http import UpstreamLoad
 from hickorymux._internal.exceptions import (
     NoCapacity,
     RequestError,
@@ -280,14 +281,28 @@
         self.load_tracker.mark_processed(
             upstream_id, reservation.choice.load.unprocessed_tokens
         )
+        now = self.clock.monotonic()
         self.speeds.observe_prompt(
             upstream_id,
             reservation.choice.unprocessed_before
             + reservation.choice.load.unprocessed_tokens,
-            self.clock.monotonic() - reservation.acquired_at,
+            (now - reservation.acquired_at)
+            / self.placement.reported_loads.work_time(upstream_id, now),
         )
         self._dispatch_soon()
 
+    def on_load(
+        self, reservation: Reservation, load: UpstreamLoad | None
+    ) -> None:
+        """Record what an answer states of the load of its upstream."""
+        upstream_id = reservation.upstream.upstream_id
+        self.placement.reported_loads.on_answer(
+            upstream_id,
+            load,
+            self.load_tracker.own_running(upstream_id),
+            self.clock.monotonic(),
+        )
+
     def release(self, reservation: Reservation) -> None:
         """Remove the reservation's load from its upstream."""
         load = reservation.choice.load
@@ -307,12 +322,12 @@
         For requests without restrictions, the result is cached by pool.
         """
         if demand.is_restricted:
-            return self.placement.candidates(self._available(demand, now))
+            return self.placement.candidates(self._available(demand, now), now)
         pool = demand.pool.name
         cached = self.candidate_cache.get(pool)
         if cached is not None and now - cached[0] < CANDIDATE_CACHE_SECONDS:
             return cached[1]
-        found = self.placement.candidates(self._available(demand, now))
+        found = self.placement.candidates(self._available(demand, now), now)
         self.candidate_cache[pool] = (now, found)
         return found
 
--- a/src/hickorymux/_internal/coordination/engines/load_tracker.py
+++ b/src/hickorymux/_internal/coordination/engines/load_tracker.py
@@ -99,6 +99,11 @@
                 load.add(known)
         return load
 
+    def own_running(self, upstream_id: str) -> int:
+        """Return how many requests this router has at an upstream."""
+        own = self.own_loads.get(upstream_id)
+        return 0 if own is None else own.running
+
     def replace_report(
         self,
         source: str,
--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -9,6 +9,11 @@
 the other is idle. It then fetches the shared parts from the preferred engine,
 which takes a small part of the time of processing them.
 
+Long prompts are processed on engines of their own, each on the one that begins
+it first, as they are long enough to delay whatever shares an engine with them.
+They fetch their shared parts from the preferred engine in any case, so nothing
+ties them to a particular one.
+
 Load pattern for plain services: short requests with little variance in their
 duration. So a request goes to the upstream that is expected to finish it
 first; at equal load, upstreams in the router's own availability zone come
@@ -34,6 +39,9 @@
     LoadTracker,
 )
 from hickorymux._internal.coordination.engines.prompts import Prompt
+from hickorymux._internal.coordination.engines.reported_loads import (
+    ReportedLoads,
+)
 from hickorymux._internal.coordination.engines.speeds import UpstreamSpeeds
 from hickorymux._internal.state.routing import EngineModel
 from hickorymux._internal.state.upstream_registry import RegisteredUpstream
@@ -95,7 +103,8 @@
     """The engines for long prompts, and those for all other requests.
 
     The size classes and preferred engines depend only on the set of engines,
-    so all routers that know the same engines agree on them.
+    so all routers that know the same engines agree on them. ``short`` has the
+    engines that shared parts are kept at.
     """
 
     __slots__ = ('preferred_ids', 'long', 'short')
@@ -105,17 +114,16 @@
         size = round(len(ranked_ids) * LONG_PROMPT_ENGINE_SHARE)
         self.long = ranked_ids[:size] or ranked_ids
         self.short = ranked_ids[size:] or ranked_ids
-        self.preferred_ids: dict[tuple[str, bool], str] = {}
+        self.preferred_ids: dict[str, str] = {}
 
-    def preferred_id(self, key: str, *, is_long: bool) -> str:
+    def preferred_id(self, key: str) -> str:
         """Return the id of the engine preferred for a shared prompt part."""
-        cached = self.preferred_ids.get((key, is_long))
+        cached = self.preferred_ids.get(key)
         if cached is None:
-            engines = self.long if is_long else self.short
-            cached = max(engines, key=partial(_rank, key))
+            cached = max(self.short, key=partial(_rank, key))
             if len(self.preferred_ids) >= MAX_CACHED_PREFERENCES:
                 self.preferred_ids.clear()
-            self.preferred_ids[key, is_long] = cached
+            self.preferred_ids[key] = cached
         return cached
 
 
@@ -139,18 +147,22 @@
         self.size_classes = size_classes
         self.by_id = {one.upstream_id: one for one in upstreams}
 
-    def preferred_engine(
-        self, key: str, *, is_long: bool
-    ) -> RegisteredUpstream:
+    def preferred_engine(self, key: str) -> RegisteredUpstream:
         """Return the engine preferred for a shared prompt part."""
-        return self.by_id[self.size_classes.preferred_id(key, is_long=is_long)]
+        return self.by_id[self.size_classes.preferred_id(key)]
 
 
 @final
 class Placement:
     """Chooses an upstream for a request among the candidates."""
 
-    __slots__ = ('load_tracker', 'size_classes', 'speeds', 'zone')
+    __slots__ = (
+        'load_tracker',
+        'reported_loads',
+        'size_classes',
+        'speeds',
+        'zone',
+    )
 
     def __init__(
         self,
@@ -159,6 +171,7 @@
         zone: str,
     ) -> None:
         self.load_tracker = load_tracker
+        self.reported_loads = ReportedLoads()
         self.speeds = speeds
         self.zone = zone
         self.size_classes: dict[tuple[str, ...], SizeClasses] = {}
@@ -186,14 +199,14 @@
         best: Choice | None = None
         best_seconds = math.inf
         for upstream in candidates.upstreams:
-            running = self.load_tracker.total_load(upstream.upstream_id).running
+            running = self._total_load(upstream.upstream_id, now).running
             if running >= upstream.slots * PLAIN_OVERCOMMIT:
                 continue
             seconds = self.speeds.service_seconds(
                 upstream.upstream_id,
                 running,
                 upstream.slots,
-            )
+            ) * self.reported_loads.work_time(upstream.upstream_id, now)
             ranked_seconds = (
                 seconds + running / upstream.slots * UTILIZATION_PENALTY_SECONDS
             )
@@ -220,31 +233,75 @@
         if not candidates.upstreams:
             return None
         key = demand.prompt.affinity_key or demand.request_id
-        cache_owner = candidates.preferred_engine(key, is_long=False)
-        engine = cache_owner
+        cache_owner = candidates.preferred_engine(key)
         if is_long(demand.prompt):
-            engine = candidates.preferred_engine(key, is_long=True)
+            preferred = self._choose_for_long(
+                demand, candidates, cache_owner, now
+            )
+        else:
+            preferred = self._evaluate(demand, cache_owner, cache_owner, now)
         remaining = demand.start_deadline - now
-        preferred = self._evaluate(demand, engine, cache_owner)
         if preferred is not None and preferred.expected_seconds <= remaining:
             return preferred
         for upstream in candidates.idle:
-            choice = self._evaluate(demand, upstream, cache_owner)
-            if choice is not None and self._is_idle(upstream):
+            choice = self._evaluate(demand, upstream, cache_owner, now)
+            if choice is not None and self._is_idle(upstream, now):
                 return choice
         return preferred
 
     def candidates(
         self,
         upstreams: Sequence[RegisteredUpstream],
+        now: float,
     ) -> 'Candidates':
-        """Return upstreams of one pool as candidates for repeated choices."""
+        """Return upstreams of one pool as candidates for repeated choices.
+
+        ``now`` is in monotonic seconds.
+        """
         return Candidates(
             upstreams,
-            [one for one in upstreams if self._is_idle(one)],
+            [one for one in upstreams if self._is_idle(one, now)],
             self._size_classes_of(upstreams),
         )
 
+    def _choose_for_long(
+        self,
+        demand: PromptDemand,
+        candidates: 'Candidates',
+        cache_owner: RegisteredUpstream,
+        now: float,
+    ) -> Choice | None:
+        """Return the engine for long prompts that begins the answer first.
+
+        Among equals it is the one with the fewest streams, which the prompt
+        delays, and then one drawn by the request's id, so that routers with the
+        same view don't all choose the same one.
+        """
+        choices = (
+            self._evaluate(demand, candidates.by_id[each], cache_owner, now)
+            for each in candidates.size_classes.long
+        )
+        return min(
+            (choice for choice in choices if choice is not None),
+            key=lambda choice: (
+                choice.expected_seconds,
+                choice.running_before,
+                _rank(demand.request_id, choice.upstream.upstream_id),
+            ),
+            default=None,
+        )
+
+    def _total_load(self, upstream_id: str, now: float) -> EngineLoad:
+        """Return the load of all routers, corrected by what engines state."""
+        total = self.load_tracker.total_load(upstream_id)
+        total.running = self.reported_loads.running(
+            upstream_id,
+            total.running,
+            self.load_tracker.own_running(upstream_id),
+            now,
+        )
+        return total
+
     def _size_classes_of(
         self, upstreams: Sequence[RegisteredUpstream]
     ) -> SizeClasses:
@@ -262,8 +319,8 @@
             self.size_classes[ids] = cached
         return cached
 
-    def _is_idle(self, upstream: RegisteredUpstream) -> bool:
-        total = self.load_tracker.total_load(upstream.upstream_id)
+    def _is_idle(self, upstream: RegisteredUpstream, now: float) -> bool:
+        total = self._total_load(upstream.upstream_id, now)
         is_quiet = total.running <= upstream.slots * MAX_IDLE_RUNNING_SHARE
         return (
             is_quiet and total.unprocessed_tokens <= MAX_IDLE_UNPROCESSED_TOKENS
@@ -274,6 +331,7 @@
         demand: PromptDemand,
         upstream: RegisteredUpstream,
         cache_owner: RegisteredUpstream,
+        now: float,
     ) -> Choice | None:
         """Return the choice of an engine, ``None`` if it has no room.
 
@@ -281,7 +339,7 @@
         another engine fetches them from there.
         """
         prompt = demand.prompt
-        total = self.load_tracker.total_load(upstream.upstream_id)
+        total = self._total_load(upstream.upstream_id, now)
         unprocessed = prompt.unshared_tokens
         shared = prompt.tokens - unprocessed
         load = EngineLoad(
@@ -294,7 +352,7 @@
         seconds = self.speeds.prompt_seconds(
             upstream.upstream_id,
             total.unprocessed_tokens + unprocessed,
-        )
+        ) * self.reported_loads.work_time(upstream.upstream_id, now)
         return Choice(
             upstream,
             load,
--- a/src/hickorymux/_internal/protocol/upstream_http.py
+++ b/src/hickorymux/_internal/protocol/upstream_http.py
@@ -53,11 +53,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamLoad:
-    """Requests at an upstream when it sent a response, and its slots."""
+    """Requests at an upstream when it sent a response, and its slots.
+
+    ``work_time`` is how long work takes on the upstream's host at that moment,
+    relative to 1 as usual; ``None`` if the upstream doesn't state it.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -81,6 +86,7 @@
     is_not_run: bool
     is_wrong_upstream: bool
     load: UpstreamLoad | None
+    invalid_load: str = ''
     request_limit: float | None = None
     invalid_limit: str = ''
     is_leaving: bool = False
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -69,6 +69,8 @@
 NO_CAPACITY_RETRY_SECONDS: Final = 0.3
 # Short, as another router can take the request at once.
 STOPPING_RETRY_SECONDS: Final = 0.1
+# Characters of an invalid header that a log line shows.
+MAX_LOGGED_HEADER: Final = 60
 _MS_PER_SECOND: Final = 1000
 _STATUS_SERVER_ERROR: Final = 500
 _STATUS_OK: Final = 200
@@ -338,6 +340,7 @@
         )
         self._note_limit(call, reservation, facts)
         self._note_readiness(call, reservation, facts)
+        self._note_load(call, reservation, facts)
         try:
             await self._relay_answer(call, reservation, answer, facts, reply)
         except BaseException:
@@ -418,6 +421,25 @@
                 requests_per_second=facts.request_limit,
             )
 
+    def _note_load(
+        self, call: EntryCall, reservation: Reservation, facts: ResponseHeaders
+    ) -> None:
+        """Record the load that the upstream states."""
+        if facts.is_wrong_upstream or facts.request_id != call.request_id:
+            return
+        self.allocator.on_load(reservation, facts.load)
+        reported_loads = self.allocator.placement.reported_loads
+        if facts.invalid_load and reported_loads.should_warn(
+            self.clock.monotonic()
+        ):
+            self.decisions.record(
+                call.request_id,
+                'load_unreadable',
+                f'load "{facts.invalid_load[:MAX_LOGGED_HEADER]}" is not three'
+                ' or four whole numbers',
+                upstream=reservation.upstream.upstream_id,
+            )
+
     def _note_readiness(
         self, call: EntryCall, reservation: Reservation, facts: ResponseHeaders
     ) -> None:
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -625,9 +625,8 @@
         for incarnation in self.allocator.notices.prune(incarnations, now):
             _report('upstream_pause_ended', incarnation=incarnation)
             self.allocator.clear_candidate_cache()
-        self.allocator.request_limits.prune(
-            incarnations, self.clock.monotonic()
-        )
+        self.allocator.request_limits.prune(incarnations, now)
+        self.allocator.placement.reported_loads.prune(now)
 
     def _report_readiness(self) -> None:
         """Log the readiness if it changed."""
--- a/src/hickorymux/platform/headers.py
+++ b/src/hickorymux/platform/headers.py
@@ -1,6 +1,5 @@
 """Reads and writes the platform's HTTP headers; implements ``Dialect``."""
 
-import dataclasses
 import math
 from collections.abc import Iterable, Mapping
 from typing import Final
@@ -41,7 +40,8 @@
 UPSTREAM_SIGNATURE: Final = 'X-Response-Stamp'
 # Present if the upstream did not execute the request and never will.
 NOT_RUN: Final = 'X-Not-Executed'
-# Running requests, waiting requests and slots, separated by commas.
+# Running requests, waiting requests and slots, separated by commas. A fourth
+# figure is how long work takes on the upstream's host, 100 as usual.
 UPSTREAM_LOAD: Final = 'X-Server-Load'
 # Requests per second, a decimal number, that the upstream takes from all routers
 # together. An answer without it says that there is no such limit.
@@ -57,6 +57,11 @@
 _STATUS_MISDIRECTED_REQUEST: Final = 421
 _STATUS_UNAVAILABLE: Final = 503
 _READY_PATH: Final = '/v1/ready'
+# Larger counts are taken for garbage.
+_MAX_LOAD_COUNT: Final = 1_000_000
+_MIN_LOAD_FIGURES: Final = 3
+_MAX_LOAD_FIGURES: Final = 4
+_USUAL_WORK_TIME: Final = 100
 
 # Callers' headers that are not forwarded: only routers set them, or they hold
 # the caller's key.
@@ -133,12 +138,15 @@
     if status == _STATUS_UNAVAILABLE:
         pause_text = _only_value(headers, RETRY_AFTER_SECONDS)
     pause = _read_pause(pause_text)
+    load_text = headers.get(UPSTREAM_LOAD, '')
+    load = _read_load(load_text)
     return ResponseHeaders(
         request_id=headers.get(REQUEST_ID, ''),
         is_signed=UPSTREAM_SIGNATURE in headers,
         is_not_run=NOT_RUN in headers or status == _STATUS_MISDIRECTED_REQUEST,
         is_wrong_upstream=status == _STATUS_MISDIRECTED_REQUEST,
-        load=_read_load(headers.get(UPSTREAM_LOAD, '')),
+        load=load,
+        invalid_load=load_text if load is None else '',
         request_limit=limit,
         invalid_limit=limit_text if limit is None else '',
         is_leaving=headers.get(UPSTREAM_LEAVING, '').strip() == '1',
@@ -228,10 +236,29 @@
 
 
 def _read_load(text: str) -> UpstreamLoad | None:
-    counts = _integers(text)
-    if len(counts) < len(dataclasses.fields(UpstreamLoad)):
+    """Return the load that an upstream states, ``None`` if it is not valid."""
+    figures = _counts(text)
+    if not _MIN_LOAD_FIGURES <= len(figures) <= _MAX_LOAD_FIGURES:
         return None
-    return UpstreamLoad(running=counts[0], waiting=counts[1], slots=counts[2])
+    if any(figure > _MAX_LOAD_COUNT for figure in figures):
+        return None
+    running, waiting, slots, *rest = figures
+    if not slots or rest == [0]:
+        return None
+    return UpstreamLoad(
+        running, waiting, slots, rest[0] / _USUAL_WORK_TIME if rest else None
+    )
+
+
+def _counts(text: str) -> list[int]:
+    """Return comma-separated whole numbers, none if one is malformed."""
+    words = [word.strip() for word in text.split(',')]
+    # Long digit strings are slow to convert and no plausible count.
+    if all(
+        word.isascii() and word.isdigit() and len(word) < 10 for word in words
+    ):
+        return [int(word) for word in words]
+    return []
 
 
 def _read_limit(text: str) -> float | None:
--- a/tests/unit/engines/test_placement.py
+++ b/tests/unit/engines/test_placement.py
@@ -14,6 +14,7 @@
     is_long,
 )
 from hickorymux._internal.coordination.engines.speeds import UpstreamSpeeds
+from hickorymux._internal.protocol.upstream_http import UpstreamLoad
 from tests.lib.demands import plain_demand, prompt_demand, upstream
 
 ENGINES = [upstream(number) for number in range(9)]
@@ -25,7 +26,7 @@
 
 
 def place(placement, demand, engines=ENGINES, now=0.0):
-    choice = placement.choose(demand, placement.candidates(engines), now)
+    choice = placement.choose(demand, placement.candidates(engines, now), now)
     if choice is not None:
         placement.load_tracker.add(choice.upstream.upstream_id, choice.load)
     return choice
@@ -79,7 +80,7 @@
     for number in range(200):
         own = 20_000 if number % 10 == 0 else 800
         demand = prompt_demand(subject=f's{rng.randrange(99)}', own=own)
-        choice = placement.choose(demand, placement.candidates(ENGINES), 0)
+        choice = placement.choose(demand, placement.candidates(ENGINES, 0), 0)
         used[is_long(demand.prompt)].add(choice.upstream.upstream_id)
     assert not used[True] & used[False]
     assert len(used[False]) > len(used[True])
@@ -93,6 +94,30 @@
     assert third.upstream is not first.upstream
 
 
+def test_long_prompts_of_one_subject_do_not_wait_for_each_other(placement):
+    """A burst of long prompts shares its first parts, and so a hash."""
+    engines = [upstream(number) for number in range(24)]
+    used = {
+        place(
+            placement, prompt_demand(own=30_000), engines
+        ).upstream.upstream_id
+        for _ in range(6)
+    }
+    assert len(used) == 6
+
+
+def test_long_prompts_avoid_an_engine_that_is_slow_now(placement):
+    """Its host does other work for a moment, which only the engine tells."""
+    engines = [upstream(number) for number in range(8)]
+    slow, other = placement.candidates(engines, 0).size_classes.long
+    placement.reported_loads.on_answer(slow, UpstreamLoad(0, 0, 64, 2.5), 0, 0)
+    for moment in (0, 0.2):
+        demand = prompt_demand(own=20_000, objective=5)
+        candidates = placement.candidates(engines, moment)
+        choice = placement.choose(demand, candidates, moment)
+        assert choice.upstream.upstream_id == other
+
+
 def test_full_engines_get_nothing(placement):
     for engine in ENGINES:
         placement.load_tracker.add(engine.upstream_id, EngineLoad(60, 0, 1000))
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hickorymux._internal.exceptions import ConfigError
+from hickorymux._internal.protocol.upstream_http import UpstreamLoad
 from hickorymux.platform import headers
 from hickorymux.platform.engine_entries import decode_entry
 from hickorymux.platform.manifest import decode_manifest
@@ -129,6 +130,31 @@
     assert headers.read_response_headers(200, {name: text}).load is None
 
 
+@pytest.mark.parametrize(
+    'text',
+    ['1,2', '-1,0,8', '1,,8', '1,0,0', '1,0,8,0', '1,0,8,100,2', '1,0,8,1e9']
+    + [
+        '1,0,8,x',
+        '1.5,0,8',
+        '1,0,' + '9' * 5000,
+        '1,0,8,99999999',
+        '\u0661,0,8',
+    ],
+)
+def test_malformed_loads_are_reported_and_count_as_absent(text):
+    facts = headers.read_response_headers(200, {'X-Server-Load': text})
+    assert facts.load is None
+    assert facts.invalid_load == text
+
+
+def test_load_may_state_how_long_work_takes():
+    read = headers.read_response_headers
+    facts = read(200, {'X-Server-Load': '3, 0, 8, 250'})
+    assert facts.load == UpstreamLoad(3, 0, 8, 2.5)
+    assert read(200, {'X-Server-Load': '3,0,8'}).load == UpstreamLoad(3, 0, 8)
+    assert not read(200, {}).invalid_load
+
+
 @pytest.mark.parametrize(
     ('text', 'limit'), [('11.5', 11.5), ('0', 0), ('3', 3), (' 2.5 ', 2.5)]
 )
