--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -39,4 +39,6 @@
     (80, 'stream', 'StreamBegun'),
     (81, 'stream', 'StreamQuery'),
     (82, 'stream', 'StreamReply'),
+    (90, 'rollout', 'RolloutReport'),
+    (91, 'rollout', 'RolloutDirective'),
 )
