Read the orders of roll-outs and append to the store conditionally

Callers saw nothing: rollout/SERVICE was ignored. Cause: the adapter knew neither the record nor the bounds, and an append had no condition. Change: platform/rollouts.py decodes orders and statuses; the store client reads one key and appends at an expected offset; the bounds exposureShare, exposureSlack and rollbackMs are settings, off without exposureShare.

--- a/src/hickorymux/_internal/transport/entry_settings.py
+++ b/src/hickorymux/_internal/transport/entry_settings.py
@@ -4,6 +4,7 @@
 import datetime as dt
 from collections.abc import Mapping
 
+from hickorymux._internal.coordination.rollouts.orders import RolloutBounds
 from hickorymux._internal.transport.address import Address
 
 
@@ -16,7 +17,8 @@
     keys may no longer be used, ``None`` for no limit. Retries of a pool are
     limited to ``retry_share`` of its requests plus ``retry_floor`` within a
     ``retry_window``. A cold upstream gets at most its cold rate times
-    ``cold_burst`` plus ``cold_floor`` requests in any second.
+    ``cold_burst`` plus ``cold_floor`` requests in any second. ``rollouts`` is
+    ``None`` if the deployment has no roll-outs.
     """
 
     shutdown: dt.timedelta
@@ -26,6 +28,7 @@
     retry_floor: float
     cold_burst: float
     cold_floor: float
+    rollouts: RolloutBounds | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/hickorymux/platform/deployment.py
+++ b/src/hickorymux/platform/deployment.py
@@ -3,16 +3,18 @@
 import os
 from typing import Final, final
 
+from hickorymux._internal.coordination.rollouts.orders import RolloutFormat
 from hickorymux._internal.protocol.upstream_http import Dialect
 from hickorymux._internal.state.routing import RoutingTable
 from hickorymux._internal.state.upstream_registry import RegisteredUpstream
 from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.entry_settings import EntrySettings
-from hickorymux.platform import engine_entries, headers, manifest
+from hickorymux.platform import engine_entries, headers, manifest, rollouts
 from hickorymux.platform.settings import load_settings
 from hickorymux.platform.store import StoreClient
 
 _DIALECT: Final[Dialect] = headers
+_ROLLOUT_FORMAT: Final[RolloutFormat] = rollouts
 
 
 @final
@@ -22,12 +24,18 @@
     Implements ``Deployment``.
     """
 
-    __slots__ = ('dialect', 'operator_topic', 'upstream_topic')
+    __slots__ = (
+        'dialect',
+        'operator_topic',
+        'rollout_format',
+        'upstream_topic',
+    )
 
     def __init__(self) -> None:
         self.operator_topic = manifest.OPERATOR_TOPIC
         self.upstream_topic = engine_entries.UPSTREAM_TOPIC
         self.dialect = _DIALECT
+        self.rollout_format = _ROLLOUT_FORMAT
 
     def open_store(self, address: Address) -> StoreClient:
         """Return a client of the metadata store."""
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hickorymux._internal.coordination.rollouts.orders import RolloutBounds
 from hickorymux._internal.exceptions import ConfigError
 from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.entry_settings import (
@@ -42,6 +43,10 @@
     budget_slack: float = 50
     cold_burst_factor: float = 1.5
     cold_slack: float = 5
+    # Without a share there are no roll-outs.
+    exposure_share: float | None = None
+    exposure_slack: float = 0
+    rollback_ms: float = 5000
 
 
 class _SettingsFile(msgspec.Struct, rename='camel'):
@@ -122,6 +127,17 @@
         retry_floor=parsed.budget_slack,
         cold_burst=parsed.cold_burst_factor,
         cold_floor=parsed.cold_slack,
+        rollouts=_to_rollout_bounds(parsed),
+    )
+
+
+def _to_rollout_bounds(parsed: _Bounds) -> RolloutBounds | None:
+    if parsed.exposure_share is None:
+        return None
+    return RolloutBounds(
+        exposure_share=parsed.exposure_share,
+        exposure_slack=parsed.exposure_slack,
+        rollback=dt.timedelta(milliseconds=parsed.rollback_ms),
     )
 
 
--- a/src/hickorymux/platform/store.py
+++ b/src/hickorymux/platform/store.py
@@ -32,6 +32,8 @@
 _PARTITION: Final = '0'
 _STATUS_OK: Final = 200
 _STATUS_TRIMMED: Final = 410
+# The topic doesn't end at the offset that a conditional append names.
+_STATUS_OFFSET_TAKEN: Final = 412
 _MS_PER_SECOND: Final = 1000
 _MAX_PORT: Final = 65535
 # Not empty, which would delete the key, and no valid record.
@@ -200,27 +202,64 @@
 
         It may have been appended nevertheless.
         """
+        _check_ok(await self._append(topic, key, value, {}), topic)
+
+    async def read_key(self, topic: str, key: str) -> KeyedPage:
+        """Return the newest record of one key, if any, and the end offset.
+
+        A record that was written after the offset may be included.
+        """
+        query = {'topic': topic, 'part': _PARTITION, 'after': key[:-1]}
+        first_end: int | None = None
+        while True:
+            page = await self._read_newest_page(query)
+            if first_end is None:
+                first_end = page.end
+            found = [item for item in page.items if item.key == key]
+            is_past = any(item.key >= key for item in page.items)
+            if is_past or not page.truncated or not page.items:
+                records = tuple(_to_record(item) for item in found)
+                return KeyedPage(records, first_end)
+            query['after'] = page.items[-1].key
+
+    async def append_at(
+        self, topic: str, key: str, value: bytes, offset: int
+    ) -> bool:
+        """Append a record if the topic ends at ``offset``.
+
+        Returns ``False`` if it doesn't end there. Raises ``LogUnavailable``;
+        the record may have been appended nevertheless.
+        """
+        status = await self._append(topic, key, value, {'at': str(offset)})
+        if status == _STATUS_OFFSET_TAKEN:
+            return False
+        _check_ok(status, topic)
+        return True
+
+    async def _read_newest_page(self, query: Mapping[str, str]) -> _NewestPage:
+        topic = query['topic']
+        status, body = await self._get('log-newest', query, 0)
+        _check_ok(status, topic)
+        try:
+            return msgspec.json.decode(body, type=_NewestPage)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise LogUnavailable(str(error), where=topic) from error
+
+    async def _append(
+        self, topic: str, key: str, value: bytes, conditions: Mapping[str, str]
+    ) -> int:
         name = key.encode()
         content = bytes((len(name),)) + name + value
         timeout = _timeout(0)
         with _convert_network_errors(topic):
             async with self.session.post(
                 f'{self.base_url}/log-append',
-                params={'topic': topic, 'part': _PARTITION},
+                params={'topic': topic, 'part': _PARTITION, **conditions},
                 data=_RECORD_LENGTH.pack(len(content)) + content,
                 timeout=timeout,
             ) as response:
                 await response.read()
-                _check_ok(response.status, topic)
-
-    async def _read_newest_page(self, query: Mapping[str, str]) -> _NewestPage:
-        topic = query['topic']
-        status, body = await self._get('log-newest', query, 0)
-        _check_ok(status, topic)
-        try:
-            return msgspec.json.decode(body, type=_NewestPage)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise LogUnavailable(str(error), where=topic) from error
+                return response.status
 
     async def _get(
         self,
