Roll out a new version as the operators order

Callers saw a bad version get its full part of the requests, or the old one stop under their streams. Cause: nothing acted on rollout/SERVICE. Change: the allocator asks the gate which versions a request may use, the dispatcher reports what attempts came to, one router judges and writes the status. Measured: tests/functional/test_rollouts.py passes (4 tests): two routers, sound and failing versions, verdicts after the loss of all routers.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -54,6 +54,7 @@
     cost_of,
     due_part,
 )
+from hickorymux._internal.coordination.rollouts.gate import RolloutGate, Side
 from hickorymux._internal.exceptions import (
     NoCapacity,
     RequestError,
@@ -157,6 +158,7 @@
         'candidate_cache',
         'registry',
         'request_limits',
+        'rollout_gate',
         'share_log',
         'dispatch_timer',
         'speeds',
@@ -191,7 +193,10 @@
         self.wait_queues: dict[str, WaitQueue] = {}
         self.futures: dict[Demand, asyncio.Future[Reservation]] = {}
         self.rng = random.Random()
-        self.candidate_cache: dict[str, tuple[float, Candidates]] = {}
+        self.rollout_gate = RolloutGate(registry, clock, self.rng)
+        self.candidate_cache: dict[
+            tuple[str, Side], tuple[float, Candidates]
+        ] = {}
         self.tick_timer: asyncio.TimerHandle | None = None
         self.dispatch_timer: asyncio.TimerHandle | None = None
 
@@ -301,21 +306,31 @@
         self.load_tracker.remove(upstream_id, load)
         self._dispatch_soon()
 
-    def candidates(self, demand: Demand, now: float) -> Candidates:
+    def candidates(
+        self, demand: Demand, now: float, side: Side = Side.all
+    ) -> Candidates:
         """Return the upstreams that may get the request now.
 
-        For requests without restrictions, the result is cached by pool.
+        For requests without other restrictions than the side of a pool with a
+        roll-out, the result is cached by pool and side.
         """
         if demand.is_restricted:
-            return self.placement.candidates(self._available(demand, now))
-        pool = demand.pool.name
-        cached = self.candidate_cache.get(pool)
+            return self.placement.candidates(self._available(demand, now, side))
+        key = (demand.pool.name, side)
+        cached = self.candidate_cache.get(key)
         if cached is not None and now - cached[0] < CANDIDATE_CACHE_SECONDS:
             return cached[1]
-        found = self.placement.candidates(self._available(demand, now))
-        self.candidate_cache[pool] = (now, found)
+        found = self.placement.candidates(self._available(demand, now, side))
+        self.candidate_cache[key] = (now, found)
         return found
 
+    def running_in_pool(self, pool: str) -> int:
+        """Return the requests of all routers at the upstreams of a pool."""
+        return sum(
+            self.load_tracker.total_load(upstream.upstream_id).running
+            for upstream in self.registry.all_in_pool(pool)
+        )
+
     def clear_candidate_cache(self) -> None:
         """Drop cached candidates.
 
@@ -327,6 +342,7 @@
         self,
         demand: Demand,
         now: float,
+        side: Side,
     ) -> Sequence[RegisteredUpstream]:
         found = [
             upstream
@@ -334,7 +350,7 @@
             if upstream.upstream_id not in demand.excluded_ids
             and self._takes_requests(upstream, now)
             and self._is_region_allowed(demand, upstream)
-            and _is_version_allowed(demand, upstream)
+            and self._is_version_allowed(demand, upstream, side)
         ]
         warm = [one for one in found if not self.registry.is_cold(one, now)]
         if len(warm) == len(found):
@@ -403,6 +419,13 @@
             return True
         return self.region_of(upstream.zone) in demand.regions
 
+    def _is_version_allowed(
+        self, demand: Demand, upstream: RegisteredUpstream, side: Side
+    ) -> bool:
+        return _is_version_allowed(
+            demand, upstream
+        ) and self.rollout_gate.allows(upstream, side)
+
     async def _wait(self, demand: Demand, queue: WaitQueue) -> Reservation:
         future: asyncio.Future[Reservation]
         future = asyncio.get_running_loop().create_future()
@@ -430,22 +453,17 @@
         self, demand: Demand, queue: WaitQueue
     ) -> Reservation | None:
         now = self.clock.monotonic()
-        choice = self.placement.choose(
-            demand,
-            self.candidates(demand, now),
-            now,
-        )
+        outcome = Outcome.full
+        choice: Choice | None = None
+        for side in self.rollout_gate.sides(demand):
+            choice, outcome = self._choose(demand, queue, now, side)
+            if choice is not None:
+                break
+        self._count(demand, outcome)
         if choice is None:
-            self._count(demand, Outcome.full)
-            return None
-        if not self._is_feasible(demand, choice, now):
-            self._count(demand, Outcome.late)
             return None
-        if self._must_defer(demand, choice, queue, now):
-            self._count(demand, Outcome.deferred)
-            return None
-        self._count(demand, Outcome.served)
         upstream = choice.upstream
+        self.rollout_gate.on_reserved(upstream, demand)
         self.load_tracker.add(upstream.upstream_id, choice.load)
         self.health.on_sent(upstream.upstream_id, now)
         if self.registry.is_cold(upstream, now):
@@ -457,6 +475,23 @@
         queue.rate.add(cost_of(demand), now)
         return Reservation(self, demand, choice, now)
 
+    def _choose(
+        self, demand: Demand, queue: WaitQueue, now: float, side: Side
+    ) -> tuple[Choice | None, Outcome]:
+        """Return the choice that the request may use now, and the outcome."""
+        choice = self.placement.choose(
+            demand,
+            self.candidates(demand, now, side),
+            now,
+        )
+        if choice is None:
+            return None, Outcome.full
+        if not self._is_feasible(demand, choice, now):
+            return None, Outcome.late
+        if self._must_defer(demand, choice, queue, now):
+            return None, Outcome.deferred
+        return choice, Outcome.served
+
     def _count(self, demand: Demand, outcome: Outcome) -> None:
         self.share_log.count(
             demand.pool.name, demand.customer, outcome, self.clock.monotonic()
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -23,6 +23,7 @@
 from hickorymux._internal.coordination.engines.demands import PlainDemand
 from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.retry_budget import RetryBudget
+from hickorymux._internal.coordination.rollouts.attempts import AttemptWatch
 from hickorymux._internal.coordination.stream_directory import StreamDirectory
 from hickorymux._internal.coordination.view_refresh import ViewRefresh
 from hickorymux._internal.exceptions import (
@@ -73,6 +74,7 @@
 _STATUS_SERVER_ERROR: Final = 500
 _STATUS_OK: Final = 200
 _FIRST_NOT_OK: Final = 300
+_FIRST_ERROR: Final = 400
 # Statuses by which callers conclude that a request has not run. They are
 # passed on only with the upstream's header that says so.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
@@ -201,21 +203,55 @@
         self._raise_if_refused(call)
         reservation = await self._acquire(call)
         attempt = self._new_attempt(call, reservation)
+        call.watch = self._watch(call, reservation)
         if call.relay is not None:
             call.events_before_attempt = call.relay.event_count
         try:
             await self._exchange(call, reservation, attempt, reply)
         except AttemptError as error:
             self._update_health(reservation, attempt, error)
+            if attempt.sent and not isinstance(error, UpstreamRefused):
+                self._note_result(call, reservation, error)
             if isinstance(error, UpstreamCut) and attempt.sent:
                 await self._report_crash(call, reservation)
             self._raise_unless_retryable(call, reservation, attempt, error)
             return False
         finally:
             reservation.release()
+            if call.watch is not None:
+                self.allocator.rollout_gate.forget(
+                    reservation.upstream, call.watch
+                )
         self.allocator.health.on_success(reservation.upstream.upstream_id)
+        self._note_result(call, reservation, None)
         return True
 
+    def _watch(
+        self, call: EntryCall, reservation: Reservation
+    ) -> AttemptWatch | None:
+        choice = reservation.choice
+        return self.allocator.rollout_gate.watch(
+            choice.upstream,
+            call.demand,
+            call.route.name,
+            choice.unprocessed_before + choice.load.unprocessed_tokens,
+        )
+
+    def _note_result(
+        self,
+        call: EntryCall,
+        reservation: Reservation,
+        error: AttemptError | None,
+    ) -> None:
+        """Count the end of an attempt for the roll-out of its pool."""
+        if call.watch is not None:
+            self.allocator.rollout_gate.on_result(
+                reservation.upstream,
+                call.watch,
+                is_failed=error is not None,
+                is_cut=isinstance(error, UpstreamCut),
+            )
+
     def _raise_if_refused(self, call: EntryCall) -> None:
         """Raise if the request or a part of its prompt crashes upstreams."""
         if call.is_trial:
@@ -315,6 +351,11 @@
                 f'upstream {chosen.incarnation} leaves or pauses since it was'
                 ' chosen'
             )
+        if not self.allocator.rollout_gate.may_send(chosen, call.demand):
+            raise UpstreamChanged(
+                f'version "{chosen.version}" gets no new requests since the'
+                ' upstream was chosen'
+            )
         call.sent_attempts += 1
 
     async def _exchange(
@@ -369,6 +410,8 @@
         reply: Reply,
     ) -> None:
         self._check_answer(call, answer, facts)
+        if call.watch is not None:
+            call.watch.is_failed = answer.status >= _FIRST_ERROR
         _check_resumption(call, answer)
         is_success = _STATUS_OK <= answer.status < _FIRST_NOT_OK
         if call.route.kind is RequestKind.streaming and is_success:
@@ -502,6 +545,8 @@
     ) -> None:
         """Count events, and record when an engine begins to stream."""
         self.work.counts.events += events
+        if call.watch is not None:
+            call.watch.on_events(events)
         if call.demand.version is None:
             self._record_origin(call, reservation)
         former_events = call.attempt_events - events
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -45,12 +45,21 @@
 from hickorymux._internal.coordination.ports import (
     HostEntry,
     KeyedLog,
+    KeyedRecord,
     Member,
 )
 from hickorymux._internal.coordination.retry_budget import (
     RetryBudget,
     RetrySettings,
 )
+from hickorymux._internal.coordination.rollouts.controller import (
+    RolloutController,
+)
+from hickorymux._internal.coordination.rollouts.orders import RolloutFormat
+from hickorymux._internal.coordination.rollouts.status_log import (
+    ConditionalLog,
+    StatusLog,
+)
 from hickorymux._internal.coordination.shared_log import SharedLog
 from hickorymux._internal.coordination.stream_directory import StreamDirectory
 from hickorymux._internal.coordination.suspect_messages import (
@@ -154,7 +163,7 @@
 _logger = logging.getLogger(__name__)
 
 
-class EntryStore(KeyedLog, ArchiveLog, Protocol):
+class EntryStore(KeyedLog, ArchiveLog, ConditionalLog, Protocol):
     """Client of the store, which holds topics and the list of routers."""
 
     async def fetch(self) -> tuple[HostEntry, ...]:
@@ -173,6 +182,7 @@
     operator_topic: str
     upstream_topic: str
     dialect: Dialect
+    rollout_format: RolloutFormat
 
     def open_store(self, address: Address) -> EntryStore:
         """Return a client of the store."""
@@ -202,6 +212,7 @@
         'network',
         'part_guard',
         'retry_budget',
+        'rollouts',
         'router_ranks',
         'runners',
         'server',
@@ -275,6 +286,7 @@
             self.membership.run(),
             self.load_exchange.run(),
             self.limit_exchange.run(),
+            self.rollouts.run(),
             self.part_guard.run(),
             self.suspects.run(),
             self.stream_archive.run(),
@@ -409,8 +421,8 @@
             self.clock,
             deployment.operator_topic,
             TABLE_READ_TIMING,
-            self.view.apply_operator_record,
-            self.view.apply_operator_listing,
+            self._apply_operator_record,
+            self._apply_operator_listing,
             _ignore_recovery,
         )
         self.upstream_follower = KeyedFollower(
@@ -461,6 +473,16 @@
             self.clock,
             self.rng,
         )
+        self.rollouts = RolloutController(
+            self.allocator.rollout_gate,
+            StatusLog(self.store, deployment.rollout_format),
+            self.membership,
+            self.network.send_datagram,
+            self.allocator.running_in_pool,
+            self._on_view_change,
+            self.clock,
+            self.rng,
+        )
         self.client = UpstreamClient.from_config(
             UpstreamTimeouts(
                 connect=CONNECT_TIMEOUT,
@@ -498,6 +520,7 @@
         """Apply this router's share of the operators' limits."""
         bounds = self.settings.bounds
         routers = max(1, len(self.router_ranks.routers))
+        self.allocator.rollout_gate.bounds = bounds.rollouts
         self.server.view.max_key_staleness = self._max_key_staleness()
         self.retry_budget.settings = RetrySettings(
             share=bounds.retry_share * USED_RETRY_SHARE,
@@ -542,6 +565,14 @@
         weights = [share.weight for share in route.pools]
         return self.rng.choices(route.pools, weights)[0].pool
 
+    def _apply_operator_record(self, record: KeyedRecord) -> None:
+        self.view.apply_operator_record(record)
+        self.rollouts.apply_record(record)
+
+    def _apply_operator_listing(self, keys: frozenset[str]) -> None:
+        self.view.apply_operator_listing(keys)
+        self.rollouts.apply_listing(keys)
+
     def _on_view_change(self) -> None:
         """Dispatch waiting requests after the tables or upstreams changed."""
         self.allocator.clear_candidate_cache()
@@ -567,6 +598,7 @@
             self.streams.on_message(message, sender_id)
             self.membership.on_message(message, sender_id)
             self.suspects.on_message(sender_id, message)
+            self.rollouts.on_message(sender_id, message)
 
     async def _refresh_router_list(self) -> None:
         """Add this router to the router list, and read the list at intervals."""
--- /dev/null
+++ b/tests/functional/test_rollouts.py
@@ -0,0 +1,119 @@
+"""Roll-outs through entry processes with an emulated store and engines."""
+
+import asyncio
+import json
+
+import pytest
+
+from tests.lib.platform_engine import PlatformEngine, answer_ok
+from tests.lib.platform_fleet import platform_fleet, route
+
+ORDER = {'service': 'pool', 'target': 'v2', 'durationS': 6}
+PATH = '/p'
+
+
+async def answer_error(received):
+    received.writer.write(
+        received.head('500 Internal Server Error', 'Content-Length: 2') + b'no'
+    )
+
+
+async def add_engines(fleet, version, script, count=2):
+    """Start engines of a version; return them."""
+    engines = []
+    for number in range(count):
+        engine = PlatformEngine(f'{version}-{number}', script)
+        engine.version = version
+        await fleet.add_engine(engine)
+        engines.append(engine)
+    return engines
+
+
+def states(fleet):
+    """Return the states that the status records tell, oldest first."""
+    return [
+        json.loads(value)['state']
+        for _, key, value in fleet.store.topics['keyed.status']
+        if key == 'rollout/pool'
+    ]
+
+
+async def send_until(fleet, is_done, seconds, rate=60):
+    """Send requests to all routers in turn; return the statuses."""
+    statuses = []
+    running = set()
+
+    async def send(number):
+        router = fleet.routers[number % len(fleet.routers)]
+        async with fleet.request(
+            'POST', PATH, router, headers={'X-Request-Id': f'r{number}'}
+        ) as response:
+            await response.read()
+            statuses.append(response.status)
+
+    for number in range(int(seconds * rate)):
+        if is_done():
+            break
+        task = asyncio.create_task(send(number))
+        running.add(task)
+        task.add_done_callback(running.discard)
+        await asyncio.sleep(1 / rate)
+    await asyncio.gather(*running)
+    return statuses
+
+
+async def test_sound_version_gets_all_requests_before_the_verdict():
+    async with platform_fleet(route(PATH, 'idempotent')) as fleet:
+        await fleet.add_router()
+        old = await add_engines(fleet, 'v1', answer_ok)
+        new = await add_engines(fleet, 'v2', answer_ok)
+        await fleet.wait_until_ready()
+        await fleet.store.put('keyed.op', 'rollout/pool', ORDER)
+        statuses = await send_until(
+            fleet, lambda: 'succeeded' in states(fleet), 6
+        )
+        assert states(fleet) == ['running', 'succeeded']
+        assert set(statuses) == {200}
+        before = sum(len(engine.received) for engine in old)
+        await send_until(fleet, lambda: False, 0.5)
+        assert sum(len(engine.received) for engine in old) == before
+        assert sum(len(engine.received) for engine in new) > 30
+
+
+async def test_failing_version_is_rolled_back_and_gets_no_more_requests():
+    async with platform_fleet(route(PATH, 'idempotent')) as fleet:
+        await fleet.add_router()
+        await add_engines(fleet, 'v1', answer_ok)
+        new = await add_engines(fleet, 'v2', answer_error)
+        await fleet.wait_until_ready()
+        await fleet.store.put('keyed.op', 'rollout/pool', ORDER)
+        await send_until(fleet, lambda: 'rolled_back' in states(fleet), 6)
+        assert states(fleet)[-1] == 'rolled_back'
+        exposed = sum(len(engine.received) for engine in new)
+        assert 0 < exposed <= 50
+        await asyncio.sleep(0.5)
+        before = sum(len(engine.received) for engine in new)
+        assert set(await send_until(fleet, lambda: False, 0.5)) == {200}
+        assert sum(len(engine.received) for engine in new) == before
+
+
+@pytest.mark.parametrize('state', ['rolled_back', 'succeeded'])
+async def test_verdict_holds_after_the_loss_of_all_routers(state):
+    """A router that forgets the verdict would ask the store too late."""
+    async with platform_fleet(route(PATH, 'idempotent')) as fleet:
+        await fleet.add_router()
+        old = await add_engines(fleet, 'v1', answer_ok)
+        new = await add_engines(fleet, 'v2', answer_ok)
+        await fleet.wait_until_ready()
+        await fleet.store.put(
+            'keyed.status', 'rollout/pool', {'state': state, 'target': 'v2'}
+        )
+        await fleet.store.put('keyed.op', 'rollout/pool', ORDER)
+        await fleet.lose_all_routers()
+        await fleet.wait_until_ready()
+        await send_until(fleet, lambda: False, 0.7)
+        unused = new if state == 'rolled_back' else old
+        used = old if state == 'rolled_back' else new
+        assert sum(len(engine.received) for engine in unused) == 0
+        assert sum(len(engine.received) for engine in used) > 0
+        assert states(fleet) == [state]
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -38,6 +38,9 @@
 graceS = {grace}
 strictRevocation = true
 revokeMs = {revoke_ms}
+exposureShare = 0.1
+exposureSlack = 50
+rollbackMs = 5000
 [platform]
 address = "{store}"
 """
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -130,6 +130,9 @@
         body = await request.read()
         name_end = 5 + body[4]
         topic = request.query['topic']
+        expected = request.query.get('at')
+        if expected not in {None, str(self.end_offsets.get(topic, 0))}:
+            return web.json_response({'error': 'offset'}, status=412)
         await self.put_raw(topic, body[5:name_end].decode(), body[name_end:])
         return web.json_response({'offset': 0, 'end': self.end_offsets[topic]})
 
