--- a/src/hickorymux/_internal/coordination/rollouts/gate.py
+++ b/src/hickorymux/_internal/coordination/rollouts/gate.py
@@ -20,7 +20,7 @@
 
 from hickorymux._internal.coordination.engines.demands import (
     Demand,
-    PlainDemand,
+    PromptDemand,
 )
 from hickorymux._internal.coordination.engines.speeds import (
     DEFAULT_SERVICE_SECONDS,
@@ -44,17 +44,22 @@
 from hickorymux._internal.utils.clock import Clock
 
 # Requests of the exposure budget go to this share of as many upstreams as the
-# old version has. So each of them is about as loaded as those of the old
-# version, and a version that is bad under load only shows it.
-CANARY_UPSTREAM_SHARE: Final = 0.07
+# old version has, or to a larger one if the target gets more of the requests.
+# So each of them is about as loaded as those of the old version, and a version
+# that is bad under load only shows it.
+CANARY_UPSTREAM_SHARE: Final = 0.1
+MIN_SHARE_REQUESTS: Final = 10
+# The slack is released evenly over this part of the time budget, since all of
+# it at once would overload the few upstreams that get it.
+SLACK_PART: Final = 0.5
 # The part of all requests that the target gets in the stage ``ramp``.
 RAMP_SHARE: Final = 0.3
 # A directive is followed for this long without being repeated. After that the
 # router uses its own exposure budget only.
 DIRECTIVE_SECONDS: Final = 1.5
-# Cut answers of one upstream within this time count once. They have one cause,
-# and a crashed host says little about its version.
-SAME_CRASH_SECONDS: Final = 1.0
+# Cut answers and refusals of one upstream within this time count once. They
+# have one cause, and a crashed host says little about its version.
+SAME_CAUSE_SECONDS: Final = 0.15
 # Stream durations from which the usual one is taken.
 MAX_DURATIONS: Final = 64
 USUAL_QUANTILE: Final = 0.9
@@ -137,6 +142,18 @@
         self.stage_since = now
         return True
 
+    def released_share(self, now: float) -> float:
+        """Return the part of the slack that may be used by now."""
+        seconds = self.order.duration.total_seconds() * SLACK_PART
+        return min(1, (now - self.started_at + 1) / (seconds + 1))
+
+    def exposed_share(self) -> float:
+        """Return the part of the requests that the target gets."""
+        budget = self.budget
+        if budget.requests < MIN_SHARE_REQUESTS:
+            return CANARY_UPSTREAM_SHARE
+        return max(CANARY_UPSTREAM_SHARE, budget.exposed / budget.requests)
+
     def usual_stream_seconds(self) -> float:
         """Return a high quantile of the last stream durations."""
         if not self.durations:
@@ -236,9 +253,8 @@
         rollout = self.pools.get(upstream.pool)
         if rollout is None or rollout.stage.is_verdict:
             return None
-        nominal = nominal_seconds(unprocessed_tokens)
-        if isinstance(demand, PlainDemand):
-            nominal = DEFAULT_SERVICE_SECONDS
+        is_target = upstream.version == rollout.order.target
+        nominal = _nominal_seconds(demand, unprocessed_tokens, is_target)
         if self.registry.is_cold(upstream, self.clock.monotonic()):
             nominal *= COLD_ALLOWANCE
         watch = AttemptWatch(
@@ -247,7 +263,7 @@
             upstream.incarnation,
             nominal,
             self.clock,
-            is_target=upstream.version == rollout.order.target,
+            is_target=is_target,
         )
         rollout.watches.add(watch)
         return watch
@@ -258,17 +274,21 @@
         watch: AttemptWatch,
         *,
         is_failed: bool,
-        is_cut: bool = False,
+        is_shared_cause: bool = False,
     ) -> None:
-        """Count the end of an attempt that an upstream may have run."""
+        """Count the end of an attempt that was sent.
+
+        ``is_shared_cause`` tells that other attempts may fail at the same
+        moment for the same reason.
+        """
         rollout = self.pools.get(upstream.pool)
         if rollout is None or watch.tally is not rollout.tally:
             return
         now = self.clock.monotonic()
-        if is_cut:
+        if is_shared_cause:
             last = rollout.last_cuts.get(upstream.incarnation, -math.inf)
             rollout.last_cuts[upstream.incarnation] = now
-            if now - last < SAME_CRASH_SECONDS:
+            if now - last < SAME_CAUSE_SECONDS:
                 return
         elif watch.began_at is not None and not is_failed:
             rollout.add_duration(now - watch.started_at)
@@ -282,10 +302,12 @@
 
     def update(self, rollout: PoolRollout, routers: int, slack: float) -> None:
         """Update what depends on time, on the upstreams and on the routers."""
-        rollout.budget.update_slack(slack, routers)
+        now = self.clock.monotonic()
+        rollout.budget.update_slack(
+            slack * rollout.released_share(now), routers
+        )
         for watch in rollout.watches:
             watch.check_overdue()
-        now = self.clock.monotonic()
         usable = tuple(self.registry.available_in_pool(rollout.order.service))
         target = [one for one in usable if one.version == rollout.order.target]
         old_count = len(usable) - len(target)
@@ -295,7 +317,8 @@
         )
         rollout.has_target = bool(target)
         warm = [one for one in target if not self.registry.is_cold(one, now)]
-        wanted = max(1, math.ceil(old_count * CANARY_UPSTREAM_SHARE))
+        share = rollout.exposed_share()
+        wanted = max(1, math.ceil(old_count * share))
         rollout.canary_ids = _first_ids(
             warm if len(warm) >= wanted else target,
             wanted if len(warm) >= wanted else len(target),
@@ -339,6 +362,22 @@
         return _CANARY_FIRST if rollout.budget.may_expose() else _OLD
 
 
+def _nominal_seconds(
+    demand: Demand, unprocessed_tokens: float, is_target: bool
+) -> float:
+    """Return the nominal time until an answer begins.
+
+    Upstreams of the target have just started, so they process also the shared
+    parts of a prompt, which those of the old version have in their caches.
+    """
+    if not isinstance(demand, PromptDemand):
+        return DEFAULT_SERVICE_SECONDS
+    if is_target:
+        prompt = demand.prompt
+        unprocessed_tokens += prompt.tokens - prompt.unshared_tokens
+    return nominal_seconds(unprocessed_tokens)
+
+
 def _first_ids(
     upstreams: Iterable[RegisteredUpstream], count: int
 ) -> frozenset[str]:
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -42,6 +42,7 @@
     StreamOrigin,
     stream_key,
 )
+from hickorymux._internal.state.upstream_registry import RegisteredUpstream
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.relay import EventRelay, Reply, relay_plain
@@ -210,7 +211,7 @@
             await self._exchange(call, reservation, attempt, reply)
         except AttemptError as error:
             self._update_health(reservation, attempt, error)
-            if attempt.sent and not isinstance(error, UpstreamRefused):
+            if attempt.sent:
                 self._note_result(call, reservation, error)
             if isinstance(error, UpstreamCut) and attempt.sent:
                 await self._report_crash(call, reservation)
@@ -244,13 +245,22 @@
         error: AttemptError | None,
     ) -> None:
         """Count the end of an attempt for the roll-out of its pool."""
-        if call.watch is not None:
-            self.allocator.rollout_gate.on_result(
-                reservation.upstream,
-                call.watch,
-                is_failed=error is not None,
-                is_cut=isinstance(error, UpstreamCut),
-            )
+        upstream = reservation.upstream
+        is_refused = isinstance(error, UpstreamRefused)
+        if call.watch is None or (is_refused and self._may_refuse(upstream)):
+            return
+        is_failed = error is not None or call.watch.is_failed
+        self.allocator.rollout_gate.on_result(
+            upstream,
+            call.watch,
+            is_failed=is_failed,
+            is_shared_cause=is_refused or isinstance(error, UpstreamCut),
+        )
+        self.metrics.count_rollout(
+            upstream.pool,
+            upstream.version,
+            'failed' if is_failed else 'answered',
+        )
 
     def _raise_if_refused(self, call: EntryCall) -> None:
         """Raise if the request or a part of its prompt crashes upstreams."""
@@ -296,6 +306,13 @@
         )
         return reservation
 
+    def _may_refuse(self, upstream: RegisteredUpstream) -> bool:
+        """Return whether a refusal tells nothing about the version."""
+        now = self.clock.monotonic()
+        return self.allocator.registry.is_cold(
+            upstream, now
+        ) or not self.allocator.notices.may_send(upstream.incarnation, now)
+
     def _new_attempt(
         self, call: EntryCall, reservation: Reservation
     ) -> Attempt:
--- a/src/hickorymux/_internal/transport/metrics.py
+++ b/src/hickorymux/_internal/transport/metrics.py
@@ -37,7 +37,8 @@
     """The counts, gauges and duration histograms of one router.
 
     Histograms are kept by name and pool, ``outcomes`` by pool and outcome, and
-    ``service`` by pool and customer. ``peer_message_bytes`` has the bytes sent
+    ``service`` by pool and customer. ``rollouts`` counts attempts during a
+    roll-out by pool, version and outcome. ``peer_message_bytes`` has the bytes sent
     to peers by message class.
     """
 
@@ -49,6 +50,9 @@
         self.service: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self.rollouts: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
         self.gauges: dict[str, float] = {}
         self.peer_message_bytes: dict[str, int] = {}
         self.registry = CollectorRegistry()
@@ -71,6 +75,10 @@
         """Count the service that a customer received, by its cost."""
         self.service[pool, customer] += int(cost)
 
+    def count_rollout(self, pool: str, version: str, outcome: str) -> None:
+        """Count the end of an attempt during a roll-out of the pool."""
+        self.rollouts[pool, version, outcome] += 1
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
@@ -94,6 +102,14 @@
         for labels, cost in self.service.items():
             service.add_metric(labels, cost)
         yield service
+        rollouts = CounterMetricFamily(
+            'hickorymux_rollout_attempts',
+            'Attempts during roll-outs by how they ended',
+            labels=('pool', 'version', 'outcome'),
+        )
+        for names, count in self.rollouts.items():
+            rollouts.add_metric(names, count)
+        yield rollouts
         peer_bytes = CounterMetricFamily(
             'hickorymux_peer_message_octets',
             'Octets sent to other routers by kind of message',
