Measure the time between events after the first ones, and act on doubt

Callers would have got requests at a slow version on cold upstreams for 9 s. Cause: events that came together with the first one hid the time between events, and cold upstreams were allowed twice the time. Change: only later events count; the allowance is 1.5; doubt that stands for 0.7 of rollbackMs leads to rolled back; a version is observed for 0.48 of the time budget, so that one that turns bad later is seen. Measured: tests/unit/coordination/test_rollouts.py passes (34).

--- a/src/hickorymux/_internal/coordination/rollouts/analysis.py
+++ b/src/hickorymux/_internal/coordination/rollouts/analysis.py
@@ -37,7 +37,7 @@
 # durations must exceed them, and the margin. Durations differ more than
 # failures, since the caches of new upstreams are empty and their load is not
 # the same.
-SLOW_LIMITS: Final = ((0.5, 2, 0.12), (0.9, 1, 0.08), (0.9, 3, 0.02))
+SLOW_LIMITS: Final = ((0.5, 2, 0.12), (0.9, 1, 0.08), (0.9, 3, 0.01))
 # Standard deviations that are added to a measured share.
 SHARE_DEVIATIONS: Final = 2.0
 # Alternatives: the part of the remaining share that is bad in addition.
--- a/src/hickorymux/_internal/coordination/rollouts/attempts.py
+++ b/src/hickorymux/_internal/coordination/rollouts/attempts.py
@@ -11,7 +11,7 @@
 
 # The nominal time between two events of a stream.
 NOMINAL_GAP_SECONDS: Final = 0.01
-# Events of a stream after which the mean time between them is counted.
+# Events of a stream, after the first ones, after which the mean time between them is counted.
 GAP_EVENTS: Final = 8
 # An answer that has not begun, or has no event, after this time is counted
 # with the time so far, so that a version that hangs is noticed before callers
@@ -19,7 +19,7 @@
 OVERDUE_SECONDS: Final = 1.5
 OVERDUE_RATIO: Final = 8.0
 # What cold upstreams may take longer.
-COLD_ALLOWANCE: Final = 2.0
+COLD_ALLOWANCE: Final = 1.5
 
 
 @final
@@ -27,7 +27,8 @@
     """Counts how one attempt goes.
 
     ``nominal`` is the expected time until the answer begins, in seconds.
-    ``upstream`` names the incarnation that the request is sent to.
+    ``events`` counts those after the first ones. ``upstream`` names the
+    incarnation that the request is sent to.
     """
 
     __slots__ = (
@@ -76,10 +77,12 @@
         if self.began_at is None:
             self.began_at = now
             self._count_begin(now)
+        else:
+            # Events that arrive together with the first have no time between.
+            self.events += events
         self.last_event_at = now
-        self.events += events
         if self.events >= GAP_EVENTS:
-            self._count_gap((now - self.began_at) / (self.events - 1))
+            self._count_gap((now - self.began_at) / self.events)
 
     def check_overdue(self) -> None:
         """Count an answer that should have begun or gone on by now."""
@@ -98,8 +101,8 @@
         if not is_failed:
             now = self.clock.monotonic()
             self._count_begin(now)
-            if self.began_at is not None and self.events > 1:
-                self._count_gap((now - self.began_at) / (self.events - 1))
+            if self.began_at is not None and self.events:
+                self._count_gap((now - self.began_at) / self.events)
         self._count(Metric.outcome, int(is_failed))
 
     def _count_begin(self, now: float) -> None:
--- a/src/hickorymux/_internal/coordination/rollouts/controller.py
+++ b/src/hickorymux/_internal/coordination/rollouts/controller.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Final, final
@@ -36,6 +37,7 @@
     Stage,
 )
 from hickorymux._internal.coordination.rollouts.schedule import (
+    STANDING_DOUBT,
     Situation,
     next_stage,
 )
@@ -73,10 +75,12 @@
     """The roll-out of one pool: what is done, and what all have observed.
 
     ``written`` is the stage that the status record tells, ``None`` if it is
-    not known. ``heard_at`` has when each judging router was last heard.
+    not known. ``heard_at`` has when each judging router was last heard, and
+    ``doubt_since`` when the finding was last below ``STANDING_DOUBT``.
     """
 
     __slots__ = (
+        'doubt_since',
         'evidence',
         'finding',
         'heard_at',
@@ -92,6 +96,7 @@
         self.rollout = rollout
         self.evidence = FleetEvidence(now)
         self.finding = Finding()
+        self.doubt_since = now
         self.heard_at: dict[str, float] = {}
         self.written: Stage | None = None
         self.is_busy = False
@@ -321,6 +326,8 @@
         if not rollout.stage.is_verdict:
             finding = active.evidence.judge(now)
             active.finding = finding
+            if finding.log_ratio < STANDING_DOUBT:
+                active.doubt_since = now
             stage = next_stage(self._situation(active, finding, live, now))
             if stage is Stage.succeeded:
                 # All routers learn of it when it is written: requests still
@@ -346,6 +353,8 @@
     ) -> Situation:
         rollout = active.rollout
         running = self.running(active.order.service)
+        bounds = self.gate.bounds
+        rollback = bounds.rollback.total_seconds() if bounds else math.inf
         routers = [member.router_id for member in live]
         return Situation(
             stage=rollout.stage,
@@ -360,6 +369,8 @@
             is_followed=active.evidence.is_followed(
                 rollout.stage, routers, now
             ),
+            in_doubt=now - active.doubt_since,
+            rollback=rollback,
         )
 
     def _send_directive(
--- a/src/hickorymux/_internal/coordination/rollouts/schedule.py
+++ b/src/hickorymux/_internal/coordination/rollouts/schedule.py
@@ -10,8 +10,8 @@
 # Parts of the time budget. A version may become bad some time after its start,
 # so a sound one is observed for a good part of the budget. From the late start
 # on, fewer answers suffice.
-EARLIEST_START: Final = 0.4
-LATE_START: Final = 0.55
+EARLIEST_START: Final = 0.48
+LATE_START: Final = 0.6
 LATEST_START: Final = 0.7
 # The verdict is due at this part, to reach the store within the budget.
 FINAL_PART: Final = 0.93
@@ -30,6 +30,11 @@
 # a probability of at most 1 / R for each independent comparison.
 EARLY_DOUBT: Final = math.log(4)
 LATE_DOUBT: Final = math.log(10)
+# A version with a ratio beyond this for the given part of the operators' limit
+# ``rollback`` is rolled back without proof. After 50 bad answers the ratio is
+# higher, and the rest of the limit is for the messages.
+STANDING_DOUBT: Final = math.log(50)
+STANDING_PART: Final = 0.7
 # The ratio from which a version that has got all requests goes back to the
 # exposure budget until there is proof.
 SHIFT_DOUBT: Final = math.log(200)
@@ -43,6 +48,8 @@
     present stage began. ``stream_seconds`` is how long the usual streams take,
     ``has_capacity`` tells that the target's upstreams have room for all
     requests, and ``is_followed`` that all live routers follow the stage.
+    ``in_doubt`` is how long the ratio has been beyond ``STANDING_DOUBT``, and
+    ``rollback`` the operators' limit.
     """
 
     stage: Stage
@@ -53,13 +60,18 @@
     stream_seconds: float
     has_capacity: bool
     is_followed: bool
+    in_doubt: float = 0
+    rollback: float = math.inf
 
 
 def next_stage(situation: Situation) -> Stage:
     """Return the stage that follows now, which may be the present one."""
     if situation.stage.is_verdict:
         return situation.stage
-    if situation.finding.is_proven:
+    if (
+        situation.finding.is_proven
+        or situation.in_doubt >= situation.rollback * STANDING_PART
+    ):
         return Stage.rolled_back
     if situation.elapsed >= situation.duration * FINAL_PART:
         return _last_verdict(situation.finding)
