Keep a killed router from delaying the end of a roll-out

Operators would have seen success up to 10 s later after a router was killed. Cause: routers of other zones count as live for 10 s, and the verdict waited for their reports.

--- a/src/hickorymux/_internal/coordination/rollouts/controller.py
+++ b/src/hickorymux/_internal/coordination/rollouts/controller.py
@@ -328,7 +328,7 @@
             active.finding = finding
             if finding.log_ratio < STANDING_DOUBT:
                 active.doubt_since = now
-            stage = next_stage(self._situation(active, finding, live, now))
+            stage = next_stage(self._situation(active, finding, now))
             if stage is Stage.succeeded:
                 # All routers learn of it when it is written: requests still
                 # have the old version to go to if the store is unreachable.
@@ -348,14 +348,12 @@
         self,
         active: ActiveRollout,
         finding: Finding,
-        live: Sequence[Member],
         now: float,
     ) -> Situation:
         rollout = active.rollout
         running = self.running(active.order.service)
         bounds = self.gate.bounds
         rollback = bounds.rollback.total_seconds() if bounds else math.inf
-        routers = [member.router_id for member in live]
         return Situation(
             stage=rollout.stage,
             elapsed=now - rollout.started_at,
@@ -366,9 +364,7 @@
             has_capacity=self.gate.has_capacity(
                 rollout, running, MAX_SLOT_SHARE
             ),
-            is_followed=active.evidence.is_followed(
-                rollout.stage, routers, now
-            ),
+            is_followed=active.evidence.is_followed(rollout.stage, now),
             in_doubt=now - active.doubt_since,
             rollback=rollback,
         )
--- a/src/hickorymux/_internal/coordination/rollouts/evidence.py
+++ b/src/hickorymux/_internal/coordination/rollouts/evidence.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable
 from typing import Final, final
 
 from hickorymux._internal.coordination.rollout_messages import RolloutReport
@@ -18,7 +17,7 @@
 # Interval at which copies of the counts are kept for the windows.
 SNAPSHOT_SECONDS: Final = 0.5
 MAX_SNAPSHOTS: Final = 20
-# A router whose last report is older doesn't count as following the stage.
+# A router whose last report is older doesn't count as live.
 REPORT_SECONDS: Final = 1.5
 _MS_PER_SECOND: Final = 1000
 
@@ -80,17 +79,17 @@
         restarts = int((now - self.started_at) / SNAPSHOT_SECONDS)
         return analyse(windows, self.total, restarts)
 
-    def is_followed(
-        self, stage: Stage, routers: Iterable[str], now: float
-    ) -> bool:
-        """Return whether all these routers have reported that they follow."""
-        for router_id in routers:
-            source = self.sources.get(router_id)
-            if source is None or source.report.stage < stage:
-                return False
-            if now - source.heard_at > REPORT_SECONDS:
-                return False
-        return True
+    def is_followed(self, stage: Stage, now: float) -> bool:
+        """Return whether all routers that report at present follow a stage.
+
+        One that has been killed counts as live for some seconds more, but
+        reports nothing.
+        """
+        return all(
+            source.report.stage >= stage
+            for source in self.sources.values()
+            if now - source.heard_at <= REPORT_SECONDS
+        )
 
     def usual_stream_seconds(self) -> float:
         """Return the median of the routers' usual stream durations."""
--- a/src/hickorymux/_internal/coordination/rollouts/gate.py
+++ b/src/hickorymux/_internal/coordination/rollouts/gate.py
@@ -45,9 +45,10 @@
 
 # Requests of the exposure budget go to this share of as many upstreams as the
 # old version has, or to a larger one if the target gets more of the requests.
-# So each of them is about as loaded as those of the old version, and a version
-# that is bad under load only shows it.
-CANARY_UPSTREAM_SHARE: Final = 0.1
+# So each of them has some 1.4 times the load of those of the old version, and a
+# version that is bad under load only shows it.
+CANARY_SHARE: Final = 0.1
+CANARY_LOAD: Final = 1.4
 MIN_SHARE_REQUESTS: Final = 10
 # The slack is released evenly over this part of the time budget, since all of
 # it at once would overload the few upstreams that get it.
@@ -151,8 +152,8 @@
         """Return the part of the requests that the target gets."""
         budget = self.budget
         if budget.requests < MIN_SHARE_REQUESTS:
-            return CANARY_UPSTREAM_SHARE
-        return max(CANARY_UPSTREAM_SHARE, budget.exposed / budget.requests)
+            return CANARY_SHARE
+        return max(CANARY_SHARE, budget.exposed / budget.requests)
 
     def usual_stream_seconds(self) -> float:
         """Return a high quantile of the last stream durations."""
@@ -318,7 +319,7 @@
         rollout.has_target = bool(target)
         warm = [one for one in target if not self.registry.is_cold(one, now)]
         share = rollout.exposed_share()
-        wanted = max(1, math.ceil(old_count * share))
+        wanted = max(1, math.ceil(old_count * share / CANARY_LOAD))
         rollout.canary_ids = _first_ids(
             warm if len(warm) >= wanted else target,
             wanted if len(warm) >= wanted else len(target),
