Let another router write a verdict that the judge can't write

Operators would have seen no verdict while the judging router couldn't reach the store but all routers. Cause: only the judging router wrote, and it still told all others the stage. Change: directives name the pending verdict, and the next router writes it after a second; who wrote a verdict repeats it to all others for 5 s.

--- a/src/hickorymux/_internal/coordination/rollout_messages.py
+++ b/src/hickorymux/_internal/coordination/rollout_messages.py
@@ -27,9 +27,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RolloutDirective:
-    """The stage of a roll-out, from the router that judges to all others."""
+    """The stage of a roll-out, from the router that judges to all others.
+
+    ``pending`` is the verdict that the router could not write so far, 0 if
+    there is none.
+    """
 
     pool: str = ''
     target: str = ''
     stage: int = 0
     elapsed_ms: int = 0
+    pending: int = 0
--- a/src/hickorymux/_internal/coordination/rollouts/controller.py
+++ b/src/hickorymux/_internal/coordination/rollouts/controller.py
@@ -60,6 +60,8 @@
 STATUS_READ_SECONDS: Final = 1.5
 # How long a verdict is repeated to the other routers.
 REPEAT_VERDICT_SECONDS: Final = 5.0
+# How long a verdict may be pending before the next router tries to write it.
+HELP_SECONDS: Final = 1.0
 RETRY_SECONDS: Final = 0.3
 # Part of the slots of the target's upstreams that requests may fill when they
 # are all sent there.
@@ -77,6 +79,8 @@
     ``written`` is the stage that the status record tells, ``None`` if it is
     not known. ``heard_at`` has when each judging router was last heard, and
     ``doubt_since`` when the finding was last below ``STANDING_DOUBT``.
+    ``pending`` is a verdict that is not written, and ``is_writer`` tells that
+    this router wrote the verdict.
     """
 
     __slots__ = (
@@ -86,7 +90,10 @@
         'heard_at',
         'is_busy',
         'is_start_written',
+        'is_writer',
         'number',
+        'pending',
+        'pending_since',
         'read_at',
         'rollout',
         'written',
@@ -101,6 +108,9 @@
         self.written: Stage | None = None
         self.is_busy = False
         self.is_start_written = False
+        self.is_writer = False
+        self.pending: Stage | None = None
+        self.pending_since = now
         self.number = 0
         self.read_at = now
 
@@ -208,6 +218,7 @@
         if isinstance(message, RolloutReport):
             active.evidence.apply(sender_id, message, now)
         elif message.stage in STAGES:
+            self._note_pending(active, message.pending)
             self._follow(active, sender_id, Stage(message.stage))
 
     def on_era_change(self, _era: int) -> None:
@@ -226,7 +237,9 @@
         live = [one for one in self.members.live() if not one.is_leaving]
         for active in tuple(self.active.values()):
             rollout = active.rollout
-            self.gate.update(rollout, len(live), self._slack(active, bounds))
+            if not rollout.stage.is_verdict:
+                slack = self._slack(active, bounds)
+                self.gate.update(rollout, len(live), slack)
             self._step(active, live)
 
     def _step(self, active: ActiveRollout, live: Sequence[Member]) -> None:
@@ -240,6 +253,13 @@
             self._start_task(active, self._read_status(active))
         elif self._is_judge(active, judges, now):
             self._judge(active, live, now)
+        else:
+            self._help(active, judges, now)
+        if rollout.stage.is_verdict and active.is_writer:
+            self._send_directive(active, live, now)
+            active.is_writer = (
+                now - rollout.stage_since < REPEAT_VERDICT_SECONDS
+            )
 
     def _start(self, order: RolloutOrder, bounds: RolloutBounds) -> None:
         known = self.active.get(order.service)
@@ -329,6 +349,7 @@
             if finding.log_ratio < STANDING_DOUBT:
                 active.doubt_since = now
             stage = next_stage(self._situation(active, finding, now))
+            active.pending = stage if stage.is_verdict else None
             if stage is Stage.succeeded:
                 # All routers learn of it when it is written: requests still
                 # have the old version to go to if the store is unreachable.
@@ -337,13 +358,20 @@
                 self._set_stage(active, stage, 'judged')
             rollout.directive_at = now
         self._write_due(active)
-        if (
-            not rollout.stage.is_verdict
-            or active.written is not rollout.stage
-            or now - rollout.stage_since < REPEAT_VERDICT_SECONDS
-        ):
+        if not rollout.stage.is_verdict or active.written is not rollout.stage:
             self._send_directive(active, live, now)
 
+    def _help(
+        self, active: ActiveRollout, judges: Sequence[Member], now: float
+    ) -> None:
+        """Write a verdict that the judging router can't write."""
+        me = self.members.myself.router_id
+        ids = [judge.router_id for judge in judges]
+        if active.pending is None or me not in ids:
+            return
+        if now - active.pending_since >= HELP_SECONDS * ids.index(me):
+            self._start_task(active, self._write(active, active.pending))
+
     def _situation(
         self,
         active: ActiveRollout,
@@ -377,6 +405,7 @@
             target=active.order.target,
             stage=active.rollout.stage,
             elapsed_ms=_elapsed_ms(active.rollout, now),
+            pending=active.pending or 0,
         )
         me = self.members.myself.router_id
         self.send([one for one in live if one.router_id != me], directive)
@@ -403,6 +432,14 @@
             return
         self._set_stage(active, stage, f'told by {sender_id}')
 
+    def _note_pending(self, active: ActiveRollout, pending: int) -> None:
+        is_verdict = pending in STAGES and Stage(pending).is_verdict
+        if not is_verdict or active.written is Stage(pending):
+            active.pending = None
+        elif active.pending is not Stage(pending):
+            active.pending = Stage(pending)
+            active.pending_since = self.clock.monotonic()
+
     def _set_stage(
         self, active: ActiveRollout, stage: Stage, reason: str
     ) -> None:
@@ -447,6 +484,7 @@
             _report('rollout_status_lost', str(error), pool=order.service)
             await self.clock.sleep(RETRY_SECONDS)
             return
+        active.is_writer = held is stage and held.is_verdict
         self._adopt(active, held)
 
     async def _write_start(self, active: ActiveRollout) -> None:
@@ -487,6 +525,7 @@
         active.written = stage
         if not stage.is_verdict:
             return
+        active.pending = None
         if active.rollout.replace_verdict(stage, self.clock.monotonic()):
             self._report_stage(active, 'written to the store')
 
--- a/src/hickorymux/_internal/protocol/idl/rollout.thrift
+++ b/src/hickorymux/_internal/protocol/idl/rollout.thrift
@@ -19,4 +19,5 @@
   2: optional string target = "",
   3: optional i32 stage = 0,
   4: optional i64 elapsed_ms = 0,
+  5: optional i32 pending = 0,
 }
--- a/tests/lib/rollout_fleet.py
+++ b/tests/lib/rollout_fleet.py
@@ -92,6 +92,26 @@
         return [one.state for one in statuses if one.target == target]
 
 
+class RouterLog:
+    """The log as one router reaches it."""
+
+    def __init__(self, log) -> None:
+        self.log = log
+        self.is_cut_off = False
+
+    async def read_key(self, topic, key):
+        self.check()
+        return await self.log.read_key(topic, key)
+
+    async def append_at(self, topic, key, value, offset):
+        self.check()
+        return await self.log.append_at(topic, key, value, offset)
+
+    def check(self):
+        if self.is_cut_off:
+            raise LogUnavailable('cut off', where='store')
+
+
 class Members:
     """The live routers of the fleet, the same for all.
 
@@ -131,10 +151,11 @@
         self.fleet = fleet
         self.me = Member(router_id, incarnation, 'z1', '127.0.0.1', 1)
         self.partition = 0
+        self.log = RouterLog(fleet.log)
         self.gate = RolloutGate(fleet.registry, fleet.loop, fleet.rng, BOUNDS)
         self.controller = RolloutController(
             self.gate,
-            StatusLog(fleet.log, rollouts),
+            StatusLog(self.log, rollouts),
             Members(fleet, self.me),
             self.send,
             lambda _pool: sum(fleet.running.values()),
--- a/tests/unit/coordination/test_rollouts.py
+++ b/tests/unit/coordination/test_rollouts.py
@@ -187,6 +187,25 @@
     assert max(at for at, version in fleet.sent if version == 'v2') < 4
 
 
+async def cut_judge_off_the_store(fleet):
+    """Let the judging router reach all routers, but not the store."""
+    await asyncio.sleep(1.5)
+    fleet.routers['r000'].log.is_cut_off = True
+
+
+@pytest.mark.parametrize('defect', [Defect(0.5, since=2), None])
+def test_verdict_of_a_judge_without_the_store_is_written(defect):
+    """The judge can't write, and no other router does."""
+    fleet = play(cut_judge_off_the_store, defect=defect, seconds=11)
+    state = 'rolled_back' if defect else 'succeeded'
+    assert fleet.log.states() == ['running', state]
+    stages = {
+        router.gate.pools['plain'].stage.state
+        for router in fleet.routers.values()
+    }
+    assert stages == {state}
+
+
 def test_missing_version_runs_until_the_time_ends():
     """An order for a version without upstreams gets a verdict at once."""
     fleet = play(new=0, seconds=9)
