--- a/src/hickorymux/_internal/coordination/rollouts/controller.py
+++ b/src/hickorymux/_internal/coordination/rollouts/controller.py
@@ -50,6 +50,10 @@
 from hickorymux._internal.utils.json_logging import FIELDS
 
 TICK_SECONDS: Final = 0.25
+# The same in fleets of more routers than this, where the judging router has more
+# reports to add up.
+LARGE_FLEET_TICK_SECONDS: Final = 0.4
+MAX_SMALL_FLEET: Final = 32
 # The routers that get all reports and may judge, by the order of their ids.
 MAX_JUDGES: Final = 3
 # How long a router that may judge waits for a directive of those before it,
@@ -176,8 +180,7 @@
         """Run all roll-outs until cancelled."""
         try:
             while True:
-                self.tick()
-                await self.clock.sleep(TICK_SECONDS)
+                await self.clock.sleep(self.tick())
         finally:
             for task in self.tasks:
                 task.cancel()
@@ -227,13 +230,17 @@
             active.written = None
             active.is_start_written = False
 
-    def tick(self) -> None:
-        """Exchange observations and take the decisions that are due."""
+    def tick(self) -> float:
+        """Exchange observations and take the decisions that are due.
+
+        Returns the seconds until the next tick.
+        """
         bounds = self.gate.bounds
         if bounds is None:
             for service in tuple(self.active):
                 self._end(service)
-            return
+        if bounds is None or not self.active:
+            return TICK_SECONDS
         live = [one for one in self.members.live() if not one.is_leaving]
         for active in tuple(self.active.values()):
             rollout = active.rollout
@@ -241,6 +248,9 @@
                 slack = self._slack(active, bounds)
                 self.gate.update(rollout, len(live), slack)
             self._step(active, live)
+        if len(live) > MAX_SMALL_FLEET:
+            return LARGE_FLEET_TICK_SECONDS
+        return TICK_SECONDS
 
     def _step(self, active: ActiveRollout, live: Sequence[Member]) -> None:
         rollout = active.rollout
