--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from hickorymux._internal.coordination.engines.demands import Demand
+from hickorymux._internal.coordination.rollouts.attempts import AttemptWatch
 from hickorymux._internal.protocol.upstream_http import RequestHeaders
 from hickorymux._internal.state.routing import HttpRoute
 from hickorymux._internal.transport.relay import EventRelay, Reply
@@ -26,7 +27,8 @@
     ``is_trial`` is set for a request that tries again what is refused, itself
     or a part of its prompt, and so is sent once only. ``needs_new_connection``
     is set once a reused connection was reset. ``is_racing`` is set while two
-    copies of the request run.
+    copies of the request run. ``watch`` observes the present attempt if its
+    pool has a roll-out.
     """
 
     facts: RequestHeaders
@@ -46,6 +48,7 @@
     is_trial: bool = False
     needs_new_connection: bool = False
     is_racing: bool = False
+    watch: AttemptWatch | None = None
 
     @property
     def request_id(self) -> str:
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -28,6 +28,7 @@
 )
 from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.retry_budget import RetryBudget
+from hickorymux._internal.coordination.rollouts.attempts import AttemptWatch
 from hickorymux._internal.coordination.stream_directory import StreamDirectory
 from hickorymux._internal.coordination.view_refresh import ViewRefresh
 from hickorymux._internal.exceptions import (
@@ -47,6 +48,7 @@
     stream_key,
 )
 from hickorymux._internal.transport.connection_policy import ConnectionEvent
+from hickorymux._internal.state.upstream_registry import RegisteredUpstream
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.hedge_race import HedgeRace
 from hickorymux._internal.transport.hedged_copies import (
@@ -88,6 +90,7 @@
 _STATUS_SERVER_ERROR: Final = 500
 _STATUS_OK: Final = 200
 _FIRST_NOT_OK: Final = 300
+_FIRST_ERROR: Final = 400
 # Statuses by which callers conclude that a request has not run. They are
 # passed on only with the upstream's header that says so.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
@@ -222,7 +225,9 @@
     async def _run_attempt(self, call: EntryCall, reply: Reply) -> bool:
         """Run one attempt; return whether the whole answer was relayed."""
         self._raise_if_refused(call)
-        race = HedgeRace(self._new_copy(call, await self._acquire(call)))
+        reservation = await self._acquire(call)
+        call.watch = self._watch(call, reservation)
+        race = HedgeRace(self._new_copy(call, reservation))
         if call.relay is not None:
             call.events_before_attempt = call.relay.event_count
         try:
@@ -234,9 +239,14 @@
             return False
         finally:
             race.kept.reservation.release()
+            if call.watch is not None:
+                self.allocator.rollout_gate.forget(
+                    reservation.upstream, call.watch
+                )
         self.allocator.health.on_success(
             race.kept.reservation.upstream.upstream_id
         )
+        self._note_result(call, race.kept.reservation, None)
         return True
 
     async def _open_first(
@@ -304,6 +314,8 @@
     ) -> None:
         """Record a failed copy in the health of its upstream."""
         self._update_health(copy.reservation, copy.attempt, error)
+        if copy.attempt.sent:
+            self._note_result(call, copy.reservation, error)
         if not isinstance(error, UpstreamCut) or not copy.attempt.sent:
             return
         has_crashed = await self._report_crash(call, copy.reservation)
@@ -318,6 +330,41 @@
         self._record_failure(call, copy, error, 'copy_failed')
         await self._note_failure(call, copy, error)
 
+    def _watch(
+        self, call: EntryCall, reservation: Reservation
+    ) -> AttemptWatch | None:
+        choice = reservation.choice
+        return self.allocator.rollout_gate.watch(
+            choice.upstream,
+            call.demand,
+            call.route.name,
+            choice.unprocessed_before + choice.load.unprocessed_tokens,
+        )
+
+    def _note_result(
+        self,
+        call: EntryCall,
+        reservation: Reservation,
+        error: AttemptError | None,
+    ) -> None:
+        """Count the end of an attempt for the roll-out of its pool."""
+        upstream = reservation.upstream
+        is_refused = isinstance(error, UpstreamRefused)
+        if call.watch is None or (is_refused and self._may_refuse(upstream)):
+            return
+        is_failed = error is not None or call.watch.is_failed
+        self.allocator.rollout_gate.on_result(
+            upstream,
+            call.watch,
+            is_failed=is_failed,
+            is_shared_cause=is_refused or isinstance(error, UpstreamCut),
+        )
+        self.metrics.count_rollout(
+            upstream.pool,
+            upstream.version,
+            'failed' if is_failed else 'answered',
+        )
+
     def _raise_if_refused(self, call: EntryCall) -> None:
         """Raise if the request or a part of its prompt crashes upstreams."""
         if call.is_trial:
@@ -363,9 +410,11 @@
         return reservation
 
     def _new_copy(self, call: EntryCall, reservation: Reservation) -> SentCopy:
+        # The results of a roll-out are those of one version each.
         is_hedgeable = (
             self.hedging.is_active
             and not call.is_trial
+            and call.watch is None
             and may_hedge(call.route, call.demand, call.sent_attempts)
         )
         return SentCopy(
@@ -375,6 +424,13 @@
             waits_for_body=is_hedgeable,
         )
 
+    def _may_refuse(self, upstream: RegisteredUpstream) -> bool:
+        """Return whether a refusal tells nothing about the version."""
+        now = self.clock.monotonic()
+        return self.allocator.registry.is_cold(
+            upstream, now
+        ) or not self.allocator.notices.may_send(upstream.incarnation, now)
+
     def _new_attempt(
         self, call: EntryCall, reservation: Reservation
     ) -> Attempt:
@@ -434,6 +490,11 @@
                 f'upstream {chosen.incarnation} leaves or pauses since it was'
                 ' chosen'
             )
+        if not self.allocator.rollout_gate.may_send(chosen, call.demand):
+            raise UpstreamChanged(
+                f'version "{chosen.version}" gets no new requests since the'
+                ' upstream was chosen'
+            )
         call.sent_attempts += 1
 
     async def _exchange(
@@ -478,6 +539,8 @@
         answer: UpstreamAnswer,
         reply: Reply,
     ) -> None:
+        if call.watch is not None:
+            call.watch.is_failed = answer.status >= _FIRST_ERROR
         _check_resumption(call, answer)
         is_success = _STATUS_OK <= answer.status < _FIRST_NOT_OK
         if call.route.kind is RequestKind.streaming and is_success:
@@ -631,6 +694,8 @@
     ) -> None:
         """Count events, and record when an engine begins to stream."""
         self.work.counts.events += events
+        if call.watch is not None:
+            call.watch.on_events(events)
         if call.demand.version is None:
             self._record_origin(call, reservation)
         former_events = call.attempt_events - events
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -46,12 +46,21 @@
 from hickorymux._internal.coordination.ports import (
     HostEntry,
     KeyedLog,
+    KeyedRecord,
     Member,
 )
 from hickorymux._internal.coordination.retry_budget import (
     RetryBudget,
     RetrySettings,
 )
+from hickorymux._internal.coordination.rollouts.controller import (
+    RolloutController,
+)
+from hickorymux._internal.coordination.rollouts.orders import RolloutFormat
+from hickorymux._internal.coordination.rollouts.status_log import (
+    ConditionalLog,
+    StatusLog,
+)
 from hickorymux._internal.coordination.shared_log import SharedLog
 from hickorymux._internal.coordination.stream_directory import StreamDirectory
 from hickorymux._internal.coordination.suspect_messages import (
@@ -157,7 +166,7 @@
 _logger = logging.getLogger(__name__)
 
 
-class EntryStore(KeyedLog, ArchiveLog, Protocol):
+class EntryStore(KeyedLog, ArchiveLog, ConditionalLog, Protocol):
     """Client of the store, which holds topics and the list of routers."""
 
     async def fetch(self) -> tuple[HostEntry, ...]:
@@ -176,6 +185,7 @@
     operator_topic: str
     upstream_topic: str
     dialect: Dialect
+    rollout_format: RolloutFormat
 
     def open_store(self, address: Address) -> EntryStore:
         """Return a client of the store."""
@@ -206,6 +216,7 @@
         'network',
         'part_guard',
         'retry_budget',
+        'rollouts',
         'router_ranks',
         'runners',
         'server',
@@ -279,6 +290,7 @@
             self.membership.run(),
             self.load_exchange.run(),
             self.limit_exchange.run(),
+            self.rollouts.run(),
             self.part_guard.run(),
             self.suspects.run(),
             self.stream_archive.run(),
@@ -413,8 +425,8 @@
             self.clock,
             deployment.operator_topic,
             TABLE_READ_TIMING,
-            self.view.apply_operator_record,
-            self.view.apply_operator_listing,
+            self._apply_operator_record,
+            self._apply_operator_listing,
             _ignore_recovery,
         )
         self.upstream_follower = KeyedFollower(
@@ -465,6 +477,16 @@
             self.clock,
             self.rng,
         )
+        self.rollouts = RolloutController(
+            self.allocator.rollout_gate,
+            StatusLog(self.store, deployment.rollout_format),
+            self.membership,
+            self.network.send_datagram,
+            self.allocator.running_in_pool,
+            self._on_view_change,
+            self.clock,
+            self.rng,
+        )
         self.client = UpstreamClient.from_config(
             UpstreamTimeouts(
                 connect=CONNECT_TIMEOUT,
@@ -512,6 +534,7 @@
         self.hedging.share = bounds.hedge_share
         self.client.policy.router_count = routers
         self.client.policy.settings = self.settings.connections
+        self.allocator.rollout_gate.bounds = bounds.rollouts
         self.server.view.max_key_staleness = self._max_key_staleness()
         self.retry_budget.settings = RetrySettings(
             share=bounds.retry_share * USED_RETRY_SHARE,
@@ -556,6 +579,14 @@
         weights = [share.weight for share in route.pools]
         return self.rng.choices(route.pools, weights)[0].pool
 
+    def _apply_operator_record(self, record: KeyedRecord) -> None:
+        self.view.apply_operator_record(record)
+        self.rollouts.apply_record(record)
+
+    def _apply_operator_listing(self, keys: frozenset[str]) -> None:
+        self.view.apply_operator_listing(keys)
+        self.rollouts.apply_listing(keys)
+
     def _on_view_change(self) -> None:
         """Dispatch waiting requests after the tables or upstreams changed."""
         self.allocator.clear_candidate_cache()
@@ -581,6 +612,7 @@
             self.streams.on_message(message, sender_id)
             self.membership.on_message(message, sender_id)
             self.suspects.on_message(sender_id, message)
+            self.rollouts.on_message(sender_id, message)
 
     async def _refresh_router_list(self) -> None:
         """Add this router to the router list, and read the list at intervals."""
--- a/src/hickorymux/_internal/transport/entry_settings.py
+++ b/src/hickorymux/_internal/transport/entry_settings.py
@@ -4,6 +4,7 @@
 import datetime as dt
 from collections.abc import Mapping
 
+from hickorymux._internal.coordination.rollouts.orders import RolloutBounds
 from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.connection_policy import ConnectionSettings
 
@@ -19,7 +20,8 @@
     ``retry_window``. A cold upstream gets at most its cold rate times
     ``cold_burst`` plus ``cold_floor`` requests in any second. At most
     ``hedge_share`` of the requests of a pool are sent to a second upstream
-    because the first is slow.
+    because the first is slow. ``rollouts``
+    is ``None`` if the deployment has no roll-outs.
     """
 
     shutdown: dt.timedelta
@@ -30,6 +32,7 @@
     cold_burst: float
     cold_floor: float
     hedge_share: float = 0
+    rollouts: RolloutBounds | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hickorymux._internal.coordination.rollouts.orders import RolloutBounds
 from hickorymux._internal.exceptions import ConfigError
 from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.connection_policy import (
@@ -49,6 +50,10 @@
     cold_slack: float = 5
     # Share of the requests of which a second copy may be sent; 0 for none.
     hedge_share: float = 0
+    # Without a share there are no roll-outs.
+    exposure_share: float | None = None
+    exposure_slack: float = 0
+    rollback_ms: float = 5000
 
 
 class _Connections(msgspec.Struct, rename='camel'):
@@ -161,6 +166,17 @@
         cold_burst=parsed.cold_burst_factor,
         cold_floor=parsed.cold_slack,
         hedge_share=parsed.hedge_share,
+        rollouts=_to_rollout_bounds(parsed),
+    )
+
+
+def _to_rollout_bounds(parsed: _Bounds) -> RolloutBounds | None:
+    if parsed.exposure_share is None:
+        return None
+    return RolloutBounds(
+        exposure_share=parsed.exposure_share,
+        exposure_slack=parsed.exposure_slack,
+        rollback=dt.timedelta(milliseconds=parsed.rollback_ms),
     )
 
 
