List topics again when the store's era rises

Cause: no code read the header Store-Era. The log grew to the follower's offset again, so the read got no 410 and the records in between were never seen. Change: the store client reads the era from every response, drops responses of a previous era, repeats a listing of two eras and reports a rise to handlers. A follower lists its topic again at a rise; its records stay in force and its last confirmation states the staleness until then. TopicAsk and TopicPage carry the era; a router that reads through another uses only pages of its own era and otherwise reads the store.

--- a/src/hickorymux/_internal/coordination/keyed_follower.py
+++ b/src/hickorymux/_internal/coordination/keyed_follower.py
@@ -3,7 +3,8 @@
 A follower starts with a listing, which has the newest record of each key, and
 then reads records by offset. When the log no longer retains the next offset,
 the follower lists the topic again; keys that the new listing lacks have been
-dropped.
+dropped. So it does when the era of the log rises, as the log was restored from
+a copy then and its offsets were assigned anew.
 
 Example::
 
@@ -26,6 +27,7 @@
 from typing import Final, final
 
 from hickorymux._internal.coordination.ports import (
+    UNKNOWN_ERA,
     KeyedLog,
     KeyedPage,
     KeyedRecord,
@@ -69,11 +71,13 @@
     ``on_regained`` runs when the log answers again after an outage, before
     the records of that answer are passed on. ``confirmed_at`` is the latest
     monotonic time, in seconds, up to which the view is known to be complete.
+    ``next_offset`` is of the era ``era``.
     """
 
     __slots__ = (
         'confirmed_at',
         'clock',
+        'era',
         'is_lost',
         'log',
         'next_offset',
@@ -102,6 +106,7 @@
         self.on_listing = on_listing
         self.on_regained = on_regained
         self.next_offset: int | None = None
+        self.era = UNKNOWN_ERA
         self.confirmed_at = -math.inf
         self.is_lost = False
 
@@ -129,7 +134,7 @@
 
         Raises ``LogTrimmed`` and ``LogUnavailable``.
         """
-        started_at = self.clock.monotonic()
+        started_at, era = self.clock.monotonic(), self.era
         if self.next_offset is None:
             await self._read_listing(started_at)
             return
@@ -138,7 +143,7 @@
             self.next_offset,
             wait_seconds=self.timing.wait_seconds,
         )
-        self._apply_page(page, started_at)
+        self._apply_page(page, started_at, era)
 
     async def catch_up(self, log: KeyedLog) -> None:
         """Read the records since the last read from ``log`` at once.
@@ -148,9 +153,9 @@
         """
         if self.next_offset is None:
             return
-        started_at = self.clock.monotonic()
+        started_at, era = self.clock.monotonic(), self.era
         page = await log.read(self.topic, self.next_offset)
-        self._apply_page(page, started_at)
+        self._apply_page(page, started_at, era)
 
     def mark_lost(self, error: LogUnavailable) -> None:
         """Record that a read failed and the view may be out of date."""
@@ -169,8 +174,17 @@
             },
         )
 
-    def _apply_page(self, page: KeyedPage, started_at: float) -> None:
-        """Apply the records that no other read has brought meanwhile."""
+    def _apply_page(
+        self, page: KeyedPage, started_at: float, asked_era: int
+    ) -> None:
+        """Apply the records that no other read has brought meanwhile.
+
+        ``asked_era`` is the era of the offset that was read. A page that was
+        read from an offset of another era is dropped.
+        """
+        if self.next_offset is None or self.era != asked_era:
+            return
+        self._update_era(page.era)
         if self.next_offset is None:
             return
         self._mark_confirmed(started_at + page.complete_until_seconds)
@@ -181,12 +195,44 @@
 
     async def _read_listing(self, started_at: float) -> None:
         page = await self.log.read_newest(self.topic)
+        if self.era == UNKNOWN_ERA:
+            self.era = page.era
+        self._update_era(page.era)
         self._mark_confirmed(started_at)
         for record in page.records:
             self._apply(record)
         self.on_listing(_listed_keys(page))
         self.next_offset = page.next_offset
 
+    def _update_era(self, era: int) -> None:
+        """Invalidate the next offset if the era of the log has risen.
+
+        The records stay in force until the next listing. Raises
+        ``LogUnavailable`` for a page of a previous era.
+        """
+        if era in {UNKNOWN_ERA, self.era}:
+            return
+        if era < self.era:
+            raise LogUnavailable(
+                f'a response of era {era} came in era {self.era}',
+                where=self.topic,
+            )
+        _logger.warning(
+            'the log was restored, the topic is listed again',
+            extra={
+                FIELDS: {
+                    'event': 'topic_era_changed',
+                    'topic': self.topic,
+                    'era': era,
+                    'former_era': self.era,
+                    'age_seconds': _finite(self.staleness_seconds()),
+                },
+            },
+        )
+        self.era = era
+        self.next_offset = None
+        self.is_lost = True
+
     def _apply(self, record: KeyedRecord) -> None:
         """Pass on a record; one that can't be applied hides no later ones."""
         try:
--- a/src/hickorymux/_internal/coordination/ports.py
+++ b/src/hickorymux/_internal/coordination/ports.py
@@ -6,7 +6,10 @@
 import dataclasses
 import datetime as dt
 from collections.abc import Sequence
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
+
+# The era of a response that does not state one.
+UNKNOWN_ERA: Final = -1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -77,11 +80,15 @@
     the start of the read. This is the time for which the log held the read
     open before it returned an empty page, or negative if the page was read
     by another router before this read started.
+
+    ``era`` counts the restores of the log from a copy. Offsets of one era mean
+    nothing in another.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     complete_until_seconds: float = 0
+    era: int = UNKNOWN_ERA
 
 
 class KeyedLog(Protocol):
--- a/src/hickorymux/_internal/coordination/shared_log.py
+++ b/src/hickorymux/_internal/coordination/shared_log.py
@@ -6,7 +6,8 @@
 the records from it. The zone reader answers a request after its next read and
 states how much older than the request the answer is, so that each router
 knows the staleness of its view. A router that gets no answer in time reads
-the store itself.
+the store itself. So does one whose offset is of another era of the log than
+the records of the zone reader, as only the store says which era is current.
 
 ``intervals`` gives the seconds to pause before each read of a topic. It is
 for topics that are written so often that a read never waits.
@@ -25,6 +26,7 @@
 from typing import Any, Final, final
 
 from hickorymux._internal.coordination.ports import (
+    UNKNOWN_ERA,
     KeyedLog,
     KeyedPage,
     KeyedRecord,
@@ -62,18 +64,32 @@
 class _Topic:
     """The last records that were read, and requests for the next ones."""
 
-    __slots__ = ('next_offset', 'records', 'pending_requests')
+    __slots__ = ('era', 'next_offset', 'records', 'pending_requests')
 
     def __init__(self) -> None:
+        self.era = UNKNOWN_ERA
         self.next_offset = 0
         self.records: collections.deque[KeyedRecord] = collections.deque(
             maxlen=MAX_KEPT_RECORDS,
         )
         self.pending_requests: list[_PendingRequest] = []
 
-    def records_from(self, offset: int) -> Sequence[KeyedRecord] | None:
-        """Return the records from an offset on, ``None`` if any is missing."""
-        if offset > self.next_offset:
+    def replace_by(self, page: KeyedPage, from_offset: int) -> None:
+        """Add a page; drop the records that it doesn't continue."""
+        if from_offset != self.next_offset or page.era != self.era:
+            self.records.clear()
+        self.records.extend(page.records)
+        self.next_offset = page.next_offset
+        self.era = page.era
+
+    def records_from(
+        self, offset: int, era: int
+    ) -> Sequence[KeyedRecord] | None:
+        """Return the records from an offset on, ``None`` if any is missing.
+
+        Offsets of an unknown era are taken for those of the current one.
+        """
+        if offset > self.next_offset or era not in {UNKNOWN_ERA, self.era}:
             return None
         found = [record for record in self.records if record.offset >= offset]
         if len(found) < self.next_offset - offset:
@@ -86,7 +102,9 @@
     """A ``KeyedLog`` that reads the store through the zone reader.
 
     ``reader_back_off`` holds, by the id of a zone reader that did not answer,
-    the monotonic time before which no request is sent to it.
+    the monotonic time before which no request is sent to it. ``listed_eras``
+    has the era of the last listing of each topic, from which the offsets follow
+    that are read.
     """
 
     __slots__ = (
@@ -94,6 +112,7 @@
         'clock',
         'reader_back_off',
         'intervals',
+        'listed_eras',
         'log',
         'members',
         'request_numbers',
@@ -115,13 +134,16 @@
         self.sender = sender
         self.clock = clock
         self.topics: dict[str, _Topic] = {}
+        self.listed_eras: dict[str, int] = {}
         self.pending_replies: dict[int, asyncio.Future[TopicPage]] = {}
         self.reader_back_off: dict[str, float] = {}
         self.request_numbers = itertools.count(1)
 
     async def read_newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key, from the store."""
-        return await self.log.read_newest(topic)
+        page = await self.log.read_newest(topic)
+        self.listed_eras[topic] = page.era
+        return page
 
     async def read(
         self,
@@ -187,10 +209,7 @@
         topic = self.topics.setdefault(topic_name, _Topic())
         started_at = self.clock.monotonic()
         page = await self._read_log(topic_name, from_offset, wait_seconds)
-        if from_offset != topic.next_offset:
-            topic.records.clear()
-        topic.records.extend(page.records)
-        topic.next_offset = page.next_offset
+        topic.replace_by(page, from_offset)
         self._answer_requests(topic, started_at + page.complete_until_seconds)
         return page
 
@@ -230,15 +249,11 @@
         requests = topic.pending_requests
         topic.pending_requests = []
         for pending in requests:
-            records = topic.records_from(pending.request.offset)
+            request = pending.request
+            records = topic.records_from(request.offset, request.era)
             lag = max(0, pending.received_at - confirmed_at)
-            page = _to_message(
-                pending.request.number,
-                topic.next_offset,
-                records,
-                lag,
-            )
-            self.sender.send(pending.requester_id, page)
+            message = _to_message(request.number, topic, records, lag)
+            self.sender.send(pending.requester_id, message)
 
     async def _request_page(
         self,
@@ -248,6 +263,7 @@
         wait_seconds: float,
     ) -> KeyedPage | None:
         number = next(self.request_numbers)
+        era = self.listed_eras.get(topic, UNKNOWN_ERA)
         future: asyncio.Future[TopicPage]
         future = asyncio.get_running_loop().create_future()
         self.pending_replies[number] = future
@@ -256,7 +272,7 @@
             async with asyncio.timeout(
                 interval + wait_seconds + REPLY_TIMEOUT_SECONDS
             ):
-                self.sender.send(reader, TopicAsk(number, topic, offset))
+                self.sender.send(reader, TopicAsk(number, topic, offset, era))
                 page = await future
         except TimeoutError:
             self.reader_back_off[reader] = (
@@ -265,12 +281,13 @@
             return None
         finally:
             self.pending_replies.pop(number)
-        return _to_page(page, offset) if page.is_whole else None
+        is_usable = page.is_whole and page.era == era
+        return _to_page(page, offset) if is_usable else None
 
 
 def _to_message(
     number: int,
-    next_offset: int,
+    topic: _Topic,
     records: Sequence[KeyedRecord] | None,
     lag: float,
 ) -> TopicPage:
@@ -281,10 +298,11 @@
     return TopicPage(
         number,
         is_whole=True,
-        next_offset=next_offset,
+        next_offset=topic.next_offset,
         lag_us=int(lag * _US_PER_SECOND),
         keys=[record.key for record in records],
         values=[record.value for record in records],
+        era=topic.era,
     )
 
 
@@ -295,4 +313,4 @@
         for index, (key, value) in enumerate(pairs)
     )
     lag = message.lag_us / _US_PER_SECOND
-    return KeyedPage(records, message.next_offset, complete_until_seconds=-lag)
+    return KeyedPage(records, message.next_offset, -lag, message.era)
--- a/src/hickorymux/_internal/coordination/topic_messages.py
+++ b/src/hickorymux/_internal/coordination/topic_messages.py
@@ -2,14 +2,20 @@
 
 import dataclasses
 
+from hickorymux._internal.coordination.ports import UNKNOWN_ERA
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class TopicAsk:
-    """Asks the zone reader for the records of a topic from an offset on."""
+    """Asks the zone reader for the records of a topic from an offset on.
+
+    ``era`` is that of the offset.
+    """
 
     number: int = 0
     topic: str = ''
     offset: int = 0
+    era: int = UNKNOWN_ERA
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -20,7 +26,7 @@
     not the zone reader, or the records are too large for a message.
     ``lag_us`` is the time in microseconds from the moment up to which the
     records are complete to the receipt of the request, 0 if they are
-    complete up to a later moment.
+    complete up to a later moment. ``era`` is that of the records.
     """
 
     number: int = 0
@@ -29,3 +35,4 @@
     lag_us: int = 0
     keys: list[str] = dataclasses.field(default_factory=list)
     values: list[bytes] = dataclasses.field(default_factory=list)
+    era: int = UNKNOWN_ERA
--- a/src/hickorymux/_internal/protocol/idl/topic.thrift
+++ b/src/hickorymux/_internal/protocol/idl/topic.thrift
@@ -4,6 +4,7 @@
   1: optional i64 number = 0,
   2: optional string topic = "",
   3: optional i64 offset = 0,
+  4: optional i64 era = -1,
 }
 
 struct TopicPage {
@@ -13,4 +14,5 @@
   4: optional list<string> keys = [],
   5: optional list<binary> values = [],
   6: optional i64 lag_us = 0,
+  7: optional i64 era = -1,
 }
--- a/src/hickorymux/platform/store.py
+++ b/src/hickorymux/platform/store.py
@@ -4,13 +4,14 @@
 import contextlib
 import logging
 import struct
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Final, Self, final
 
 import aiohttp
 import msgspec
 
 from hickorymux._internal.coordination.ports import (
+    UNKNOWN_ERA,
     HostEntry,
     KeyedPage,
     KeyedRecord,
@@ -30,6 +31,9 @@
 RESPONSE_TIMEOUT_SECONDS: Final = 0.7
 ROUTER_TOPIC: Final = 'keyed.status'
 _PARTITION: Final = '0'
+_ERA_HEADER: Final = 'Store-Era'
+# Those of a signed 64-bit number.
+_MAX_ERA_DIGITS: Final = 18
 _STATUS_OK: Final = 200
 _STATUS_TRIMMED: Final = 410
 _MS_PER_SECOND: Final = 1000
@@ -76,17 +80,23 @@
     ``LogUnavailable`` if no complete response arrives; the connection is not
     reused then.
 
+    The store states its era in each response. ``era`` is the highest one, and
+    a response of a previous one counts as none: the store that sent it has
+    been restored from a copy since.
+
     Example::
 
         store = StoreClient.from_config(Address('10.0.0.1', 8781))
         page = await store.read_newest('keyed.op')
     """
 
-    __slots__ = ('base_url', 'session')
+    __slots__ = ('base_url', 'era', 'era_handlers', 'session')
 
     def __init__(self, base_url: str, session: aiohttp.ClientSession) -> None:
         self.base_url = base_url
         self.session = session
+        self.era = UNKNOWN_ERA
+        self.era_handlers: list[Callable[[int], None]] = []
 
     @classmethod
     def from_config(cls, address: Address) -> Self:
@@ -105,23 +115,25 @@
         """Close all connections."""
         await self.session.close()
 
+    def add_era_handler(self, on_era_change: Callable[[int], None]) -> None:
+        """Call a function with the new era whenever the era rises.
+
+        It is for components that wrote records, which may be lost. It is not
+        called for the first era that is seen.
+        """
+        self.era_handlers.append(on_era_change)
+
     async def read_newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key, over all pages.
 
         The next read starts at the end offset of the first page, since later
-        pages may lack records that were written in between.
+        pages may lack records that were written in between. A listing whose
+        pages are of several eras is repeated.
         """
-        first_end: int | None = None
-        records: list[KeyedRecord] = []
-        query = {'topic': topic, 'part': _PARTITION}
         while True:
-            page = await self._read_newest_page(query)
-            if first_end is None:
-                first_end = page.end
-            records.extend(_to_record(item) for item in page.items)
-            if not page.truncated or not page.items:
-                return KeyedPage(tuple(records), first_end)
-            query['after'] = page.items[-1].key
+            listing = await self._read_listing(topic)
+            if listing is not None:
+                return listing
 
     async def read(
         self,
@@ -141,7 +153,7 @@
             'from': str(from_offset),
             'waitMs': str(int(wait_seconds * _MS_PER_SECOND)),
         }
-        status, body = await self._get('log-read', query, wait_seconds)
+        status, body, era = await self._get('log-read', query, wait_seconds)
         if status == _STATUS_TRIMMED:
             raise LogTrimmed(
                 f'offset {from_offset} is no longer retained',
@@ -155,7 +167,7 @@
             raise LogUnavailable(repr(error), where=topic) from error
         complete_until_seconds = 0 if records else wait_seconds
         end = from_offset + len(records)
-        return KeyedPage(records, end, complete_until_seconds)
+        return KeyedPage(records, end, complete_until_seconds, era)
 
     async def read_retained(self, topic: str) -> KeyedPage:
         """Return all records that the store retains, oldest first.
@@ -164,20 +176,24 @@
         """
         records: list[KeyedRecord] = []
         next_offset = 0
+        era = UNKNOWN_ERA
         while True:
             try:
                 page = await self.read(topic, next_offset)
             except LogTrimmed as error:
-                if error.first_offset <= next_offset:
-                    raise LogUnavailable(str(error), where=topic) from error
                 # Records that were read so far are older than the store
                 # retains by now; the rest must follow without a gap.
                 records.clear()
-                next_offset = error.first_offset
+                next_offset = _later_offset(error, topic, next_offset)
+                continue
+            if _is_other_era(page.era, era):
+                records.clear()
+                next_offset, era = 0, page.era
                 continue
             records.extend(page.records)
+            era = page.era
             if not page.records:
-                return KeyedPage(tuple(records), next_offset)
+                return KeyedPage(tuple(records), next_offset, era=era)
             next_offset = page.next_offset
 
     async def fetch(self) -> tuple[HostEntry, ...]:
@@ -211,14 +227,32 @@
                 timeout=timeout,
             ) as response:
                 await response.read()
+                self._update_era(response.headers, topic)
                 _check_ok(response.status, topic)
 
-    async def _read_newest_page(self, query: Mapping[str, str]) -> _NewestPage:
+    async def _read_listing(self, topic: str) -> KeyedPage | None:
+        """Return a listing, ``None`` if its pages are of several eras."""
+        query = {'topic': topic, 'part': _PARTITION}
+        page, first_era = await self._read_newest_page(query)
+        first_end = page.end
+        records = [_to_record(item) for item in page.items]
+        while page.truncated and page.items:
+            query['after'] = page.items[-1].key
+            page, era = await self._read_newest_page(query)
+            if _is_other_era(era, first_era):
+                return None
+            records.extend(_to_record(item) for item in page.items)
+        return KeyedPage(tuple(records), first_end, era=first_era)
+
+    async def _read_newest_page(
+        self, query: Mapping[str, str]
+    ) -> tuple[_NewestPage, int]:
+        """Return a page of a listing and its era."""
         topic = query['topic']
-        status, body = await self._get('log-newest', query, 0)
+        status, body, era = await self._get('log-newest', query, 0)
         _check_ok(status, topic)
         try:
-            return msgspec.json.decode(body, type=_NewestPage)
+            return msgspec.json.decode(body, type=_NewestPage), era
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise LogUnavailable(str(error), where=topic) from error
 
@@ -227,14 +261,38 @@
         endpoint: str,
         query: Mapping[str, str],
         wait_seconds: float,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
+        """Return the status, body and era of a response."""
         with _convert_network_errors(query['topic']):
             async with self.session.get(
                 f'{self.base_url}/{endpoint}',
                 params=query,
                 timeout=_timeout(wait_seconds),
             ) as response:
-                return response.status, await response.read()
+                body = await response.read()
+                era = self._update_era(response.headers, query['topic'])
+                return response.status, body, era
+
+    def _update_era(self, headers: Mapping[str, str], topic: str) -> int:
+        """Return the era of a response; report it if it is a new one.
+
+        Raises ``LogUnavailable`` if it is a previous one.
+        """
+        era = _decode_era(headers)
+        if era in {UNKNOWN_ERA, self.era}:
+            return era
+        if era < self.era:
+            raise LogUnavailable(
+                f'the response is of era {era}, the store is at {self.era}',
+                where=topic,
+            )
+        former_era = self.era
+        self.era = era
+        if former_era != UNKNOWN_ERA:
+            _report_era(era, former_era)
+            for on_era_change in self.era_handlers:
+                on_era_change(era)
+        return era
 
 
 @contextlib.contextmanager
@@ -259,6 +317,26 @@
         )
 
 
+def _decode_era(headers: Mapping[str, str]) -> int:
+    """Return the era that a response states, or ``UNKNOWN_ERA``."""
+    text = headers.get(_ERA_HEADER, '')
+    is_number = text.isascii() and text.isdecimal()
+    if is_number and len(text) <= _MAX_ERA_DIGITS:
+        return int(text)
+    return UNKNOWN_ERA
+
+
+def _is_other_era(era: int, known_era: int) -> bool:
+    return era != known_era and UNKNOWN_ERA not in {era, known_era}
+
+
+def _later_offset(error: LogTrimmed, topic: str, from_offset: int) -> int:
+    """Return the oldest retained offset, which must be after another one."""
+    if error.first_offset <= from_offset:
+        raise LogUnavailable(str(error), where=topic) from error
+    return error.first_offset
+
+
 def _first_offset(body: bytes) -> int:
     """Return the oldest retained offset, 0 if the response doesn't tell it."""
     try:
@@ -319,6 +397,15 @@
             )
 
 
+def _report_era(era: int, former_era: int) -> None:
+    line = {
+        'event': 'store_era_changed',
+        'era': era,
+        'former_era': former_era,
+    }
+    _logger.warning('the store was restored from a copy', extra={FIELDS: line})
+
+
 def _report_unreadable(key: str, offset: int, reason: str) -> None:
     line = {
         'event': 'record_unreadable',
--- a/tests/lib/platform_store.py
+++ b/tests/lib/platform_store.py
@@ -2,24 +2,37 @@
 
 It serves the store's protocol over HTTP. ``mode`` injects faults: in the mode
 ``busy`` it refuses calls, in the mode ``silent`` it accepts them and does not
-answer while the mode lasts.
+answer while the mode lasts. ``restore`` replaces the topics by an older copy.
 """
 
 import asyncio
 import base64
+import dataclasses
 import json
 import struct
 
 from aiohttp import web
 
 _PAGE_ITEMS = 2
+# Longer than routers wait for a response.
+_SILENCE_SECONDS = 5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """The records of a store and the ranges of its topics at some moment."""
+
+    topics: dict[str, list[tuple[int, str, bytes]]]
+    first_offsets: dict[str, int]
+    end_offsets: dict[str, int]
 
 
 class PlatformStore:
     """An emulated store with its HTTP server.
 
     ``topics`` has the offset, key and value of all records of a topic,
-    ``first_offsets`` and ``end_offsets`` the range that can be read.
+    ``first_offsets`` and ``end_offsets`` the range that can be read. ``era`` is
+    sent as ``Store-Era``, unless it is ``None``.
     """
 
     def __init__(self) -> None:
@@ -28,13 +41,14 @@
         self.first_offsets: dict[str, int] = {}
         self.record_added = asyncio.Condition()
         self.mode = ''
+        self.era: int | None = 1
         self.calls: list[str] = []
         self.runner: web.AppRunner | None = None
         self.address = ''
 
     async def start(self) -> None:
         """Listen on a free port."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._add_era])
         app.router.add_get('/v1/log-newest', self.newest)
         app.router.add_get('/v1/log-read', self.read)
         app.router.add_post('/v1/log-append', self.append)
@@ -69,6 +83,28 @@
         """
         self.first_offsets[topic] = self.end_offsets.get(topic, 0)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all records."""
+        return StoreCopy(
+            {name: list(rows) for name, rows in self.topics.items()},
+            dict(self.first_offsets),
+            dict(self.end_offsets),
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Go on from a copy, in the next era.
+
+        Calls that are being answered get no answer any more.
+        """
+        async with self.record_added:
+            self.topics = {
+                name: list(rows) for name, rows in copy.topics.items()
+            }
+            self.first_offsets = dict(copy.first_offsets)
+            self.end_offsets = dict(copy.end_offsets)
+            self.era = (self.era or 0) + 1
+            self.record_added.notify_all()
+
     async def newest(self, request: web.Request) -> web.StreamResponse:
         """Answer ``log-newest``, two keys per page."""
         await self._inject_fault(request)
@@ -100,8 +136,8 @@
         await self._inject_fault(request)
         topic = request.query['topic']
         start = int(request.query['from'])
-        if start < self.first_offsets.get(topic, 0):
-            first = self.first_offsets[topic]
+        first = self.first_offsets.get(topic, 0)
+        if not first <= start <= self.end_offsets.get(topic, 0):
             return web.json_response({'first': first}, status=410)
         wait_seconds = int(request.query.get('waitMs', 0)) / 1000
         try:
@@ -133,6 +169,17 @@
         await self.put_raw(topic, body[5:name_end].decode(), body[name_end:])
         return web.json_response({'offset': 0, 'end': self.end_offsets[topic]})
 
+    @web.middleware
+    async def _add_era(self, request, handler) -> web.StreamResponse:
+        """Add the era to a response; drop those of a previous era."""
+        era = self.era
+        response = await handler(request)
+        if self.era != era:
+            await asyncio.sleep(_SILENCE_SECONDS)
+        if era is not None:
+            response.headers['Store-Era'] = str(era)
+        return response
+
     async def _inject_fault(self, request: web.Request) -> None:
         self.calls.append(request.path)
         if self.mode == 'busy':
--- a/tests/unit/engines/test_keyed_follower.py
+++ b/tests/unit/engines/test_keyed_follower.py
@@ -14,7 +14,7 @@
 )
 from hickorymux._internal.coordination.ports import KeyedPage, KeyedRecord
 from hickorymux._internal.coordination.view_refresh import ViewRefresh
-from hickorymux._internal.exceptions import LogUnavailable
+from hickorymux._internal.exceptions import LogTrimmed, LogUnavailable
 from tests.lib.fake_clock import FakeClock
 
 
@@ -178,3 +178,171 @@
     clock.advance(1)
     log.is_down = True
     assert not await ViewRefresh(follower, log, clock).run()
+
+
+class RestoredLog:
+    """A log that can be restored from an empty copy.
+
+    ``restores_at`` has the numbers of the calls before which it is restored.
+    """
+
+    def __init__(self):
+        self.era = 1
+        self.values = []
+        self.calls = 0
+        self.restores_at = ()
+        self.held = None
+
+    def restore(self, *values):
+        self.era += 1
+        self.values = list(values)
+
+    def page(self, start):
+        records = tuple(
+            KeyedRecord(f'k{at}', value, at)
+            for at, value in enumerate(self.values)
+            if at >= start
+        )
+        return KeyedPage(records, len(self.values), 0, self.era)
+
+    async def read_newest(self, topic):
+        self.count()
+        return self.page(0)
+
+    async def read(self, topic, from_offset, *, wait_seconds=0):
+        self.count()
+        if from_offset > len(self.values):
+            raise LogTrimmed('gone', where=topic)
+        page = self.page(from_offset)
+        if self.held is not None:
+            await self.held.wait()
+        return page
+
+    def count(self):
+        self.calls += 1
+        if self.calls in self.restores_at:
+            self.restore(*self.values)
+
+
+@pytest.fixture
+def restored_log():
+    log = RestoredLog()
+    log.values = [b'1', b'2']
+    return log
+
+
+class Restored:
+    """A follower of a restored log that has listed it once."""
+
+    def __init__(self, log, clock):
+        self.log = log
+        self.clock = clock
+        self.events = []
+        self.follower = KeyedFollower(
+            log,
+            clock,
+            't',
+            ReadTiming(wait_seconds=0),
+            lambda record: self.events.append(record.value),
+            lambda keys: self.events.append(len(keys)),
+            lambda: self.events.append('regained'),
+        )
+
+    async def read(self, *, advance=0.5):
+        self.clock.advance(advance)
+        try:
+            await self.follower.read_once()
+        except LogTrimmed:
+            self.follower.next_offset = None
+
+
+@pytest.fixture
+async def restored(restored_log, clock):
+    state = Restored(restored_log, clock)
+    await state.read()
+    state.events.clear()
+    return state
+
+
+async def test_restored_log_of_the_same_length_is_not_listed_again(restored):
+    restored.log.restore(b'3', b'4')
+    await restored.read()
+    assert restored.follower.staleness_seconds() > 0
+    assert not restored.events
+    await restored.read()
+    assert restored.events == ['regained', b'3', b'4', 2]
+    assert restored.follower.staleness_seconds() == 0
+
+
+async def test_shorter_log_starts_no_grace_period(restored):
+    """A read past the end gets 410, which is no outage by itself."""
+    restored.log.restore(b'3')
+    await restored.read()
+    await restored.read()
+    assert restored.events == ['regained', b'3', 1]
+
+
+async def test_late_response_of_a_previous_era_confirms_the_view(restored):
+    restored.log.held = asyncio.Event()
+    late = asyncio.create_task(restored.follower.read_once())
+    await asyncio.sleep(0)
+    other = RestoredLog()
+    other.restore(b'3', b'4', b'5')
+    await restored.follower.catch_up(other)
+    assert restored.follower.next_offset is None
+    restored.follower.log = other
+    await restored.read()
+    confirmed_at = restored.follower.confirmed_at
+    restored.clock.advance(1)
+    restored.log.held.set()
+    await late
+    assert restored.follower.confirmed_at == confirmed_at
+    assert restored.follower.next_offset == 3
+    former = RestoredLog()
+    former.values = [b'1', b'2', b'x', b'y']
+    with pytest.raises(LogUnavailable):
+        await restored.follower.catch_up(former)
+    assert restored.follower.confirmed_at == confirmed_at
+
+
+async def test_second_restore_during_the_listing_goes_unnoticed(restored):
+    restored.log.restore(b'3', b'4')
+    await restored.read()
+    restored.log.restores_at = (restored.log.calls + 2,)
+    await restored.read()
+    await restored.read()
+    assert restored.follower.next_offset is None
+    await restored.read()
+    assert restored.follower.next_offset == 2
+
+
+async def test_missed_era_is_not_noticed(restored):
+    restored.log.restore()
+    restored.log.restore(b'3', b'4')
+    await restored.read()
+    await restored.read()
+    assert restored.events == ['regained', b'3', b'4', 2]
+
+
+async def test_log_without_eras_is_listed_again_and_again(restored):
+    """An era that is absent is unknown, and the offset stays valid."""
+    restored.log.era = -1
+    calls = restored.log.calls
+    await restored.read()
+    await restored.read()
+    assert restored.log.calls == calls + 2
+    assert not restored.events
+    assert restored.follower.staleness_seconds() == 0
+
+
+async def test_refresh_counts_a_restored_log_as_current(restored):
+    """A stream would go on by entries of the previous era."""
+    restored.clock.advance(1)
+    restored.log.restore(b'3', b'4')
+    refresh = ViewRefresh(restored.follower, restored.log, restored.clock)
+    running = asyncio.create_task(refresh.run())
+    while restored.follower.next_offset is not None:
+        await asyncio.sleep(0)
+    await restored.read(advance=0)
+    assert await running
+    assert b'4' in restored.events
--- a/tests/unit/engines/test_shared_log.py
+++ b/tests/unit/engines/test_shared_log.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from hickorymux._internal.coordination.ports import (
+    UNKNOWN_ERA,
     KeyedPage,
     KeyedRecord,
     Member,
@@ -26,11 +27,12 @@
 
     def __init__(self):
         self.records = []
+        self.era = UNKNOWN_ERA
         self.reads = 0
         self.gate = asyncio.Event()
 
     async def read_newest(self, topic):
-        return KeyedPage(tuple(self.records), len(self.records))
+        return KeyedPage(tuple(self.records), len(self.records), era=self.era)
 
     async def read(self, topic, from_offset, *, wait_seconds=0):
         self.reads += 1
@@ -38,7 +40,12 @@
             await self.gate.wait()
             self.gate.clear()
         found = tuple(self.records[from_offset:])
-        return KeyedPage(found, len(self.records), 0 if found else wait_seconds)
+        return KeyedPage(
+            found,
+            len(self.records),
+            0 if found else wait_seconds,
+            self.era,
+        )
 
 
 class Zone:
@@ -202,3 +209,68 @@
     zone.members.pop(0)
     await router.read('paced', 0)
     assert sum(clock.slept) > 0.4
+
+
+async def listed_zone():
+    """Return a zone whose two routers have listed a log of two records."""
+    zone = Zone('a', 'b')
+    zone.log.era = 1
+    zone.log.records = [KeyedRecord('k', b'1', 0), KeyedRecord('k', b'2', 1)]
+    for router in zone.routers.values():
+        await router.read_newest('t')
+    return zone
+
+
+async def read_both(zone):
+    requesting = asyncio.create_task(
+        zone.routers['b'].read('t', 2, wait_seconds=0.01)
+    )
+    await asyncio.sleep(0.01)
+    zone.log.gate.set()
+    page = await zone.routers['a'].read('t', 2, wait_seconds=0.01)
+    zone.log.gate.set()
+    return page, await requesting
+
+
+async def test_router_reads_the_store_although_its_era_is_the_readers():
+    zone = await listed_zone()
+    _, page = await read_both(zone)
+    assert page.era == 1
+    assert zone.log.reads == 1
+
+
+async def test_offset_of_another_era_is_answered_by_the_reader():
+    """The store is restored; neither the offset nor the records are valid."""
+    zone = await listed_zone()
+    zone.log.era = 2
+    reader_page, page = await read_both(zone)
+    assert reader_page.era == page.era == 2
+    assert zone.log.reads == 2
+
+
+async def test_reader_that_is_an_era_behind_confirms_a_view():
+    zone = await listed_zone()
+    zone.log.era = 2
+    await zone.routers['b'].read_newest('t')
+    zone.log.era = 1
+    requesting = asyncio.create_task(
+        zone.routers['b'].read('t', 2, wait_seconds=0.01)
+    )
+    await asyncio.sleep(0.01)
+    zone.log.gate.set()
+    await zone.routers['a'].read('t', 2, wait_seconds=0.01)
+    zone.log.era = 2
+    zone.log.gate.set()
+    assert (await requesting).era == 2
+
+
+async def test_reader_passes_on_records_of_two_eras():
+    zone = await listed_zone()
+    await zone.routers['a'].read('t', 0)
+    zone.log.era = 2
+    zone.log.records.append(KeyedRecord('k', b'3', 2))
+    await zone.routers['a'].read('t', 2)
+    topic = zone.routers['a'].topics['t']
+    assert topic.records_from(0, 2) is None
+    assert topic.records_from(2, 1) is None
+    assert [record.value for record in topic.records_from(2, 2)] == [b'3']
