Append archived stream origins again after a restore

Callers would see: streams that began within the copy's age before a restore of the store are refused (stream_unknown) once all routers are lost as well. Cause: the archive went on from an offset of the previous era, and what it had appended since the copy was lost. A lookup whose page is of another era reads the topic from its start.

--- a/src/hickorymux/_internal/coordination/stream_archive.py
+++ b/src/hickorymux/_internal/coordination/stream_archive.py
@@ -9,6 +9,10 @@
 the routers or the streams. Streams that begin within one batch before the loss
 stay unknown. The topic is read only for a stream that no router knows.
 
+If the store is restored from a copy, what was appended since is lost. The
+router that appended it does so again while callers may still resume the
+streams.
+
 Example::
 
     archive.add(key, StreamOrigin('drafting', 'v1.2'))
@@ -23,7 +27,7 @@
 
 import msgspec
 
-from hickorymux._internal.coordination.ports import KeyedPage
+from hickorymux._internal.coordination.ports import UNKNOWN_ERA, KeyedPage
 from hickorymux._internal.exceptions import LogTrimmed, LogUnavailable
 from hickorymux._internal.state.stream_origins import (
     StreamOrigin,
@@ -78,10 +82,14 @@
 
     ``writer`` names this router in its records, ``pending`` has the origins
     that the next append writes, and ``table`` those that were read.
+    ``written`` has the monotonic time, the number of origins and the value of
+    each append whose streams may still be resumed. ``next_offset`` is of the
+    era ``era``.
     """
 
     __slots__ = (
         'clock',
+        'era',
         'log',
         'next_offset',
         'pending',
@@ -89,6 +97,7 @@
         'reads',
         'table',
         'writer',
+        'written',
     )
 
     def __init__(self, log: ArchiveLog, writer: str, clock: Clock) -> None:
@@ -99,15 +108,34 @@
             collections.OrderedDict()
         )
         self.table = StreamOriginTable()
+        self.written: collections.deque[tuple[float, int, bytes]]
+        self.written = collections.deque()
         self.next_offset: int | None = None
+        self.era = UNKNOWN_ERA
         self.read_at: float | None = None
         self.reads = SingleFlight()
 
     def add(self, key: int, origin: StreamOrigin) -> None:
         """Append an origin with the next batch."""
         self.pending[key] = origin
-        while len(self.pending) > MAX_PENDING_ORIGINS:
-            self.pending.popitem(last=False)
+        self._limit_pending()
+
+    def on_era_change(self, era: int) -> None:
+        """Append again what the store may have lost by a restore."""
+        self._prune_written()
+        added = self.pending
+        self.pending = collections.OrderedDict()
+        for _, _, value in self.written:
+            self.pending.update(_decode(value))
+        self.pending.update(added)
+        self.written.clear()
+        self._limit_pending()
+        line = {
+            'event': 'stream_archive_rewritten',
+            'era': era,
+            'streams': len(self.pending),
+        }
+        _logger.info('streams are archived again', extra={FIELDS: line})
 
     async def run(self) -> None:
         """Append what has been added until cancelled."""
@@ -120,13 +148,16 @@
         if not self.pending:
             return
         batch = self.pending.copy()
+        value = _encode(batch)
         try:
-            await self.log.append(ARCHIVE_TOPIC, self.writer, _encode(batch))
+            await self.log.append(ARCHIVE_TOPIC, self.writer, value)
         except LogUnavailable as error:
             _report('stream_archive_not_written', error, streams=len(batch))
             return
         for key in batch:
             self.pending.pop(key, None)
+        self.written.append((self.clock.monotonic(), len(batch), value))
+        self._prune_written()
 
     async def find(self, key: int) -> StreamOrigin | None:
         """Return where a stream began, ``None`` if the store doesn't tell."""
@@ -153,21 +184,37 @@
         self.read_at = self.clock.monotonic()
 
     async def _read_page(self) -> KeyedPage:
-        if self.next_offset is None:
-            return await self.log.read_retained(ARCHIVE_TOPIC)
-        return await self.log.read(ARCHIVE_TOPIC, self.next_offset)
+        """Return the records since the last read, all if the era has risen."""
+        if self.next_offset is not None:
+            page = await self.log.read(ARCHIVE_TOPIC, self.next_offset)
+            if page.era in {UNKNOWN_ERA, self.era}:
+                return page
+        page = await self.log.read_retained(ARCHIVE_TOPIC)
+        self.era = page.era
+        return page
 
     def _apply(self, value: bytes) -> None:
         now = self.clock.monotonic()
         try:
-            groups = _decoder.decode(value)
+            origins = _decode(value)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             _report('stream_archive_unreadable', error)
             return
-        for pool, version, keys in groups:
-            origin = StreamOrigin(pool, version)
-            for key in keys:
-                self.table.put(key, origin, now + ORIGIN_LIFETIME_SECONDS, now)
+        for key, origin in origins.items():
+            self.table.put(key, origin, now + ORIGIN_LIFETIME_SECONDS, now)
+
+    def _limit_pending(self) -> None:
+        while len(self.pending) > MAX_PENDING_ORIGINS:
+            self.pending.popitem(last=False)
+
+    def _prune_written(self) -> None:
+        """Drop what is too old to be resumed, or more than one append takes."""
+        oldest = self.clock.monotonic() - ORIGIN_LIFETIME_SECONDS
+        count = sum(streams for _, streams, _ in self.written)
+        while self.written and (
+            self.written[0][0] < oldest or count > MAX_PENDING_ORIGINS
+        ):
+            count -= self.written.popleft()[1]
 
 
 _decoder: Final = msgspec.msgpack.Decoder(list[_Group])
@@ -184,6 +231,15 @@
     return msgspec.msgpack.encode(groups)
 
 
+def _decode(value: bytes) -> dict[int, StreamOrigin]:
+    """Return the origins of a record; raises an error of ``msgspec``."""
+    return {
+        key: StreamOrigin(pool, version)
+        for pool, version, keys in _decoder.decode(value)
+        for key in keys
+    }
+
+
 def _report(event: str, error: Exception, **fields: object) -> None:
     line = {'event': event, 'reason': str(error), **fields}
     _logger.warning(event, extra={FIELDS: line})
--- a/tests/lib/archive.py
+++ b/tests/lib/archive.py
@@ -22,6 +22,7 @@
         self.reads = 0
         self.is_down = False
         self.first_offset = 0
+        self.era = 1
 
     async def append(self, _topic: str, key: str, value: bytes) -> None:
         """Append a record."""
@@ -41,7 +42,10 @@
         if from_offset < self.first_offset:
             raise LogTrimmed('trimmed', where=topic)
         return KeyedPage(
-            tuple(self.records[from_offset:]), len(self.records), wait_seconds
+            tuple(self.records[from_offset:]),
+            len(self.records),
+            wait_seconds,
+            self.era,
         )
 
     def _check_up(self) -> None:
--- a/tests/unit/coordination/test_stream_archive.py
+++ b/tests/unit/coordination/test_stream_archive.py
@@ -6,6 +6,7 @@
 
 from hickorymux._internal.coordination.stream_archive import (
     MAX_PENDING_ORIGINS,
+    ORIGIN_LIFETIME_SECONDS,
     READ_INTERVAL_SECONDS,
     StreamArchive,
 )
@@ -110,3 +111,75 @@
         archive.add(key, OLD)
     assert len(archive.pending) == MAX_PENDING_ORIGINS
     assert 0 not in archive.pending
+
+
+def restore(archives, count):
+    """Restore the log from a copy with its first records."""
+    archives.log.records = archives.log.records[:count]
+    archives.log.era += 1
+
+
+async def write(archive, *keys):
+    for key in keys:
+        archive.add(key, OLD)
+        await archive.flush()
+
+
+async def test_origins_since_the_copy_are_lost_by_a_restore():
+    archives = Archives()
+    writer = archives.start()
+    await write(writer, 1, 2, 3)
+    restore(archives, 1)
+    writer.on_era_change(2)
+    writer.add(4, NEW)
+    await writer.flush()
+    assert len(archives.log.records) == 2
+    assert [await archives.start().find(key) for key in (1, 2, 3, 4)] == [
+        OLD,
+        OLD,
+        OLD,
+        NEW,
+    ]
+
+
+async def test_two_restores_in_succession_lose_origins():
+    archives = Archives()
+    writer = archives.start()
+    await write(writer, 1, 2)
+    for era in (2, 3):
+        restore(archives, 0)
+        writer.on_era_change(era)
+        await writer.flush()
+    assert await archives.start().find(2) == OLD
+
+
+async def test_origins_that_no_caller_resumes_are_written_again():
+    archives = Archives()
+    writer = archives.start()
+    await write(writer, 1)
+    archives.clock.advance(ORIGIN_LIFETIME_SECONDS + 1)
+    await write(writer, 2)
+    writer.on_era_change(2)
+    assert set(writer.pending) == {2}
+
+
+async def test_written_origins_grow_without_bound():
+    archive = Archives().start()
+    for start in (0, MAX_PENDING_ORIGINS):
+        for key in range(start, start + MAX_PENDING_ORIGINS):
+            archive.add(key, OLD)
+        await archive.flush()
+    assert len(archive.written) == 1
+
+
+async def test_offset_of_a_previous_era_hides_origins():
+    """The log has its old length again, with other records."""
+    archives = Archives()
+    reader, writer = archives.start(), archives.start()
+    await write(writer, 1, 2)
+    assert await reader.find(2) == OLD
+    restore(archives, 0)
+    await write(writer, 3, 4, 5)
+    archives.clock.advance(READ_INTERVAL_SECONDS)
+    assert await reader.find(3) == OLD
+    assert await reader.find(1) == OLD
