Count no time before a restore as known versions

Callers could see: a stream whose origin nobody knows goes on at the one version that the view shows, although the store lost the entries of another version. Cause: the history of versions took the restored topic for a view without a gap, and the retained entries counted lost numbers as covered time. Change: a rise of the era starts the history anew after the grace period of entries. A missing entry number ends the covered time of all upstreams before it. The sample of test_versions_of_upstreams_that_left_are_missed skipped numbers 4 to 8, which a topic that retains all entries never does; it now has them and expects the same time.

--- a/src/hickorymux/_internal/coordination/retained_versions.py
+++ b/src/hickorymux/_internal/coordination/retained_versions.py
@@ -74,6 +74,12 @@
     renewal: dt.timedelta,
     now: float,
 ) -> RetainedVersions:
+    """Return the versions of all records, and the time that they cover.
+
+    The entries of an upstream are numbered without a gap. Where numbers are
+    missing, the store was restored from a copy and lost records, so only what
+    follows counts as covered.
+    """
     seen_ids: set[str] = set()
     versions: set[tuple[str, str]] = set()
     # First and last number of the entries of each incarnation.
@@ -93,8 +99,12 @@
         seen_ids.add(record.key)
         versions.add((upstream.pool, upstream.version))
         first, last = numbers.get(
-            upstream.incarnation, (upstream.entry_number, 0)
+            upstream.incarnation,
+            (upstream.entry_number, upstream.entry_number),
         )
+        if upstream.entry_number > last + 1:
+            numbers.clear()
+            first = upstream.entry_number
         numbers[upstream.incarnation] = (
             first,
             max(last, upstream.entry_number),
--- a/src/hickorymux/_internal/coordination/version_history.py
+++ b/src/hickorymux/_internal/coordination/version_history.py
@@ -20,7 +20,10 @@
     RetainedVersions,
 )
 from hickorymux._internal.exceptions import LogUnavailable
-from hickorymux._internal.state.upstream_registry import UpstreamRegistry
+from hickorymux._internal.state.upstream_registry import (
+    LAPSE_GRACE_SECONDS,
+    UpstreamRegistry,
+)
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.json_logging import FIELDS
 from hickorymux._internal.utils.single_flight import SingleFlight
@@ -49,7 +52,8 @@
 
     ``confirmed_at`` returns up to which monotonic time in seconds the view of
     the upstreams is complete. The view has had no gap since
-    ``continuous_since``, which is infinite while it is out of date.
+    ``continuous_since``, which is infinite while it is out of date. It may lack
+    upstreams until ``incomplete_until``, as the store was restored.
     ``read_retained`` reads the versions of the last seconds from the store, and
     ``longest_timeout`` returns the longest timeout of a route in seconds.
     """
@@ -58,6 +62,7 @@
         'clock',
         'confirmed_at',
         'continuous_since',
+        'incomplete_until',
         'last_seen',
         'longest_timeout',
         'observed_at',
@@ -83,9 +88,19 @@
         self.reads = SingleFlight()
         self.retained_at = -math.inf
         self.continuous_since = math.inf
+        self.incomplete_until = -math.inf
         self.observed_at = -math.inf
         self.last_seen: dict[tuple[str, str], float] = {}
 
+    def on_era_change(self) -> None:
+        """Start the history anew; the store was restored from a copy.
+
+        Upstreams of another version may have written entries that it lost and
+        that no router has read. They write them again within a grace period.
+        """
+        self.continuous_since = math.inf
+        self.incomplete_until = self.clock.monotonic() + LAPSE_GRACE_SECONDS
+
     def observe(self) -> None:
         """Record the upstreams that are registered at the moment."""
         now = self.clock.monotonic()
@@ -93,7 +108,7 @@
         if self.observed_at < oldest_valid:
             self.continuous_since = math.inf
         self.observed_at = now
-        if self.confirmed_at() < oldest_valid:
+        if self.confirmed_at() < oldest_valid or now < self.incomplete_until:
             self.continuous_since = math.inf
         elif self.continuous_since > now:
             self.continuous_since = now
--- a/tests/unit/coordination/test_retained_versions.py
+++ b/tests/unit/coordination/test_retained_versions.py
@@ -44,13 +44,25 @@
 
 
 async def test_versions_of_upstreams_that_left_are_missed():
+    renewals = (('e1', entry(seq)) for seq in range(4, 10))
     found = await read(
-        ('e1', entry(3)), ('e2', entry(1, 'v2')), ('e2', b''), ('e1', entry(9))
+        ('e1', entry(3)), ('e2', entry(1, 'v2')), ('e2', b''), *renewals
     )
     assert found.versions == {('models', 'v1'), ('models', 'v2')}
     assert found.covered_seconds == pytest.approx(6 * 1.2)
 
 
+async def test_records_that_a_restore_lost_count_as_covered():
+    """An upstream of another version may have come and gone in between."""
+    found = await read(
+        *(('e0', entry(seq)) for seq in range(1, 9)),
+        *(('e1', entry(seq)) for seq in range(1, 5)),
+        *(('e1', entry(seq)) for seq in range(8, 11)),
+    )
+    assert found.versions == {('models', 'v1')}
+    assert found.covered_seconds == pytest.approx(2 * 1.2)
+
+
 async def test_restart_of_an_upstream_counts_as_covered_time():
     found = await read(('e1', entry(900)), ('e1', entry(2, born=5)))
     assert found.covered_seconds == 0
--- a/tests/unit/coordination/test_version_history.py
+++ b/tests/unit/coordination/test_version_history.py
@@ -13,6 +13,7 @@
     VersionHistory,
 )
 from hickorymux._internal.exceptions import LogUnavailable
+from hickorymux._internal.state.upstream_registry import LAPSE_GRACE_SECONDS
 from tests.lib.demands import registry, upstream
 from tests.lib.manual_clock import ManualClock
 
@@ -161,3 +162,15 @@
     assert await view.history.only_version(POOL) is None
     view.observe(60)
     assert await view.history.only_version(POOL) == 'v1'
+
+
+async def test_history_reaches_back_beyond_a_restore_of_the_store():
+    """Entries of another version may be lost with what the store lost."""
+    view = View()
+    view.observe(HISTORY_SECONDS + 1)
+    assert await view.history.only_version(POOL) == 'v1'
+    view.history.on_era_change()
+    view.observe(HISTORY_SECONDS)
+    assert await view.history.only_version(POOL) is None
+    view.observe(LAPSE_GRACE_SECONDS + 1)
+    assert await view.history.only_version(POOL) == 'v1'
