Announce routers again and keep newer entries after a restore

Callers could see: requests in a zone that is evacuated, streams at an engine that another version has replaced, and too large shares of limits, for as long as the store lacks what was written since the copy. Cause: the first listing after a restore was taken for the newest state, and a router announced itself only at its start. Change: the era handler of the entry process makes the router announce itself again; the first list after that is added to the former one. Within the grace period after an outage, an entry older than the known one of its upstream is passed over, and an evacuation that a listing lacks holds until the period ends.

--- a/src/hickorymux/_internal/coordination/deployment_view.py
+++ b/src/hickorymux/_internal/coordination/deployment_view.py
@@ -15,6 +15,7 @@
 from hickorymux._internal.exceptions import ConfigError
 from hickorymux._internal.state.routing import RoutingTable
 from hickorymux._internal.state.upstream_registry import (
+    LAPSE_GRACE_SECONDS,
     RegisteredUpstream,
     UpstreamRegistry,
 )
@@ -62,6 +63,12 @@
     ``table`` is ``None`` until the first one is read.
     ``has_upstream_listing`` tells whether all upstreams were listed at least
     once. ``on_change`` runs after each change of the table or an upstream.
+
+    A store that was restored from a copy may list what was newer before, until
+    its writers have written it again. So a table never goes back to a former
+    version, an entry of an upstream not within the grace period of the
+    registry, and an evacuation that the first listing lacks holds until
+    ``zones_held_until``, in monotonic seconds.
     """
 
     __slots__ = (
@@ -72,6 +79,8 @@
         'decoder',
         'registry',
         'table',
+        'unlisted_zones',
+        'zones_held_until',
     )
 
     def __init__(
@@ -86,6 +95,8 @@
         self.registry = UpstreamRegistry()
         self.table: RoutingTable | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.unlisted_zones: frozenset[str] = frozenset()
+        self.zones_held_until: float = 0
         self.has_upstream_listing = False
 
     def apply_operator_record(self, record: KeyedRecord) -> None:
@@ -93,6 +104,7 @@
         zone = self.decoder.evacuated_zone(record.key)
         if zone is not None:
             changed = {zone}
+            self.unlisted_zones -= changed
             zones = self.evacuated_zones - changed
             self._set_evacuated_zones(
                 zones | changed if record.value else zones
@@ -103,7 +115,12 @@
     def apply_operator_listing(self, keys: frozenset[str]) -> None:
         """End the evacuation of zones that a full listing lacks."""
         zones = {self.decoder.evacuated_zone(key) for key in keys}
-        self._set_evacuated_zones(self.evacuated_zones & zones)
+        self.unlisted_zones = self.evacuated_zones - zones
+        self._end_unlisted_evacuations()
+
+    def hold_evacuations(self) -> None:
+        """Keep evacuations that the next listing lacks for a grace period."""
+        self.zones_held_until = self.clock.monotonic() + LAPSE_GRACE_SECONDS
 
     def apply_upstream_record(self, record: KeyedRecord) -> None:
         """Add, update or remove an upstream."""
@@ -122,6 +139,9 @@
             self._remove(record.key, now)
             return
         known = self.registry.upstreams.get(record.key)
+        if known is not None and now < self.registry.grace_until:
+            if upstream.is_older_than(known):
+                return
         self.registry.put(upstream)
         if known is None or known.is_ready != upstream.is_ready:
             _report(
@@ -142,7 +162,8 @@
         self.on_change()
 
     def expire_held(self) -> None:
-        """Remove the upstreams whose entries did not come back."""
+        """Remove the upstreams and evacuations that did not come back."""
+        self._end_unlisted_evacuations()
         lapsed = self.registry.expire(self.clock.monotonic())
         for upstream_id in lapsed:
             _report(
@@ -154,6 +175,12 @@
         if lapsed:
             self.on_change()
 
+    def _end_unlisted_evacuations(self) -> None:
+        if self.clock.monotonic() >= self.zones_held_until:
+            zones = self.evacuated_zones - self.unlisted_zones
+            self.unlisted_zones = frozenset()
+            self._set_evacuated_zones(zones)
+
     def _remove(self, upstream_id: str, now: float) -> None:
         if upstream_id in self.registry.upstreams:
             self.registry.remove(upstream_id, now)
--- a/src/hickorymux/_internal/state/upstream_registry.py
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -19,7 +19,7 @@
 
 import dataclasses
 from collections.abc import Iterator, Sequence
-from typing import Final, final
+from typing import Final, Self, final
 
 # Lapsed entries of live upstreams come back within two seconds after the store
 # does.
@@ -58,6 +58,11 @@
         """Return a name that is unique among incarnations of all upstreams."""
         return f'{self.upstream_id}#{self.born_ms}'
 
+    def is_older_than(self, other: Self) -> bool:
+        """Return whether this entry was written before another of its id."""
+        written = (self.born_ms, self.entry_number)
+        return written < (other.born_ms, other.entry_number)
+
 
 @final
 class UpstreamRegistry:
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -6,11 +6,12 @@
 """
 
 import asyncio
+import contextlib
 import datetime as dt
 import logging
 import random
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Final, Protocol, final
 
 from aiohttp import web
@@ -163,6 +164,9 @@
     async def announce(self, host: HostEntry) -> None:
         """Add this router to the list; raises ``LogUnavailable``."""
 
+    def add_era_handler(self, on_era_change: Callable[[int], None]) -> None:
+        """Call a function with the new era when the store was restored."""
+
     async def close(self) -> None:
         """Close all connections."""
 
@@ -196,7 +200,8 @@
         'listener',
         'load_exchange',
         'reported_ready',
-        'listed_routers',
+        'era_changed',
+        'listed_hosts',
         'membership',
         'metrics',
         'network',
@@ -229,8 +234,9 @@
         self.clock = clock
         self.rng = random.Random()
         self.stopping = asyncio.Event()
+        self.era_changed = asyncio.Event()
         self.reported_ready = False
-        self.listed_routers: frozenset[str] = frozenset()
+        self.listed_hosts: tuple[HostEntry, ...] = ()
         self.tasks: list[asyncio.Task[None]] = []
         self.runners: list[web.ServerRunner] = []
         self.metrics = RouterMetrics()
@@ -396,6 +402,7 @@
     def _build_request_path(self) -> None:
         settings, deployment = self.settings, self.deployment
         self.store = deployment.open_store(settings.store)
+        self.store.add_era_handler(self._on_era_change)
         self.view = DeploymentView(deployment, self.clock, self._on_view_change)
         self.shared_log = SharedLog(
             self.store,
@@ -411,7 +418,7 @@
             TABLE_READ_TIMING,
             self.view.apply_operator_record,
             self.view.apply_operator_listing,
-            _ignore_recovery,
+            self.view.hold_evacuations,
         )
         self.upstream_follower = KeyedFollower(
             self.shared_log,
@@ -547,6 +554,12 @@
         self.allocator.clear_candidate_cache()
         self.allocator.dispatch_all()
 
+    def _on_era_change(self, era: int) -> None:
+        """Write again what the store lost when it was restored."""
+        self.stream_archive.on_era_change(era)
+        self.streams.history.on_era_change()
+        self.era_changed.set()
+
     def _on_upstream_log_recovery(self) -> None:
         """Give upstreams time to renew their entries after an outage."""
         if self.view.has_upstream_listing:
@@ -569,7 +582,12 @@
             self.suspects.on_message(sender_id, message)
 
     async def _refresh_router_list(self) -> None:
-        """Add this router to the router list, and read the list at intervals."""
+        """Add this router to the router list, and read the list at intervals.
+
+        It is added again when the store was restored. The first list after
+        that may lack others that were added since the copy, so they are kept
+        until the next one.
+        """
         settings = self.settings
         me = HostEntry(
             settings.router_id,
@@ -578,23 +596,41 @@
             settings.peers.port,
         )
         is_announced = False
+        keeps_former = False
         while True:
+            if self.era_changed.is_set():
+                self.era_changed.clear()
+                is_announced = False
+                keeps_former = True
             try:
                 if not is_announced:
                     await self.store.announce(me)
                     is_announced = True
-                self._apply_router_list(await self.store.fetch())
+                hosts = await self.store.fetch()
             except (LogUnavailable, HostListUnavailable) as error:
                 _report('router_list_unavailable', reason=str(error))
                 await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
                 continue
-            await self.clock.sleep(ROUTER_LIST_INTERVAL_SECONDS)
-
-    def _apply_router_list(self, hosts: tuple[HostEntry, ...]) -> None:
-        self.listed_routers = frozenset(host.router_id for host in hosts)
+            self._apply_router_list(hosts, keeps_former=keeps_former)
+            keeps_former = False
+            await self._wait_for_era_change()
+
+    async def _wait_for_era_change(self) -> None:
+        """Wait until the next read of the router list is due."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ROUTER_LIST_INTERVAL_SECONDS):
+                await self.era_changed.wait()
+
+    def _apply_router_list(
+        self, hosts: Iterable[HostEntry], *, keeps_former: bool
+    ) -> None:
+        if keeps_former:
+            hosts = (*self.listed_hosts, *hosts)
+        by_id = {host.router_id: host for host in hosts}
+        self.listed_hosts = tuple(by_id.values())
         self.membership.replace_seeds(
             Member(host.router_id, 0, host.zone, host.host, host.port)
-            for host in hosts
+            for host in self.listed_hosts
         )
 
     async def _update_router_shares(self) -> None:
@@ -604,9 +640,10 @@
         customers share the pools.
         """
         while True:
-            if self.listed_routers:
+            if self.listed_hosts:
                 live = {member.router_id for member in self.membership.live()}
-                self.router_ranks.update(self.listed_routers | live)
+                listed = {host.router_id for host in self.listed_hosts}
+                self.router_ranks.update(frozenset(listed | live))
                 self._apply_bounds()
             self.view.expire_held()
             self._forget_gone_upstreams()
@@ -681,9 +718,5 @@
         self.tasks.append(task)
 
 
-def _ignore_recovery() -> None:
-    """Do nothing: tables don't expire during an outage of the store."""
-
-
 def _report(event: str, **fields: Any) -> None:
     _logger.info(event, extra={FIELDS: {'event': event, **fields}})
