Replay claims when the log was restored from a copy

Callers could see, on the product's own interface: a request with an idempotency key runs twice after the log service came back from an older copy. Cause: a claim stream went on from its offset. A log that has grown to that length again holds claims that were never read; a lost claim that was not sent yet still counted. Change: each read of a claim stream starts with the last record that was replayed. If the log has another one there, or none, all records are replayed into the same state, keys dated before that moment are refused as expired, and claims from before it can no longer be sent. A router that starts after the restore can't know that claims are lost, as the protocol of this log has no era (docs/design/store-era.md).

--- a/src/hickorymux/_internal/coordination/claim_stream.py
+++ b/src/hickorymux/_internal/coordination/claim_stream.py
@@ -1,10 +1,11 @@
 """Read and append one claim stream, and keep the claims that it holds."""
 
 import asyncio
+import logging
 from typing import final
 
 from hickorymux._internal.coordination.claim_settings import ClaimSettings
-from hickorymux._internal.coordination.ports import LogClient
+from hickorymux._internal.coordination.ports import LogClient, LogRecord
 from hickorymux._internal.exceptions import (
     LogAppendUnknown,
     LogTrimmed,
@@ -16,6 +17,8 @@
 )
 from hickorymux._internal.utils.clock import Clock
 
+logger = logging.getLogger(__name__)
+
 _READ_LIMIT_RECORDS = 1000
 
 
@@ -25,16 +28,22 @@
 
     ``last_read_at`` and ``last_record_at`` are the monotonic times, in
     seconds, of the last read and of the last read that found records.
+
+    Each read starts with ``last_record``, the last one that was replayed. If
+    the log has another record in its place or none, it was restored from a
+    copy and has assigned offsets anew; ``restores`` counts that.
     """
 
     __slots__ = (
         'clock',
         'fold',
         'last_read_at',
+        'last_record',
         'last_record_at',
         'log',
         'name',
         'read_lock',
+        'restores',
         'settings',
     )
 
@@ -53,6 +62,8 @@
         self.read_lock = asyncio.Lock()
         self.last_read_at = clock.monotonic()
         self.last_record_at = float('-inf')
+        self.last_record: LogRecord | None = None
+        self.restores = 0
 
     async def append(self, payload: bytes) -> int:
         """Append a record and return its offset.
@@ -72,9 +83,11 @@
         """
         async with self.read_lock:
             self.last_read_at = self.clock.monotonic()
-            is_complete = False
-            while not is_complete:
-                is_complete = await self._read_page(offset)
+            start = self.fold.next_offset
+            if self.last_record is not None:
+                start = self.last_record.offset
+            while not await self._read_page(start, offset):
+                start = self.fold.next_offset
 
     async def refresh(self) -> None:
         """Replay the records up to the end of the stream."""
@@ -97,18 +110,22 @@
         """Drop the replayed state; the next read starts from offset 0."""
         async with self.read_lock:
             self.fold = ClaimFold()
+            self.last_record = None
 
     @property
     def _log_timeout(self) -> float:
         return self.settings.log_timeout.total_seconds()
 
-    async def _read_page(self, offset: int) -> bool:
-        """Replay one page; return whether ``offset`` or the end is reached."""
+    async def _read_page(self, start: int, offset: int) -> bool:
+        """Replay the page from ``start`` on.
+
+        Returns whether ``offset`` or the end of the stream is reached.
+        """
         try:
             async with asyncio.timeout(self._log_timeout):
                 page = await self.log.read(
                     self.name,
-                    self.fold.next_offset,
+                    start,
                     limit=_READ_LIMIT_RECORDS,
                 )
         except TimeoutError as error:
@@ -116,12 +133,30 @@
         except LogTrimmed as trimmed:
             # The log has trimmed all records before its first offset, whether
             # they were replayed here or not.
+            self.last_record = None
             self.fold.trim(trimmed.first_offset)
             return False
+        records = page.records
+        if start < self.fold.next_offset:
+            if records[:1] != (self.last_record,):
+                self._start_over()
+                return False
+            records = records[1:]
         self.fold.trim(page.first_offset)
-        if page.records:
+        if records:
             self.last_record_at = self.clock.monotonic()
-        for record in page.records:
+            self.last_record = records[-1]
+        for record in records:
             self.fold.apply(record.offset, record.appended_at, record.payload)
         is_at_end = self.fold.next_offset >= page.end_offset
         return is_at_end or 0 <= offset < self.fold.next_offset
+
+    def _start_over(self) -> None:
+        """Replay a log that was restored from a copy from its start."""
+        self.restores += 1
+        self.last_record = None
+        self.fold.restart(self.clock.wall())
+        logger.warning(
+            'the log was restored, its claims are replayed',
+            extra={'event': 'claim_log_restored', 'stream': self.name},
+        )
--- a/src/hickorymux/_internal/coordination/claims.py
+++ b/src/hickorymux/_internal/coordination/claims.py
@@ -87,10 +87,18 @@
     """The right of one attempt to send the request with a key once.
 
     ``valid_until`` is the time on the monotonic clock, in seconds, until which
-    the request may be sent.
+    the request may be sent, unless the log was restored from a copy since. It
+    had been restored ``restores`` times when the claim began.
     """
 
-    __slots__ = ('attempt', 'batcher', 'key', 'phase', 'valid_until')
+    __slots__ = (
+        'attempt',
+        'batcher',
+        'key',
+        'phase',
+        'restores',
+        'valid_until',
+    )
 
     def __init__(
         self,
@@ -98,19 +106,22 @@
         key: bytes,
         attempt: bytes,
         valid_until: float,
+        restores: int,
     ) -> None:
         self.batcher = batcher
         self.key = key
         self.attempt = attempt
         self.valid_until = valid_until
+        self.restores = restores
         self.phase = ClaimPhase.held
 
     def mark_sent(self, now: float) -> None:
         """Mark the request as sent; call this right before the send.
 
         Raises ``ClaimSpent`` after a first send, after a release, and when the
-        claim is so old that the log may have trimmed it. ``now`` is the time
-        on the monotonic clock, in seconds.
+        claim is so old that the log may have trimmed it or may be lost by a
+        restore of the log. ``now`` is the time on the monotonic clock, in
+        seconds.
         """
         if self.phase is ClaimPhase.sent:
             raise ClaimSpent(
@@ -121,6 +132,8 @@
             raise ClaimSpent('the claim was already released')
         if now >= self.valid_until:
             raise ClaimSpent('the claim is older than the protected window')
+        if self.restores != self.batcher.stream.restores:
+            raise ClaimSpent('the log was restored after the claim')
         self.phase = ClaimPhase.sent
 
     def mark_unsent(self) -> None:
@@ -148,12 +161,14 @@
     """One attempt to claim a key.
 
     ``key_created_at`` is the time within a UUIDv7 key. ``started_at`` is the
-    time on the monotonic clock, in seconds, at which the attempt began.
+    time on the monotonic clock, in seconds, at which the attempt began, and
+    ``restores`` the number of restores of the log that were known then.
     """
 
     entry: ClaimEntry
     key_created_at: dt.datetime | None
     started_at: float
+    restores: int
 
 
 @final
@@ -229,8 +244,10 @@
             secrets.token_bytes(_ATTEMPT_BYTES),
             body_digest,
         )
-        request = _ClaimRequest(entry, created, self.clock.monotonic())
         batcher = self.batcher_for(customer, route, key)
+        request = _ClaimRequest(
+            entry, created, self.clock.monotonic(), batcher.stream.restores
+        )
         await self._refuse_if_owned(batcher, request)
         verdict = await self._request_verdict(batcher, request, deadline)
         return self._claim_from_verdict(batcher, request, verdict)
@@ -400,7 +417,11 @@
         window = self.settings.protected_window.length.total_seconds()
         valid_until = request.started_at + window
         return Claim(
-            batcher, request.entry.key, request.entry.attempt, valid_until
+            batcher,
+            request.entry.key,
+            request.entry.attempt,
+            valid_until,
+            request.restores,
         )
 
     def _check_creation_time(
--- a/src/hickorymux/_internal/state/claim_fold.py
+++ b/src/hickorymux/_internal/state/claim_fold.py
@@ -255,6 +255,16 @@
             self.next_offset = first_offset
             self.has_gap = True
 
+    def restart(self, now: dt.datetime) -> None:
+        """Replay the log from its start; it was restored from a copy.
+
+        What was replayed before stays, so a key whose claim was lost keeps its
+        owner. Other claims up to ``now`` may be lost without having been read.
+        """
+        self.trimmed_until = max(self.trimmed_until, self.seen_until, now)
+        self.next_offset = 0
+        self.has_gap = False
+
     def verdict_for(self, key: bytes, attempt: bytes) -> Verdict:
         """Return the verdict on an attempt by the records replayed so far."""
         state = self.keys.get(key)
--- a/tests/lib/fake_log.py
+++ b/tests/lib/fake_log.py
@@ -87,6 +87,11 @@
         self.streams[stream] = kept
         self.first[stream] = first_offset
 
+    def restore(self, stream: str, end: int) -> None:
+        """Lose the records from an offset on, whose offsets are reused."""
+        kept = self.streams.get(stream, [])[: end - self.first[stream]]
+        self.streams[stream] = kept
+
     def page(self, stream: str, from_offset: int, limit: int) -> LogPage:
         """Return up to ``limit`` records from an offset on."""
         first = self.first[stream]
--- a/tests/unit/coordination/test_claims.py
+++ b/tests/unit/coordination/test_claims.py
@@ -20,7 +20,13 @@
     KeyReused,
     Ran,
 )
+from hickorymux._internal.state.claim_fold import (
+    ClaimEntry,
+    digest,
+    encode_entries,
+)
 from lib.claim_fleet import SETTINGS, claim_fleet, uuid7_at
+from lib.fake_log import EPOCH
 
 
 async def claim(router: Claimer, key: str = 'order-1', body: bytes = b'b'):
@@ -226,3 +232,67 @@
         assert not fleet.log.append_count
         fleet.clock.advance(1)
         await claim(fleet.routers[0])
+
+
+def stream_of(fleet, key: str = 'order-1'):
+    return fleet.routers[0].batcher_for('jiko', 'ledger', key).stream
+
+
+def neighbor(fleet, key: str = 'order-1') -> str:
+    """Return another key whose claims are in the same stream."""
+    others = (f'{key}-{number}' for number in range(1000))
+    stream = stream_of(fleet, key)
+    return next(name for name in others if stream_of(fleet, name) is stream)
+
+
+def restore_log(fleet, key: str) -> None:
+    """Lose the claim of a stream; another router claims a key in its place."""
+    name = stream_of(fleet, key).name
+    fleet.log.restore(name, 0)
+    fleet.log.now = EPOCH + dt.timedelta(seconds=1)
+    claimed = digest(b'jiko', b'ledger', key.encode())
+    entry = ClaimEntry(claimed, b'other-attempt', b'b')
+    fleet.log.put(name, encode_entries([entry]))
+
+
+async def test_claim_in_a_log_that_has_its_old_length_again_runs_twice() -> (
+    None
+):
+    """The router would never read what was written in between."""
+    async with claim_fleet(1) as fleet:
+        await claim(fleet.routers[0])
+        other = neighbor(fleet)
+        restore_log(fleet, other)
+        with pytest.raises(DuplicateRequest):
+            await claim(fleet.routers[0], other)
+
+
+async def test_claim_that_a_restore_lost_is_granted_again() -> None:
+    async with claim_fleet(1) as fleet:
+        won = await claim(fleet.routers[0])
+        won.mark_sent(fleet.clock.now)
+        restore_log(fleet, neighbor(fleet))
+        with pytest.raises(DuplicateRequest):
+            await claim(fleet.routers[0])
+
+
+async def test_claim_from_before_a_restore_may_still_send() -> None:
+    """Another attempt may own the key by now."""
+    async with claim_fleet(1) as fleet:
+        held = await claim(fleet.routers[0])
+        restore_log(fleet, 'order-1')
+        await stream_of(fleet).refresh()
+        with pytest.raises(ClaimSpent):
+            held.mark_sent(fleet.clock.now)
+
+
+async def test_key_from_before_a_restore_is_granted() -> None:
+    """Its claim may be among those that were lost and never read here."""
+    async with claim_fleet(1) as fleet:
+        key = uuid7_at(fleet.clock.wall())
+        other = neighbor(fleet, key)
+        await claim(fleet.routers[0], other)
+        restore_log(fleet, other)
+        await stream_of(fleet, key).refresh()
+        with pytest.raises(KeyExpired):
+            await claim(fleet.routers[0], key)
