Count restores of the store and tell operators of them

Callers see nothing of this. Operators had no line that says that the store was restored, and no page on what the routers do then.

--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -558,6 +558,8 @@
         """Write again what the store lost when it was restored."""
         self.stream_archive.on_era_change(era)
         self.streams.history.on_era_change()
+        restores = self.metrics.gauges.get('store_restores', 0)
+        self.metrics.gauges['store_restores'] = restores + 1
         self.era_changed.set()
 
     def _on_upstream_log_recovery(self) -> None:
