Expect 401 for revoked keys in the restore test

Seen: one of six cases failed once at a load average of 20 on 7 cores. The router had the new table and refused the valid key with not_ready, as its event loop lagged 0.33 s. Cause: the test took the first answer. For a revoked key any refusal passed, too. Change: the test asks again while it gets 503, and expects 401 for revoked keys and 200 for the valid one, so it is stricter for the former.

--- a/tests/functional/test_store_restore.py
+++ b/tests/functional/test_store_restore.py
@@ -22,6 +22,9 @@
 KEPT, FIRST, SECOND = 'key-kept', 'key-first', 'key-second'
 EVACUATION = 'evacuate/z9'
 STATUS_OK = 200
+STATUS_UNAUTHORIZED = 401
+# A router refuses requests while its event loop lags on a busy host.
+REFUSED_FOR_LOAD = frozenset((0, 503))
 
 
 def table(version, *keys):
@@ -92,9 +95,21 @@
     async def expect_revoked(self) -> None:
         """Check that only the valid key is accepted, at all routers."""
         for router in self.routers:
-            assert await self.status(router, FIRST) != STATUS_OK
-            assert await self.status(router, SECOND) != STATUS_OK
-            assert await self.status(router, KEPT) == STATUS_OK
+            for key, expected in (
+                (FIRST, STATUS_UNAUTHORIZED),
+                (SECOND, STATUS_UNAUTHORIZED),
+                (KEPT, STATUS_OK),
+            ):
+                assert await self.settled_status(router, key) == expected
+
+    async def settled_status(self, router, key) -> int:
+        """Return the first status that isn't a refusal for load."""
+        async with asyncio.timeout(READY_SECONDS):
+            while True:
+                status = await self.status(router, key)
+                if status not in REFUSED_FOR_LOAD:
+                    return status
+                await asyncio.sleep(0.2)
 
     async def close(self) -> None:
         await self.session.close()
