Restore the store in the soak

Guards against faults that need a restore of the store together with a paused router, a kill, a release of engines or a store that is slow. Change: a fault takes a copy, lets the store be silent for up to 1 s, restores the copy up to 4 s old and writes again what the operators and engines had written.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -43,6 +43,7 @@
             self.roll_router,
             self.reload_router,
             self.harm_store,
+            self.restore_store,
             self.harm_engine,
             self.change_mood,
             self.leave_engine,
@@ -98,6 +99,17 @@
         await asyncio.sleep(self.rng.uniform(0.3, 4))
         self.fleet.store_proxy.set_fault('')
 
+    async def restore_store(self) -> None:
+        """Restore the store from a copy that is some seconds old."""
+        store = self.fleet.store
+        copy = store.copy()
+        await asyncio.sleep(self.rng.uniform(0.3, 3))
+        store.mode = 'silent'
+        await asyncio.sleep(self.rng.uniform(0, 1))
+        await store.restore(copy)
+        store.mode = ''
+        await self.fleet.write_again()
+
     async def harm_engine(self) -> None:
         """Block, delay or reset the connections to an engine."""
         proxy = self.rng.choice(self.fleet.engine_proxies)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -192,6 +192,20 @@
     async def publish_manifest(self) -> None:
         """Write the next version of the manifest, with the valid keys."""
         self.manifest_version += 1
+        await self.write_manifest()
+
+    async def write_again(self) -> None:
+        """Write what the operators and engines had written to the store."""
+        await self.write_manifest()
+        ids = {engine.engine_id for engine in self.engines}
+        listed = {key for _, key, _ in self.store.topics['keyed.servers']}
+        for name in sorted(listed - ids):
+            await self.store.put('keyed.servers', name, None)
+        for engine in self.engines:
+            await self.register(engine)
+
+    async def write_manifest(self) -> None:
+        """Write the current version of the manifest."""
         await self.store.put(
             'keyed.op',
             'config',
