Close an upstream connection that gets a byte while no response is due

aiohttp queues whatever parses as a response on an idle connection. A byte that arrives while no response is due now aborts the connection.

--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -338,7 +338,9 @@
 
     aiohttp takes any end of the connection for the end of such an answer.
 
-    Also ends a connection on which bytes arrive and no response begins.
+    Also ends a connection on which bytes arrive and no response begins, and
+    one that gets a byte while no response is due. aiohttp would queue whatever
+    parses as a response, without a bound.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -359,7 +361,12 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, unless too many precede the response."""
+        """Parse received bytes, unless none or too many are due."""
+        if data and self._is_response_over():
+            # The pool discards a connection that is to be closed.
+            self.force_close()
+            self.abort()
+            return
         super().data_received(data)
         if not self.is_awaiting_head:
             return
@@ -373,6 +380,13 @@
             )
             self.abort()
 
+    def _is_response_over(self) -> bool:
+        """Return whether bytes that arrive now belong to no response."""
+        payload = self._payload
+        return not self.is_awaiting_head and (
+            payload is None or payload.is_eof()
+        )
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the answer in progress if the connection broke."""
         payload = self._payload
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -52,6 +53,8 @@
             'header value': head + b'X-Long: ',
             'unframed body': head + b'\r\n',
             'chunked event': head + b'Transfer-Encoding: chunked\r\n\r\n',
+            'chunked end': head
+            + b'Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n',
             'event': head + b'\r\n' + FIRST_EVENT + b'id: 2\ndata: ',
         }
         received.writer.write(starts[self.start])
@@ -147,3 +150,54 @@
         await asyncio.sleep(MAX_CLOSE_SECONDS)
         assert endless.seconds is not None
         assert endless.sent < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize('repetitions', [1, 1 << 20])
+@pytest.mark.parametrize(
+    'extra',
+    [b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx' * 300, b'H', b'\r\n'],
+    ids=['answers', 'byte', 'blank line'],
+)
+async def test_idle_connection_takes_bytes_of_no_answer(extra, repetitions):
+    """Review case 4: extra answers on an idle connection fill the memory."""
+    sent, closed = [], asyncio.Event()
+
+    async def send_extra(writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.1)
+        with contextlib.suppress(ConnectionError):
+            for _ in range(repetitions):
+                writer.write(extra)
+                sent.append(len(extra))
+                await writer.drain()
+                await asyncio.sleep(0)
+        while not writer.is_closing():
+            await asyncio.sleep(0.01)
+        closed.set()
+
+    async def answer_and_more(received: ReceivedRequest) -> None:
+        await answer_ok(received)
+        tasks.append(asyncio.create_task(send_extra(received.writer)))
+
+    tasks = []
+    async with platform_fleet(READ) as fleet:
+        await fleet.add_engine(PlatformEngine('e1', answer_and_more))
+        await fleet.wait_until_ready()
+        async with fleet.request('GET', '/read/x') as answer:
+            assert await answer.read() == b'ok'
+        async with asyncio.timeout(MAX_CLOSE_SECONDS):
+            await closed.wait()
+        assert sum(sent) < MAX_SENT_BYTES
+        tasks.clear()
+
+
+async def test_endless_trailer_holds_the_caller():
+    script = Endless('chunked end', b'X-Filler: x\r\n' * 1024)
+    async with platform_fleet(READ) as fleet:
+        await fleet.add_engine(PlatformEngine('e1', script))
+        await fleet.wait_until_ready()
+        async with fleet.request('GET', '/read/x') as answer:
+            assert answer.status == 502
+        await asyncio.sleep(0.05)
+        assert script.seconds is not None
+        assert script.seconds < MAX_CLOSE_SECONDS
+        assert script.sent < MAX_SENT_BYTES
