Derive limits of a process from the memory and descriptors of its host

The platform writes memoryMb and maxFds into [limits]; no code read them, so what a router buffers couldn't be bounded by what its host has.

ProcessLimits derives the bytes of buffers and the numbers of connections. Without [limits], those of the smallest host hold (150 MB, 4,096 descriptors). Each limit has a setting of its own. Nothing uses them yet.

--- a/src/hickorymux/_internal/transport/entry_settings.py
+++ b/src/hickorymux/_internal/transport/entry_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime as dt
 from collections.abc import Mapping
+from typing import Final, Self
 
 from hickorymux._internal.transport.address import Address
 
@@ -28,6 +29,61 @@
     cold_floor: float
 
 
+# The smallest host has these, so they hold wherever a host's are unknown.
+DEFAULT_MEMORY_BYTES: Final = 150 << 20
+DEFAULT_DESCRIPTORS: Final = 4096
+# Descriptors that the host keeps for files.
+RESERVED_DESCRIPTORS: Final = 200
+# What an idle process uses (48 MB) with its tables and views of the fleet.
+BASE_MEMORY_BYTES: Final = 56 << 20
+# Share of the rest that bodies and buffers may use. A byte of a body costs
+# about 1.2 bytes of resident memory, and freed blocks are not all returned to
+# the host; the remainder is for connections and for requests at work.
+BUFFER_SHARE: Final = 0.45
+MIN_BUFFER_BYTES: Final = 8 << 20
+# Share of the buffers that one customer or one address may use.
+OWNER_SHARE: Final = 0.75
+# Share of the descriptors for connections of callers. Each may need another
+# one towards an upstream. The remainder is for the store, peers, metrics and
+# connections that are refused.
+CALLER_SHARE: Final = 0.35
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProcessLimits:
+    """Limits of one process.
+
+    ``buffer_bytes`` bounds the bodies and buffers of all requests, and
+    ``owner_bytes`` those of one customer or, on a public route, one address.
+    ``max_callers`` and ``max_upstreams`` bound the connections from callers and
+    to upstreams.
+
+    Example::
+
+        limits = ProcessLimits.from_host(150 << 20, 4096)
+    """
+
+    buffer_bytes: int
+    owner_bytes: int
+    max_callers: int
+    max_upstreams: int
+
+    @classmethod
+    def from_host(cls, memory_bytes: int, descriptors: int) -> Self:
+        """Return the limits for a host's memory and descriptors."""
+        rest = max(0, memory_bytes - BASE_MEMORY_BYTES)
+        buffer_bytes = max(MIN_BUFFER_BYTES, int(rest * BUFFER_SHARE))
+        connections = int(
+            max(1, descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE
+        )
+        return cls(
+            buffer_bytes=buffer_bytes,
+            owner_bytes=int(buffer_bytes * OWNER_SHARE),
+            max_callers=max(1, connections),
+            max_upstreams=max(1, connections),
+        )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EntrySettings:
     """The settings of one entry process.
@@ -36,7 +92,7 @@
     which it serves callers, readiness checks, other routers and metrics.
     ``store`` is the address of the store. ``fleet_key`` authenticates the
     messages between routers. Upstreams renew their entries about every
-    ``upstream_renewal``.
+    ``upstream_renewal``. ``limits`` bound the memory and connections.
     """
 
     router_id: str
@@ -50,3 +106,8 @@
     bounds: ServiceBounds
     fleet_key: bytes
     upstream_renewal: dt.timedelta
+    limits: ProcessLimits = dataclasses.field(
+        default_factory=lambda: ProcessLimits.from_host(
+            DEFAULT_MEMORY_BYTES, DEFAULT_DESCRIPTORS
+        )
+    )
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
+import dataclasses
 import datetime as dt
 from collections.abc import Mapping
 from pathlib import Path
@@ -10,13 +11,17 @@
 from hickorymux._internal.exceptions import ConfigError
 from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.entry_settings import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
     EntrySettings,
+    ProcessLimits,
     ServiceBounds,
 )
 
 SETTINGS_VARIABLE: Final = 'HICKORYMUX_CONFIG'
 # Must match the metrics port in deploy/system.toml.
 METRICS_PORT: Final = 9464
+_MB: Final = 1 << 20
 
 
 class _Listen(msgspec.Struct):
@@ -44,6 +49,20 @@
     cold_slack: float = 5
 
 
+class _Limits(msgspec.Struct, rename='camel'):
+    # Memory of the host in MB and its file descriptors. The other limits are
+    # derived from these unless they are given.
+    memory_mb: float = DEFAULT_MEMORY_BYTES / _MB
+    max_fds: int = DEFAULT_DESCRIPTORS
+    # Megabytes of the bodies and buffers of all requests, and of one customer
+    # or address.
+    buffer_mb: float | None = None
+    owner_buffer_mb: float | None = None
+    # Connections from callers and to upstreams.
+    caller_connections: int | None = None
+    upstream_connections: int | None = None
+
+
 class _SettingsFile(msgspec.Struct, rename='camel'):
     node: str
     zone: str
@@ -56,6 +75,7 @@
     region: str = ''
     # Region by zone.
     zones: dict[str, str] = msgspec.field(default_factory=dict)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -106,7 +126,28 @@
         bounds=_to_bounds(parsed.bounds),
         fleet_key=_fleet_key(parsed.platform.address),
         upstream_renewal=dt.timedelta(milliseconds=parsed.heartbeat_ms),
+        limits=_to_limits(parsed.limits),
+    )
+
+
+def _to_limits(parsed: _Limits) -> ProcessLimits:
+    limits = ProcessLimits.from_host(
+        int(parsed.memory_mb * _MB), parsed.max_fds
     )
+    changes = {
+        'buffer_bytes': _to_bytes(parsed.buffer_mb),
+        'owner_bytes': _to_bytes(parsed.owner_buffer_mb),
+        'max_callers': parsed.caller_connections,
+        'max_upstreams': parsed.upstream_connections,
+    }
+    given = {
+        name: number for name, number in changes.items() if number is not None
+    }
+    return dataclasses.replace(limits, **given)
+
+
+def _to_bytes(megabytes: float | None) -> int | None:
+    return None if megabytes is None else int(megabytes * _MB)
 
 
 def _to_bounds(parsed: _Bounds) -> ServiceBounds:
