Bound the memory and connections that callers can use

Callers with many large bodies, endless heads, pipelined requests or unread answers ended a router process, which had no bound on what it buffers: 153 to 1420 MB with a host of 128 MB in test_hostile_callers.py.

MemoryBudget accounts for bodies and answers by process and by customer or address. A body is charged before it is read; without room it waits for 0.5 s, closes slow bodies, and then gets 503 unread. CallerConnections bounds heads, trailers, pipelined requests and unread answers by bytes and time, and makes room for new connections at the cost of those with incomplete heads and idle ones. Reads are 16 KB, as the parser keeps what it can't pass on, and large bodies and answers are written in pieces, as the library copies them otherwise. A body that stops gets 408, which promises that it has not run, and no 400.

--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -91,6 +91,20 @@
     http_status = 413
 
 
+class BodyTimeout(RequestError):
+    """The body of the request did not arrive in time."""
+
+    code = 'body_timeout'
+    http_status = 408
+
+
+class MemoryShort(RequestError):
+    """This router has no memory left for the request."""
+
+    code = 'memory_short'
+    http_status = 503
+
+
 class RouteNotFound(RequestError):
     """No route of the configuration in force matches the request."""
 
--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -8,6 +8,7 @@
 from hickorymux._internal.coordination.engines.demands import Demand
 from hickorymux._internal.protocol.upstream_http import RequestHeaders
 from hickorymux._internal.state.routing import HttpRoute
+from hickorymux._internal.transport.memory_budget import MemoryHold
 from hickorymux._internal.transport.relay import EventRelay, Reply
 
 
@@ -24,7 +25,8 @@
     ``events_before_attempt`` is how many events the earlier ones relayed.
     ``reply`` is the answer to the caller while the request runs.
     ``is_trial`` is set for a request that tries again what is refused, itself
-    or a part of its prompt, and so is sent once only.
+    or a part of its prompt, and so is sent once only. ``hold`` accounts for
+    the memory of its body and its answer.
     """
 
     facts: RequestHeaders
@@ -42,6 +44,7 @@
     relay: EventRelay | None = None
     events_before_attempt: int = 0
     is_trial: bool = False
+    hold: MemoryHold | None = None
 
     @property
     def request_id(self) -> str:
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -377,7 +377,7 @@
             self.suspects.on_answered(call.fingerprint)
             return
         headers = self.dialect.headers_to_caller(answer.response.headers)
-        await relay_plain(answer, reply, headers)
+        await relay_plain(answer, reply, headers, call.hold)
         if not is_success:
             return
         self.suspects.on_answered(call.fingerprint)
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -150,6 +150,7 @@
 # How long a server waits for its connections to end when it is closed.
 CLOSE_TIMEOUT_SECONDS: Final = 0.2
 DRAIN_POLL_INTERVAL_SECONDS: Final = 0.05
+BOUNDS_LOG_INTERVAL_SECONDS: Final = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -189,6 +190,8 @@
         'allocator',
         'rng',
         'client',
+        'bound_counts',
+        'bounds_logged_at',
         'clock',
         'decisions',
         'deployment',
@@ -197,6 +200,7 @@
         'load_exchange',
         'reported_ready',
         'listed_routers',
+        'logged_bounds',
         'membership',
         'metrics',
         'network',
@@ -234,6 +238,9 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.runners: list[web.ServerRunner] = []
         self.metrics = RouterMetrics()
+        self.bound_counts = self.metrics.bounds
+        self.logged_bounds: dict[str, int] = {}
+        self.bounds_logged_at: float = 0
         self.decisions = DecisionLog(settings.router_id, clock, 0)
         self._build_network()
         self._build_request_path()
@@ -467,7 +474,9 @@
                 keep_alive=UPSTREAM_KEEP_ALIVE,
                 first_byte=UPSTREAM_TIMEOUT,
                 idle=UPSTREAM_TIMEOUT,
-            )
+            ),
+            self.bound_counts,
+            settings.limits.max_upstreams,
         )
         self.retry_budget = RetryBudget.from_config(self.clock)
         self.server = EntryServer(
@@ -490,8 +499,15 @@
                 self._max_key_staleness(),
             ),
             self._choose_pool,
+            settings.limits,
+        )
+        # Upstream connections and callers' are counted together.
+        self.server.budget.counts = self.bound_counts
+        self.listener = Listener(
+            self.server.web_server,
+            self.server,
+            self.server.connections.find_room,
         )
-        self.listener = Listener(self.server.web_server, self.server)
         self._apply_bounds()
 
     def _apply_bounds(self) -> None:
@@ -613,6 +629,8 @@
             self.streams.observe_versions()
             self._report_readiness()
             self.allocator.log_shares()
+            self.server.connections.sweep()
+            self._report_bounds()
             self.server.work.write_due(len(self.server.running_tasks))
             await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
 
@@ -636,6 +654,33 @@
             self.reported_ready = is_ready
             _report('readiness', is_ready=is_ready)
 
+    def _report_bounds(self) -> None:
+        """Log which bounds were reached, at most once a second."""
+        budget = self.server.budget
+        self.metrics.gauges['buffered_octets'] = budget.used_bytes
+        self.metrics.gauges['caller_connections'] = len(
+            self.server.connections.all
+        )
+        now = self.clock.monotonic()
+        if now - self.bounds_logged_at < BOUNDS_LOG_INTERVAL_SECONDS:
+            return
+        counts = dict(self.bound_counts)
+        if counts == self.logged_bounds:
+            return
+        reached = {
+            name: count - self.logged_bounds.get(name, 0)
+            for name, count in counts.items()
+            if count != self.logged_bounds.get(name, 0)
+        }
+        self.bounds_logged_at = now
+        self.logged_bounds = counts
+        _report(
+            'bounds_reached',
+            reached=reached,
+            buffered_bytes=budget.used_bytes,
+            connections=len(self.server.connections.all),
+        )
+
     async def _handle_readiness(
         self,
         request: web.BaseRequest,
--- a/src/hickorymux/_internal/transport/entry_server.py
+++ b/src/hickorymux/_internal/transport/entry_server.py
@@ -32,9 +32,8 @@
     RETRY_SPREAD,
 )
 from hickorymux._internal.exceptions import (
-    BadRequest,
-    BodyTooLarge,
     CrashSuspect,
+    MemoryShort,
     NotReady,
     RequestError,
     RouteNotFound,
@@ -51,6 +50,7 @@
     DEFAULT_MAX_BODY_BYTES,
     Customer,
     HttpRoute,
+    IngressLimits,
     RequestKind,
     RoutingTable,
 )
@@ -58,10 +58,21 @@
     StreamOrigin,
     stream_key,
 )
+from hickorymux._internal.transport.body_reader import BodyLimits, BodyReader
+from hickorymux._internal.transport.bounded_reads import READ_BYTES
+from hickorymux._internal.transport.caller_connections import (
+    CallerConnections,
+    ConnectionLimits,
+)
 from hickorymux._internal.transport.entry_call import EntryCall
 from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
+from hickorymux._internal.transport.entry_settings import ProcessLimits
 from hickorymux._internal.transport.http_reply import HttpReply
 from hickorymux._internal.transport.loop_lag import LoopLag
+from hickorymux._internal.transport.memory_budget import (
+    MemoryBudget,
+    MemoryHold,
+)
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.quick_refusal import (
     LoadSheddingServer,
@@ -94,7 +105,12 @@
 MAX_KEEP_ALIVE_CONNECTIONS: Final = 1000
 _MS_PER_SECOND: Final = 1000
 _STATUS_UNAVAILABLE: Final = 503
-_STATUS_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+_CLOSING_STATUSES: Final = frozenset((408, 413, _STATUS_UNAVAILABLE))
+_DEFAULT_INGRESS_LIMITS: Final = IngressLimits()
+# How soon a caller may find memory free again: an average request has ended.
+MEMORY_RETRY_SECONDS: Final = 0.5
+# How long an unread answer is kept beyond the longest timeout of a route.
+MAX_UNREAD_SECONDS: Final = 5.0
 
 
 @final
@@ -143,8 +159,11 @@
 
     __slots__ = (
         'admission',
+        'body_reader',
+        'budget',
         'choose_pool',
         'clock',
+        'connections',
         'decisions',
         'dialect',
         'dispatcher',
@@ -163,6 +182,7 @@
         dispatcher: EntryDispatcher,
         view: TableView,
         choose_pool: Callable[[HttpRoute], str],
+        limits: ProcessLimits,
     ) -> None:
         self.dispatcher = dispatcher
         self.view = view
@@ -172,6 +192,16 @@
         self.decisions: DecisionLog = dispatcher.decisions
         self.metrics: RouterMetrics = dispatcher.metrics
         self.work = dispatcher.work
+        self.budget = MemoryBudget(
+            self.clock, limits.buffer_bytes, limits.owner_bytes
+        )
+        self.body_reader = BodyReader(self.budget)
+        self.connections = CallerConnections(
+            self.budget,
+            ConnectionLimits(
+                limits.max_callers, self._ingress_limits, self._longest_seconds
+            ),
+        )
         self.admission = Admission()
         self.loop_lag = LoopLag(self.clock, self.work.observe_lag)
         self.socket_refusals = SocketRefusals(self._decide_refusal)
@@ -184,6 +214,7 @@
             self.handle,
             self._is_overloaded,
             self._build_refusal,
+            self.connections,
             request_factory=self._new_request,
             handler_cancellation=True,
             access_log=None,
@@ -192,8 +223,20 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             lingering_time=LINGERING_SECONDS,
+            read_bufsize=READ_BYTES,
         )
 
+    def _ingress_limits(self) -> IngressLimits:
+        table = self.view.table
+        return _DEFAULT_INGRESS_LIMITS if table is None else table.limits
+
+    def _longest_seconds(self) -> float:
+        """Return the longest time that a caller waits for an answer."""
+        table = self.view.table
+        if table is None:
+            return MAX_UNREAD_SECONDS
+        return table.longest_timeout.total_seconds() + MAX_UNREAD_SECONDS
+
     def _is_overloaded(self) -> bool:
         self.work.counts.connections += 1
         return self.loop_lag.seconds > MAX_LAG_SECONDS
@@ -272,6 +315,7 @@
         )
         try:
             await self._serve(request, facts, reply)
+            await self._send_large(reply)
         except RequestError as error:
             return self._refuse(error, facts.request_id, reply)
         except (ConnectionError, asyncio.CancelledError):
@@ -284,10 +328,17 @@
             )
             self.metrics.count_outcome('', 'caller_left')
             raise
+        finally:
+            reply.release()
         if reply.response is None:
             raise RuntimeError('the call ended without an answer')
         return reply.response
 
+    async def _send_large(self, reply: HttpReply) -> None:
+        if self.is_stopping:
+            reply.close_connection()
+        await reply.send_large()
+
     async def _serve(
         self,
         request: web.BaseRequest,
@@ -306,7 +357,12 @@
         host = request.headers.get('Host', '')
         route = self._match_route(table, host, request.raw_path)
         customer = self._authorize(table, route, facts)
-        body = await self._read_body(request, route)
+        hold = self.budget.open_hold(
+            (request.remote or '') if customer is None else customer.name,
+            arrived_at,
+        )
+        reply.hold = hold
+        body = await self._read_body(request, route, facts, hold)
         # The body may have taken long to arrive.
         self.dispatcher.raise_if_stopping()
         origin = await self._find_origin(route, customer, facts)
@@ -325,6 +381,7 @@
                 customer.name if customer is not None else None,
             ),
             body=body,
+            hold=hold,
         )
         await self._run(call, reply)
         self.metrics.count_outcome(demand.pool.name, 'answered')
@@ -336,7 +393,7 @@
             return
         # A request that may not be repeated runs to its end once it was sent,
         # even if the caller disconnects.
-        work = asyncio.create_task(self.dispatcher.run(call, reply))
+        work = asyncio.create_task(self._run_held(call, reply))
         self.running_tasks.add(work)
         work.add_done_callback(self.running_tasks.discard)
         work.add_done_callback(log_unawaited_error)
@@ -347,6 +404,15 @@
                 work.cancel()
             raise
 
+    async def _run_held(self, call: EntryCall, reply: HttpReply) -> None:
+        """Run a call that may outlast its caller; its memory stays charged."""
+        hold = None if call.hold is None else call.hold.share()
+        try:
+            await self.dispatcher.run(call, reply)
+        finally:
+            if hold is not None:
+                hold.close()
+
     def _check_not_overloaded(self, facts: RequestHeaders, now: float) -> None:
         """Refuse a request that exceeds its customer's share of the processor.
 
@@ -377,11 +443,9 @@
     def _overload_error(
         self, now: float, caller_timeout_seconds: float | None
     ) -> NotReady:
-        seconds = self.admission.retry_seconds(now)
-        seconds *= random.uniform(*RETRY_SPREAD)
-        if caller_timeout_seconds is not None:
-            limit = caller_timeout_seconds * MAX_RETRY_DEADLINE_SHARE
-            seconds = min(seconds, max(RETRY_FLOOR_SECONDS, limit))
+        seconds = _retry_seconds(
+            self.admission.retry_seconds(now), caller_timeout_seconds
+        )
         return NotReady(
             'the router is asked for more than its processor can serve, and'
             f' its event loop lags by {self.loop_lag.seconds:.2f} s',
@@ -433,22 +497,24 @@
         self,
         request: web.BaseRequest,
         route: HttpRoute,
+        facts: RequestHeaders,
+        hold: MemoryHold,
     ) -> bytes:
         if not request.body_exists:
             return b''
-        if request.headers.get('Expect', '').lower() == '100-continue':
-            await request.writer.write(_STATUS_CONTINUE)
+        limits = self._ingress_limits()
+        body_limits = BodyLimits(
+            limits.max_body_bytes,
+            limits.idle_timeout.total_seconds(),
+            _time_limit_seconds(route, facts),
+        )
         try:
-            if request.content.is_eof():
-                # The whole body arrived with the headers; setting a timeout
-                # would only cost time.
-                return await request.read()
-            async with asyncio.timeout(route.timeout.total_seconds()):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise BodyTooLarge(str(error.text)) from None
-        except TimeoutError:
-            raise BadRequest('the body did not arrive in time') from None
+            return await self.body_reader.read(request, hold, body_limits)
+        except MemoryShort as error:
+            error.retry_after = _retry_seconds(
+                MEMORY_RETRY_SECONDS, facts.caller_timeout_seconds
+            )
+            raise
 
     async def _find_origin(
         self,
@@ -560,7 +626,7 @@
             ),
             text=f'{error.code}: {error.detail}\n',
         )
-        if response.status == _STATUS_UNAVAILABLE:
+        if response.status in _CLOSING_STATUSES:
             # The caller retries on a new connection, possibly at another
             # router. Idle connections would accumulate under overload.
             response.force_close()
@@ -614,6 +680,17 @@
     return min(limit, facts.caller_timeout_seconds)
 
 
+def _retry_seconds(
+    seconds: float, caller_timeout_seconds: float | None
+) -> float:
+    """Return a time to retry, spread and within what a caller honours."""
+    spread = seconds * random.uniform(*RETRY_SPREAD)
+    if caller_timeout_seconds is None:
+        return spread
+    limit = caller_timeout_seconds * MAX_RETRY_DEADLINE_SHARE
+    return min(spread, max(RETRY_FLOOR_SECONDS, limit))
+
+
 def _status_of(error: RequestError) -> int:
     """Return the HTTP status of a refusal.
 
--- a/src/hickorymux/_internal/transport/listener.py
+++ b/src/hickorymux/_internal/transport/listener.py
@@ -40,6 +40,8 @@
 SHEDDING_PAUSE_SECONDS: Final = 0.01
 # How long a head is awaited, many round trips of a caller in the same region.
 MAX_HEAD_WAIT_SECONDS: Final = 0.1
+# Sockets whose heads are awaited. More connections wait in the backlog.
+MAX_AWAITING_HEADS: Final = 200
 # Pause after an error such as too many open files, during which connections
 # that are open may end.
 ERROR_PAUSE_SECONDS: Final = 0.1
@@ -66,12 +68,15 @@
 
     ``new_protocol`` returns the protocol of a connection, an HTTP server of
     aiohttp for example. Raises ``OSError`` if the address can't be used.
+    ``find_room`` gets the number of connections that are being set up and
+    returns how many more may be accepted, ``None`` if that is not limited.
     ``awaiting_heads`` are sockets with the monotonic time in seconds at which
     they are handed over without a decision.
     """
 
     __slots__ = (
         'awaiting_heads',
+        'find_room',
         'listening_socket',
         'new_protocol',
         'pause_timer',
@@ -83,7 +88,9 @@
         self,
         new_protocol: Callable[[], Any],
         shedder: LoadShedder | None = None,
+        find_room: Callable[[int], int] | None = None,
     ) -> None:
+        self.find_room = find_room
         self.new_protocol = new_protocol
         self.shedder = shedder
         self.listening_socket: socket.socket | None = None
@@ -139,7 +146,7 @@
         """Accept the connections that wait, for a limited time."""
         now = time.monotonic()
         pass_end = now + MAX_PASS_SECONDS
-        for _ in range(MAX_ACCEPTS_PER_PASS):
+        for _ in range(self._find_room()):
             accepted = self._accept()
             if accepted is None:
                 return
@@ -151,6 +158,17 @@
             if now > pass_end:
                 return
 
+    def _find_room(self) -> int:
+        """Return how many connections may be accepted; pause if none."""
+        awaiting = len(self.awaiting_heads)
+        room = min(MAX_ACCEPTS_PER_PASS, MAX_AWAITING_HEADS - awaiting)
+        if self.find_room is not None:
+            starting = len(self.starting_tasks) + awaiting
+            room = min(room, self.find_room(starting))
+        if room <= 0:
+            self._pause(SHEDDING_PAUSE_SECONDS)
+        return room
+
     def _accept(self) -> socket.socket | None:
         """Return a new connection, ``None`` if there is none to be had."""
         opened = self.listening_socket
--- a/src/hickorymux/_internal/transport/metrics.py
+++ b/src/hickorymux/_internal/transport/metrics.py
@@ -38,7 +38,8 @@
 
     Histograms are kept by name and pool, ``outcomes`` by pool and outcome, and
     ``service`` by pool and customer. ``peer_message_bytes`` has the bytes sent
-    to peers by message class.
+    to peers by message class, and ``bounds`` how often each bound on memory or
+    connections was reached.
     """
 
     def __init__(self) -> None:
@@ -49,6 +50,7 @@
         self.service: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self.bounds: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
         self.peer_message_bytes: dict[str, int] = {}
         self.registry = CollectorRegistry()
@@ -94,6 +96,14 @@
         for labels, cost in self.service.items():
             service.add_metric(labels, cost)
         yield service
+        bounds = CounterMetricFamily(
+            'hickorymux_bounds_reached',
+            'Requests refused and connections closed for a bound',
+            labels=('bound',),
+        )
+        for bound, count in self.bounds.items():
+            bounds.add_metric((bound,), count)
+        yield bounds
         peer_bytes = CounterMetricFamily(
             'hickorymux_peer_message_octets',
             'Octets sent to other routers by kind of message',
--- a/src/hickorymux/_internal/transport/quick_refusal.py
+++ b/src/hickorymux/_internal/transport/quick_refusal.py
@@ -19,6 +19,11 @@
 
 from aiohttp import web
 
+from hickorymux._internal.transport.caller_connections import (
+    CallerConnections,
+    CallerHandler,
+)
+
 # The connection is aborted if the head of its request is longer.
 MAX_HEAD_BYTES: Final = 65536
 # How long a connection is read and its data dropped before it is closed.
@@ -165,18 +170,27 @@
 
 @final
 class RefusalProtocol(asyncio.Protocol):
-    """Protocol that answers the first request of a connection by a refusal."""
+    """Protocol that answers the first request of a connection by a refusal.
+
+    ``open_refusals`` are all connections of this kind, whose number is bounded.
+    """
 
     __slots__ = (
         'close_timer',
         'head',
         'is_answered',
         'build_refusal',
+        'open_refusals',
         'transport',
     )
 
-    def __init__(self, build_refusal: BuildRefusal) -> None:
+    def __init__(
+        self,
+        build_refusal: BuildRefusal,
+        open_refusals: 'set[RefusalProtocol]',
+    ) -> None:
         self.build_refusal = build_refusal
+        self.open_refusals = open_refusals
         self.head = b''
         self.is_answered = False
         self.transport: asyncio.Transport | None = None
@@ -185,6 +199,10 @@
     def connection_made(self, transport: Any) -> None:
         """Limit the life of the connection to ``LINGERING_SECONDS``."""
         self.transport = transport
+        if len(self.open_refusals) >= MAX_LINGERING_SOCKETS:
+            transport.abort()
+            return
+        self.open_refusals.add(self)
         loop = asyncio.get_running_loop()
         self.close_timer = loop.call_later(LINGERING_SECONDS, transport.close)
 
@@ -204,27 +222,50 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timer that closes the connection."""
+        self.open_refusals.discard(self)
         if self.close_timer is not None:
             self.close_timer.cancel()
 
 
 @final
 class LoadSheddingServer(web.Server):
-    """Serves connections, and refuses new ones while overloaded."""
+    """Serves connections, and refuses new ones while overloaded.
+
+    ``connections_of_callers`` bounds what each holds, ``None`` if unbounded.
+    """
 
     def __init__(
         self,
         handler: Any,
         is_overloaded: Callable[[], bool],
         build_refusal: BuildRefusal,
+        connections_of_callers: CallerConnections | None = None,
+        *,
+        request_factory: Any = None,
+        handler_cancellation: bool = False,
         **options: Any,
     ) -> None:
-        super().__init__(handler, **options)
+        super().__init__(
+            handler,
+            request_factory=request_factory,
+            handler_cancellation=handler_cancellation,
+            **options,
+        )
+        self.connections_of_callers = connections_of_callers
+        self.options = options
+        self.open_refusals: set[RefusalProtocol] = set()
         self.is_overloaded = is_overloaded
         self.build_refusal = build_refusal
 
     def __call__(self) -> Any:
         """Return the protocol for a new connection."""
         if self.is_overloaded():
-            return RefusalProtocol(self.build_refusal)
-        return super().__call__()
+            return RefusalProtocol(self.build_refusal, self.open_refusals)
+        if self.connections_of_callers is None:
+            return super().__call__()
+        return CallerHandler(
+            self,
+            self.connections_of_callers,
+            loop=asyncio.get_running_loop(),
+            **self.options,
+        )
--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -21,12 +21,15 @@
     ResumptionMismatch,
     StreamPosition,
 )
+from hickorymux._internal.transport.memory_budget import MemoryHold
 from hickorymux._internal.transport.upstream_client import (
     UpstreamAnswer,
     UpstreamCut,
 )
 
 MAX_BUFFERED_ANSWER_BYTES: Final = 1 << 20
+# An answer up to this size is buffered even while memory is short.
+SMALL_ANSWER_BYTES: Final = 1 << 14
 # No event of a stream is larger; a rest that is has no end.
 MAX_EVENT_BYTES: Final = 1 << 20
 
@@ -44,7 +47,7 @@
     async def start(self, status: int, headers: CIMultiDict[str]) -> None:
         """Send the status and headers of a streamed answer."""
 
-    async def write(self, chunk: bytes) -> None:
+    async def write(self, chunk: bytes | bytearray) -> None:
         """Send a part of the body."""
 
     async def finish(self) -> None:
@@ -54,7 +57,7 @@
         self,
         status: int,
         headers: CIMultiDict[str],
-        body: bytes,
+        body: bytes | bytearray,
     ) -> None:
         """Send a complete answer at once."""
 
@@ -168,6 +171,7 @@
     answer: UpstreamAnswer,
     reply: Reply,
     headers: CIMultiDict[str],
+    hold: MemoryHold | None = None,
 ) -> None:
     """Relay an answer that is not a stream of events.
 
@@ -175,24 +179,86 @@
     exceeded; from then on it is streamed. Raises ``UpstreamCut`` if it is
     larger and has neither a length nor chunks, since then nothing tells it
     from bytes that go on until the connection is closed.
+
+    ``hold`` is charged with what is buffered, until the request ends. Without
+    room for more, a framed answer is streamed from there on.
     """
-    buffered: list[bytes] = []
-    size = 0
+    buffered = _AnswerBuffer(hold)
+    try:
+        await _buffer_plain(answer, reply, headers, buffered)
+    except BaseException:
+        buffered.release()
+        raise
+    if reply.has_started:
+        buffered.release()
+        await reply.finish()
+        return
+    await reply.send_whole(answer.status, headers, buffered.take())
+
+
+@final
+class _AnswerBuffer:
+    """What is buffered of an answer before the caller gets any of it."""
+
+    __slots__ = ('hold', 'joined', 'size')
+
+    def __init__(self, hold: MemoryHold | None) -> None:
+        self.hold = hold
+        self.joined: bytes | bytearray = b''
+        self.size = 0
+
+    def add(self, chunk: bytes) -> bool:
+        """Add a chunk; return whether there was room for it."""
+        # One growing block leaves no holes in the heap, as many chunks do.
+        if not self.size:
+            self.joined = chunk
+        elif isinstance(self.joined, bytes):
+            self.joined = bytearray(self.joined) + chunk
+        else:
+            self.joined += chunk
+        self.size += len(chunk)
+        hold = self.hold
+        if hold is None:
+            return True
+        has_room = self.size <= SMALL_ANSWER_BYTES or hold.has_room(len(chunk))
+        hold.charge(len(chunk))
+        return has_room
+
+    def must_stream(self, answer: UpstreamAnswer, *, has_room: bool) -> bool:
+        """Return whether the caller must get what there is by now."""
+        is_large = self.size > MAX_BUFFERED_ANSWER_BYTES
+        if is_large and not answer.is_framed:
+            raise UpstreamCut(
+                f'answer of over {MAX_BUFFERED_ANSWER_BYTES} bytes with'
+                ' neither a length nor chunks'
+            )
+        return is_large or (answer.is_framed and not has_room)
+
+    def take(self) -> bytes | bytearray:
+        """Return all bytes; they stay charged."""
+        joined = self.joined
+        self.joined = b''
+        return joined
+
+    def release(self) -> None:
+        """Release what is charged for the answer."""
+        if self.hold is not None:
+            self.hold.release(self.size)
+        self.size = 0
+
+
+async def _buffer_plain(
+    answer: UpstreamAnswer,
+    reply: Reply,
+    headers: CIMultiDict[str],
+    buffered: _AnswerBuffer,
+) -> None:
+    """Buffer an answer, or stream it once it is large or memory is short."""
     async for chunk in answer.chunks():
         if reply.has_started:
             await reply.write(chunk)
             continue
-        buffered.append(chunk)
-        size += len(chunk)
-        if size > MAX_BUFFERED_ANSWER_BYTES:
-            if not answer.is_framed:
-                raise UpstreamCut(
-                    f'answer of over {MAX_BUFFERED_ANSWER_BYTES} bytes with'
-                    ' neither a length nor chunks'
-                )
+        has_room = buffered.add(chunk)
+        if buffered.must_stream(answer, has_room=has_room):
             await reply.start(answer.status, headers)
-            await reply.write(b''.join(buffered))
-    if reply.has_started:
-        await reply.finish()
-        return
-    await reply.send_whole(answer.status, headers, b''.join(buffered))
+            await reply.write(buffered.take())
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import contextvars
 import dataclasses
@@ -21,14 +22,19 @@
 
 from hickorymux._internal.exceptions import HickorymuxError
 from hickorymux._internal.protocol import http
+from hickorymux._internal.transport.bounded_reads import BoundedReads
 from hickorymux._internal.transport.sockets import open_keepalive_socket
 
 KEEPALIVE_SECONDS = 30
 CANCEL_TIMEOUT_SECONDS = 2
 RESUME_TIMEOUT_SECONDS = 2
 MAX_LINE_BYTES = 16384
-READ_BUFFER_BYTES = 1 << 16
+# What is read ahead of an answer while its caller reads slowly; up to twice
+# this size on each connection.
+READ_BUFFER_BYTES = 1 << 14
 
+# A larger body is sent in pieces of this size.
+LARGE_BODY_BYTES = 1 << 16
 # Bytes that may arrive before the header of the final response is complete.
 # They include interim responses and blank lines, which the HTTP library skips.
 MAX_HEAD_BYTES = 1 << 17
@@ -37,6 +43,8 @@
 
 _FIRST_FINAL_STATUS = 200
 
+BoundCounts = collections.Counter[str]
+
 # Headers that aiohttp would add to a request that lacks them.
 _AUTOMATIC_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -121,6 +129,23 @@
         return URL(f'http://{self.address}{self.path}', encoded=True)
 
 
+@final
+class _PiecedBody(aiohttp.BytesPayload):
+    """Sends a large body in pieces.
+
+    aiohttp would copy it whole to the write buffer of the connection, where it
+    stays while the upstream reads slowly.
+    """
+
+    async def write_with_length(
+        self, writer: Any, content_length: int | None
+    ) -> None:
+        """Write the body, and wait for each piece until there is room."""
+        pieces = memoryview(self._value)[:content_length]
+        for start in range(0, len(pieces), LARGE_BODY_BYTES):
+            await writer.write(pieces[start : start + LARGE_BODY_BYTES])
+
+
 @final
 class _CheckedRequest(aiohttp.ClientRequest):
     """A client request that checks its attempt before the first byte."""
@@ -228,12 +253,27 @@
         self.timeouts = timeouts
 
     @classmethod
-    def from_config(cls, timeouts: UpstreamTimeouts) -> 'UpstreamClient':
-        """Return a client; must be called on a running event loop."""
+    def from_config(
+        cls,
+        timeouts: UpstreamTimeouts,
+        counts: BoundCounts | None = None,
+        max_connections: int = 0,
+    ) -> 'UpstreamClient':
+        """Return a client; must be called on a running event loop.
+
+        ``counts`` counts the connections that are closed for a bound. Attempts
+        beyond ``max_connections`` wait for a connection; 0 is no limit.
+        """
+        if counts is None:
+            counts = collections.Counter()
         reusing = _UpstreamConnector(
+            counts,
+            limit=max_connections,
             keepalive_timeout=timeouts.keep_alive.total_seconds(),
         )
-        closing = _UpstreamConnector(force_close=True)
+        closing = _UpstreamConnector(
+            counts, limit=max_connections, force_close=True
+        )
         return cls(
             _new_session(reusing, timeouts),
             _new_session(closing, timeouts),
@@ -329,7 +369,10 @@
             allow_redirects=False,
             skip_auto_headers=_AUTOMATIC_HEADERS,
         )
-        return await send(data=attempt.body or None)
+        body: Any = attempt.body or None
+        if len(attempt.body) > LARGE_BODY_BYTES:
+            body = _PiecedBody(attempt.body)
+        return await send(data=body)
 
 
 @final
@@ -343,11 +386,19 @@
     parses as a response, without a bound.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, counts: BoundCounts
+    ) -> None:
         super().__init__(loop)
+        self.counts = counts
         self.is_awaiting_head = False
         self.head_bytes = 0
 
+    def connection_made(self, transport: Any) -> None:
+        """Read from the connection in small pieces from now on."""
+        super().connection_made(transport)
+        transport.set_protocol(BoundedReads(self))
+
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the response to the request that is being sent."""
         self.is_awaiting_head = True
@@ -364,6 +415,7 @@
         """Parse received bytes, unless none or too many are due."""
         if data and self._is_response_over():
             # The pool discards a connection that is to be closed.
+            self.counts['upstream_idle_bytes'] += 1
             self.force_close()
             self.abort()
             return
@@ -372,6 +424,7 @@
             return
         self.head_bytes += len(data)
         if self.head_bytes > MAX_HEAD_BYTES:
+            self.counts['upstream_head_bytes'] += 1
             self.is_awaiting_head = False
             self.set_exception(
                 aiohttp.ClientPayloadError(
@@ -399,13 +452,12 @@
 class _UpstreamConnector(aiohttp.TCPConnector):
     """Opens connections that detect unreachable upstreams and resets."""
 
-    def __init__(self, **options: Any) -> None:
-        super().__init__(
-            limit=0, socket_factory=open_keepalive_socket, **options
-        )
+    def __init__(self, counts: BoundCounts, **options: Any) -> None:
+        super().__init__(socket_factory=open_keepalive_socket, **options)
         self._factory: Any = functools.partial(
             _StrictResponseHandler,
             loop=asyncio.get_running_loop(),
+            counts=counts,
         )
 
 
