Test that an unread answer is kept for its caller's time only

A caller that reads late must get its answer whole, others must be served meanwhile, and one that never reads must not hold memory for ever. No test reached the time bound on unread answers.

The kept answer is 32 MB, more than the kernel buffers of a loopback connection.

--- a/tests/functional/test_memory_bounds.py
+++ b/tests/functional/test_memory_bounds.py
@@ -15,9 +15,11 @@
 from tests.lib.router_program import request_head
 
 LARGE = 200_000
+# More than the buffers of the kernel hold.
+HUGE = 32_000_000
 ROUTES = (
     route('/put/', 'non_idempotent'),
-    route('/get/', 'idempotent', maxAttempts=2),
+    route('/get/', 'idempotent', maxAttempts=2, timeoutMs=20000),
 )
 LIMITS = {
     'maxBodyBytes': LARGE,
@@ -33,6 +35,9 @@
         reset_connection(received)
     elif kind == 'wait':
         await asyncio.sleep(30)
+    elif kind == 'huge':
+        head = received.head('200 OK', f'Content-Length: {HUGE}')
+        received.writer.write(head + b'x' * HUGE)
     elif kind == 'large':
         head = received.head('200 OK', f'Content-Length: {LARGE}')
         received.writer.write(head + b'x' * LARGE)
@@ -283,3 +288,42 @@
         assert highest <= 8
     for caller in callers:
         await caller.__aexit__()
+
+
+async def read_late(caller, seconds):
+    """Return the size of an answer that is read after some time, 0 if cut."""
+    await asyncio.sleep(seconds)
+    try:
+        async with asyncio.timeout(5):
+            head = await caller.reader.readuntil(b'\r\n\r\n')
+            assert head.startswith(b'HTTP/1.1 200')
+            return len(await caller.reader.readexactly(HUGE))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return 0
+
+
+@pytest.mark.parametrize('is_short', [False, True])
+async def test_unread_answer_is_cut_off_or_kept_for_ever(fleet, is_short):
+    """It is kept while the caller's time lasts, and delays nobody else."""
+    connections = fleet.process.server.connections
+    kept_seconds = 0.3 if is_short else 30
+    limits = connections.limits
+    connections.limits = limits.__class__(
+        limits.max_connections, limits.ingress, lambda: kept_seconds
+    )
+    async with Caller(fleet) as slow:
+        slow.writer.transport.pause_reading()
+        slow.send(request_head('GET', '/get/huge'))
+        async with asyncio.timeout(5):
+            while not any(each.unread_since for each in connections.all):
+                await asyncio.sleep(0.01)
+        for _ in range(5):
+            async with Caller(fleet) as other:
+                other.send(request_head('GET', '/get/ok'))
+                assert (await other.answer())[0] == 200
+        reading = asyncio.create_task(read_late(slow, 1.5))
+        await asyncio.sleep(1.4)
+        slow.writer.transport.resume_reading()
+        assert await reading == (0 if is_short else HUGE)
+    assert connections.budget.counts['unread_time'] == is_short
+    assert await is_released(fleet)
