--- a/src/hickorymux/_internal/transport/entry_call.py
+++ b/src/hickorymux/_internal/transport/entry_call.py
@@ -9,6 +9,7 @@
 from hickorymux._internal.coordination.rollouts.attempts import AttemptWatch
 from hickorymux._internal.protocol.upstream_http import RequestHeaders
 from hickorymux._internal.state.routing import HttpRoute
+from hickorymux._internal.transport.memory_budget import MemoryHold
 from hickorymux._internal.transport.relay import EventRelay, Reply
 
 
@@ -28,7 +29,8 @@
     or a part of its prompt, and so is sent once only. ``needs_new_connection``
     is set once a reused connection was reset. ``is_racing`` is set while two
     copies of the request run. ``watch`` observes the present attempt if its
-    pool has a roll-out.
+    pool has a roll-out. ``hold`` accounts for the memory of its body and its
+    answer.
     """
 
     facts: RequestHeaders
@@ -49,6 +51,7 @@
     needs_new_connection: bool = False
     is_racing: bool = False
     watch: AttemptWatch | None = None
+    hold: MemoryHold | None = None
 
     @property
     def request_id(self) -> str:
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -11,8 +11,8 @@
 import logging
 import random
 import signal
-from collections.abc import Callable, Coroutine, Iterable
-from typing import Any, Final, Protocol, final
+from collections.abc import Coroutine, Iterable
+from typing import Any, Final, final
 
 from aiohttp import web
 
@@ -23,7 +23,6 @@
 from hickorymux._internal.coordination.decisions import DecisionLog
 from hickorymux._internal.coordination.deployment_view import (
     DeploymentView,
-    RecordDecoder,
 )
 from hickorymux._internal.coordination.engines.allocator import Allocator
 from hickorymux._internal.coordination.engines.cold_share import ColdShare
@@ -46,7 +45,6 @@
 from hickorymux._internal.coordination.part_guard import PartGuard
 from hickorymux._internal.coordination.ports import (
     HostEntry,
-    KeyedLog,
     KeyedRecord,
     Member,
 )
@@ -57,9 +55,7 @@
 from hickorymux._internal.coordination.rollouts.controller import (
     RolloutController,
 )
-from hickorymux._internal.coordination.rollouts.orders import RolloutFormat
 from hickorymux._internal.coordination.rollouts.status_log import (
-    ConditionalLog,
     StatusLog,
 )
 from hickorymux._internal.coordination.shared_log import SharedLog
@@ -74,7 +70,6 @@
     read_retained_versions,
 )
 from hickorymux._internal.coordination.stream_archive import (
-    ArchiveLog,
     StreamArchive,
 )
 from hickorymux._internal.coordination.topic_messages import (
@@ -90,9 +85,9 @@
 )
 from hickorymux._internal.protocol.frames import FrameSealer
 from hickorymux._internal.protocol.msgpack_codec import msgpack_codec
-from hickorymux._internal.protocol.upstream_http import Dialect
 from hickorymux._internal.state.routing import HttpRoute, PoolPolicy
 from hickorymux._internal.transport.address import Address
+from hickorymux._internal.transport.deployment import Deployment
 from hickorymux._internal.transport.connection_policy import ConnectionPolicy
 from hickorymux._internal.transport.entry_dispatcher import EntryDispatcher
 from hickorymux._internal.transport.entry_server import EntryServer, TableView
@@ -163,41 +158,11 @@
 # How long a server waits for its connections to end when it is closed.
 CLOSE_TIMEOUT_SECONDS: Final = 0.2
 DRAIN_POLL_INTERVAL_SECONDS: Final = 0.05
+BOUNDS_LOG_INTERVAL_SECONDS: Final = 1.0
 
 _logger = logging.getLogger(__name__)
 
 
-class EntryStore(KeyedLog, ArchiveLog, ConditionalLog, Protocol):
-    """Client of the store, which holds topics and the list of routers."""
-
-    async def fetch(self) -> tuple[HostEntry, ...]:
-        """Return the routers; raises ``HostListUnavailable``."""
-
-    async def announce(self, host: HostEntry) -> None:
-        """Add this router to the list; raises ``LogUnavailable``."""
-
-    def add_era_handler(self, on_era_change: Callable[[int], None]) -> None:
-        """Call a function with the new era when the store was restored."""
-
-    async def close(self) -> None:
-        """Close all connections."""
-
-
-class Deployment(RecordDecoder, Protocol):
-    """The parts of an entry process that differ between deployments."""
-
-    operator_topic: str
-    upstream_topic: str
-    dialect: Dialect
-    rollout_format: RolloutFormat
-
-    def open_store(self, address: Address) -> EntryStore:
-        """Return a client of the store."""
-
-    def load_settings(self) -> EntrySettings:
-        """Read the settings; raises ``ConfigError``."""
-
-
 @final
 class EntryProcess:
     """The process of one router: its servers, tasks and connections."""
@@ -206,6 +171,8 @@
         'allocator',
         'rng',
         'client',
+        'bound_counts',
+        'bounds_logged_at',
         'clock',
         'decisions',
         'deployment',
@@ -216,6 +183,7 @@
         'reported_ready',
         'era_changed',
         'listed_hosts',
+        'logged_bounds',
         'membership',
         'metrics',
         'network',
@@ -255,6 +223,9 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.runners: list[web.ServerRunner] = []
         self.metrics = RouterMetrics()
+        self.bound_counts = self.metrics.bounds
+        self.logged_bounds: dict[str, int] = {}
+        self.bounds_logged_at: float = 0
         self.decisions = DecisionLog(settings.router_id, clock, 0)
         self._build_network()
         self._build_request_path()
@@ -504,6 +475,8 @@
             ConnectionPolicy(
                 self.clock, settings.connections, UPSTREAM_KEEP_ALIVE
             ),
+            self.bound_counts,
+            settings.limits.max_upstreams,
         )
         self.metrics.connections = self.client.policy.events
         self.retry_budget = RetryBudget.from_config(self.clock)
@@ -530,8 +503,15 @@
                 self._max_key_staleness(),
             ),
             self._choose_pool,
+            settings.limits,
+        )
+        # Upstream connections and callers' are counted together.
+        self.server.budget.counts = self.bound_counts
+        self.listener = Listener(
+            self.server.web_server,
+            self.server,
+            self.server.connections.find_room,
         )
-        self.listener = Listener(self.server.web_server, self.server)
         self._apply_bounds()
 
     def _apply_bounds(self) -> None:
@@ -699,6 +679,8 @@
             self.streams.observe_versions()
             self._report_readiness()
             self.allocator.log_shares()
+            self.server.connections.sweep()
+            self._report_bounds()
             self.server.work.write_due(len(self.server.running_tasks))
             await self.clock.sleep(ROUTER_UPDATE_INTERVAL_SECONDS)
 
@@ -721,6 +703,33 @@
             self.reported_ready = is_ready
             _report('readiness', is_ready=is_ready)
 
+    def _report_bounds(self) -> None:
+        """Log which bounds were reached, at most once a second."""
+        budget = self.server.budget
+        self.metrics.gauges['buffered_octets'] = budget.used_bytes
+        self.metrics.gauges['caller_connections'] = len(
+            self.server.connections.all
+        )
+        now = self.clock.monotonic()
+        if now - self.bounds_logged_at < BOUNDS_LOG_INTERVAL_SECONDS:
+            return
+        counts = dict(self.bound_counts)
+        if counts == self.logged_bounds:
+            return
+        reached = {
+            name: count - self.logged_bounds.get(name, 0)
+            for name, count in counts.items()
+            if count != self.logged_bounds.get(name, 0)
+        }
+        self.bounds_logged_at = now
+        self.logged_bounds = counts
+        _report(
+            'bounds_reached',
+            reached=reached,
+            buffered_bytes=budget.used_bytes,
+            connections=len(self.server.connections.all),
+        )
+
     async def _handle_readiness(
         self,
         request: web.BaseRequest,
--- a/src/hickorymux/_internal/transport/metrics.py
+++ b/src/hickorymux/_internal/transport/metrics.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any, final
 
 from hdrh.histogram import HdrHistogram
@@ -44,7 +44,8 @@
     to peers by message class. ``connections`` counts by pool and event what
     happened to connections to upstreams, and ``hedges`` what became of second
     copies of requests. ``rollouts`` counts attempts during a roll-out by pool,
-    version and outcome.
+    version and outcome. ``bounds`` counts how often each bound on memory or
+    connections was reached.
     """
 
     def __init__(self) -> None:
@@ -58,6 +59,7 @@
         self.rollouts: collections.Counter[tuple[str, str, str]] = (
             collections.Counter()
         )
+        self.bounds: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
         self.peer_message_bytes: dict[str, int] = {}
         self.hedges: collections.Counter[tuple[str, HedgeEvent]] = (
@@ -97,47 +99,47 @@
     def collect(self) -> Iterator[Any]:
         """Yield the metric families; the registry calls this."""
         yield from self._summaries()
-        requests = CounterMetricFamily(
+        yield _counts(
             'hickorymux_requests',
             'Requests by how they ended',
-            labels=('pool', 'outcome'),
+            ('pool', 'outcome'),
+            self.outcomes,
         )
-        for labels, count in self.outcomes.items():
-            requests.add_metric(labels, count)
-        yield requests
-        service = CounterMetricFamily(
+        yield _counts(
             'hickorymux_service',
             'Service received, in tokens or milliseconds of slot time',
-            labels=('pool', 'customer'),
+            ('pool', 'customer'),
+            self.service,
         )
-        for labels, cost in self.service.items():
-            service.add_metric(labels, cost)
-        yield service
-        rollouts = CounterMetricFamily(
+        yield _counts(
             'hickorymux_rollout_attempts',
             'Attempts during roll-outs by how they ended',
-            labels=('pool', 'version', 'outcome'),
+            ('pool', 'version', 'outcome'),
+            self.rollouts,
         )
-        for names, count in self.rollouts.items():
-            rollouts.add_metric(names, count)
-        yield rollouts
-        peer_bytes = CounterMetricFamily(
+        yield _counts(
+            'hickorymux_bounds_reached',
+            'Requests refused and connections closed for a bound',
+            ('bound',),
+            {(bound,): count for bound, count in self.bounds.items()},
+        )
+        yield _counts(
             'hickorymux_peer_message_octets',
             'Octets sent to other routers by kind of message',
-            labels=('message',),
+            ('message',),
+            {(name,): size for name, size in self.peer_message_bytes.items()},
         )
-        for message, byte_count in self.peer_message_bytes.items():
-            peer_bytes.add_metric((message,), byte_count)
-        yield peer_bytes
-        yield _event_counts(
+        yield _counts(
             'hickorymux_upstream_connections',
             'Connections to upstreams: new, reused, closed_idle by the'
             ' upstream, reset_on_reuse',
+            ('pool', 'event'),
             self.connections,
         )
-        yield _event_counts(
+        yield _counts(
             'hickorymux_hedges',
             'Second copies of slow requests, and why none was sent',
+            ('pool', 'event'),
             self.hedges,
         )
         for name, reading in self.gauges.items():
@@ -170,12 +172,16 @@
             yield totals
 
 
-def _event_counts(
-    name: str, help_text: str, counts: Mapping[Any, int]
+def _counts(
+    name: str,
+    help_text: str,
+    labels: Sequence[str],
+    counts: Mapping[tuple[Any, ...], int],
 ) -> CounterMetricFamily:
-    family = CounterMetricFamily(name, help_text, labels=('pool', 'event'))
-    for (pool, event), count in counts.items():
-        family.add_metric((pool, event), count)
+    """Return a family of counters; ``counts`` is by the values of the labels."""
+    family = CounterMetricFamily(name, help_text, labels=labels)
+    for label_values, count in counts.items():
+        family.add_metric(label_values, count)
     return family
 
 
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import contextvars
 import dataclasses
 import datetime as dt
 import functools
 import select
-from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, final
 
@@ -23,6 +23,7 @@
 
 from hickorymux._internal.exceptions import HickorymuxError
 from hickorymux._internal.protocol import http
+from hickorymux._internal.transport.bounded_reads import BoundedReads
 from hickorymux._internal.transport.connection_policy import (
     ConnectionEvent,
     ConnectionPolicy,
@@ -36,8 +37,12 @@
 CANCEL_TIMEOUT_SECONDS = 2
 RESUME_TIMEOUT_SECONDS = 2
 MAX_LINE_BYTES = 16384
-READ_BUFFER_BYTES = 1 << 16
+# What is read ahead of an answer while its caller reads slowly; up to twice
+# this size on each connection.
+READ_BUFFER_BYTES = 1 << 14
 
+# A larger body is sent in pieces of this size.
+LARGE_BODY_BYTES = 1 << 16
 # Bytes that may arrive before the header of the final response is complete.
 # They include interim responses and blank lines, which the HTTP library skips.
 MAX_HEAD_BYTES = 1 << 17
@@ -48,6 +53,8 @@
 
 _FIRST_FINAL_STATUS = 200
 
+BoundCounts = collections.Counter[str]
+
 # Headers that aiohttp would add to a request that lacks them.
 _AUTOMATIC_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 
@@ -155,6 +162,23 @@
         return URL(f'http://{self.address}{self.path}', encoded=True)
 
 
+@final
+class _PiecedBody(aiohttp.BytesPayload):
+    """Sends a large body in pieces.
+
+    aiohttp would copy it whole to the write buffer of the connection, where it
+    stays while the upstream reads slowly.
+    """
+
+    async def write_with_length(
+        self, writer: Any, content_length: int | None
+    ) -> None:
+        """Write the body, and wait for each piece until there is room."""
+        pieces = memoryview(self._value)[:content_length]
+        for start in range(0, len(pieces), LARGE_BODY_BYTES):
+            await writer.write(pieces[start : start + LARGE_BODY_BYTES])
+
+
 @final
 class _CheckedRequest(aiohttp.ClientRequest):
     """A client request that checks its attempt before the first byte."""
@@ -282,18 +306,28 @@
         cls,
         timeouts: UpstreamTimeouts,
         policy: ConnectionPolicy | None = None,
+        counts: BoundCounts | None = None,
+        max_connections: int = 0,
     ) -> 'UpstreamClient':
         """Return a client; must be called on a running event loop.
 
         Without a policy, connections are kept for ``timeouts.keep_alive``.
+        ``counts`` counts the connections that are closed for a bound. Attempts
+        beyond ``max_connections`` wait for a connection; 0 is no limit.
         """
         policy = policy or ConnectionPolicy(
             SystemClock(),
             ConnectionSettings(reuse=ReuseMode.disabled),
             timeouts.keep_alive,
         )
-        reusing = _UpstreamConnector(policy, keepalive_timeout=None)
-        closing = _UpstreamConnector(policy, force_close=True)
+        if counts is None:
+            counts = collections.Counter()
+        reusing = _UpstreamConnector(
+            policy, counts, limit=max_connections, keepalive_timeout=None
+        )
+        closing = _UpstreamConnector(
+            policy, counts, limit=max_connections, force_close=True
+        )
         return cls(
             _new_session(reusing, timeouts),
             _new_session(closing, timeouts),
@@ -398,7 +432,10 @@
             allow_redirects=False,
             skip_auto_headers=_AUTOMATIC_HEADERS,
         )
-        return await send(data=attempt.body or None)
+        body: Any = attempt.body or None
+        if len(attempt.body) > LARGE_BODY_BYTES:
+            body = _PiecedBody(attempt.body)
+        return await send(data=body)
 
 
 @final
@@ -407,21 +444,31 @@
 
     aiohttp takes any end of the connection for the end of such an answer.
 
-    Also ends a connection on which bytes arrive and no response begins.
+    Also ends a connection on which bytes arrive and no response begins, and
+    one that gets a byte while no response is due. aiohttp would queue whatever
+    parses as a response, without a bound.
 
     ``idle_since`` is when the last request on it ended, in monotonic seconds,
     and ``idle_seconds`` how long it was idle before the present one, ``None``
     for the first. ``is_kept_long`` tells that the policy was active then.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, counts: BoundCounts
+    ) -> None:
         super().__init__(loop)
+        self.counts = counts
         self.is_awaiting_head = False
         self.head_bytes = 0
         self.idle_since: float = 0
         self.idle_seconds: float | None = None
         self.is_kept_long = False
 
+    def connection_made(self, transport: Any) -> None:
+        """Read from the connection in small pieces from now on."""
+        super().connection_made(transport)
+        transport.set_protocol(BoundedReads(self))
+
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the response to the request that is being sent."""
         self.is_awaiting_head = True
@@ -435,12 +482,19 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, unless too many precede the response."""
+        """Parse received bytes, unless none or too many are due."""
+        if data and self._is_response_over():
+            # The pool discards a connection that is to be closed.
+            self.counts['upstream_idle_bytes'] += 1
+            self.force_close()
+            self.abort()
+            return
         super().data_received(data)
         if not self.is_awaiting_head:
             return
         self.head_bytes += len(data)
         if self.head_bytes > MAX_HEAD_BYTES:
+            self.counts['upstream_head_bytes'] += 1
             self.is_awaiting_head = False
             self.set_exception(
                 aiohttp.ClientPayloadError(
@@ -449,6 +503,13 @@
             )
             self.abort()
 
+    def _is_response_over(self) -> bool:
+        """Return whether bytes that arrive now belong to no response."""
+        payload = self._payload
+        return not self.is_awaiting_head and (
+            payload is None or payload.is_eof()
+        )
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the answer in progress if the connection broke."""
         payload = self._payload
@@ -466,15 +527,16 @@
     expire.
     """
 
-    def __init__(self, policy: ConnectionPolicy, **options: Any) -> None:
-        super().__init__(
-            limit=0, socket_factory=open_keepalive_socket, **options
-        )
+    def __init__(
+        self, policy: ConnectionPolicy, counts: BoundCounts, **options: Any
+    ) -> None:
+        super().__init__(socket_factory=open_keepalive_socket, **options)
         self.policy = policy
         self.idle_check: asyncio.TimerHandle | None = None
         self._factory: Any = functools.partial(
             _StrictResponseHandler,
             loop=asyncio.get_running_loop(),
+            counts=counts,
         )
 
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
@@ -543,7 +605,7 @@
         if not idle:
             return
         oldest = self.policy.clock.monotonic() - self.policy.idle_limit(address)
-        kept: deque[Any] = deque()
+        kept: collections.deque[Any] = collections.deque()
         for protocol, stamp in idle:
             reusing: Any = protocol
             if not reusing.is_connected():
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file that the platform writes for each process."""
 
+import dataclasses
 import datetime as dt
 from collections.abc import Mapping
 from pathlib import Path
@@ -15,7 +16,10 @@
     ReuseMode,
 )
 from hickorymux._internal.transport.entry_settings import (
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
     EntrySettings,
+    ProcessLimits,
     ServiceBounds,
 )
 
@@ -23,6 +27,7 @@
 # Must match the metrics port in deploy/system.toml.
 METRICS_PORT: Final = 9464
 _MAX_IDLE_MS: Final = 3_600_000
+_MB: Final = 1 << 20
 
 
 class _Listen(msgspec.Struct):
@@ -64,6 +69,20 @@
     unrepeatable_idle_ms: float = 1000
 
 
+class _Limits(msgspec.Struct, rename='camel'):
+    # Memory of the host in MB and its file descriptors. The other limits are
+    # derived from these unless they are given.
+    memory_mb: float = DEFAULT_MEMORY_BYTES / _MB
+    max_fds: int = DEFAULT_DESCRIPTORS
+    # Megabytes of the bodies and buffers of all requests, and of one customer
+    # or address.
+    buffer_mb: float | None = None
+    owner_buffer_mb: float | None = None
+    # Connections from callers and to upstreams.
+    caller_connections: int | None = None
+    upstream_connections: int | None = None
+
+
 class _SettingsFile(msgspec.Struct, rename='camel'):
     node: str
     zone: str
@@ -76,6 +95,7 @@
     region: str = ''
     # Region by zone.
     zones: dict[str, str] = msgspec.field(default_factory=dict)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     connections: _Connections = msgspec.field(default_factory=_Connections)
 
@@ -128,6 +148,7 @@
         fleet_key=_fleet_key(parsed.platform.address),
         upstream_renewal=dt.timedelta(milliseconds=parsed.heartbeat_ms),
         connections=_to_connections(parsed.connections),
+        limits=_to_limits(parsed.limits),
     )
 
 
@@ -147,6 +168,26 @@
     )
 
 
+def _to_limits(parsed: _Limits) -> ProcessLimits:
+    limits = ProcessLimits.from_host(
+        int(parsed.memory_mb * _MB), parsed.max_fds
+    )
+    changes = {
+        'buffer_bytes': _to_bytes(parsed.buffer_mb),
+        'owner_bytes': _to_bytes(parsed.owner_buffer_mb),
+        'max_callers': parsed.caller_connections,
+        'max_upstreams': parsed.upstream_connections,
+    }
+    given = {
+        name: number for name, number in changes.items() if number is not None
+    }
+    return dataclasses.replace(limits, **given)
+
+
+def _to_bytes(megabytes: float | None) -> int | None:
+    return None if megabytes is None else int(megabytes * _MB)
+
+
 def _to_bounds(parsed: _Bounds) -> ServiceBounds:
     if not 0 <= parsed.hedge_share <= 1:
         raise ConfigError(
