Count the routers behind a zone's load report

Cause: above 16 routers usage comes by zone. Each report counted as one router, so a router took itself to know of few and split nearly all of a rate evenly. Change: the report of a zone says how many routers it sums up; one of the previous version counts as one.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -255,7 +255,7 @@
             peer_usage = usage.get(pool, {})
             queue.meter.update_peer_usage(peer_usage, own_usage)
             own_parts[pool] = due_part(own_usage, peer_usage)
-        known_routers = 1 + len(self.load_tracker.peer_reports)
+        known_routers = 1 + self.load_tracker.known_routers()
         self.request_limits.update_parts(own_parts, known_routers)
 
     def log_shares(self) -> None:
--- a/src/hickorymux/_internal/coordination/engines/load_tracker.py
+++ b/src/hickorymux/_internal/coordination/engines/load_tracker.py
@@ -57,6 +57,7 @@
 class _PeerReport:
     rows: Mapping[str, EngineLoad]
     heard_at: float
+    routers: int
 
 
 @final
@@ -104,20 +105,26 @@
         source: str,
         rows: Mapping[str, EngineLoad],
         now: float,
+        routers: int = 1,
     ) -> None:
         """Replace the former report of a source.
 
         ``source`` names the router or the zone that the report is about, and
-        ``rows`` has the load that it placed on each upstream.
+        ``rows`` has the load that it placed on each upstream. The report is
+        about so many ``routers``.
         """
         self._forget(source)
         # An upstream without load from any peer has no total to subtract an
         # empty row from.
         loaded = {each: load for each, load in rows.items() if load.has_work()}
-        self.peer_reports[source] = _PeerReport(loaded, now)
+        self.peer_reports[source] = _PeerReport(loaded, now, routers)
         for upstream_id, load in loaded.items():
             self.peer_totals.setdefault(upstream_id, EngineLoad()).add(load)
 
+    def known_routers(self) -> int:
+        """Return how many peers the reports are about."""
+        return sum(peer.routers for peer in self.peer_reports.values())
+
     def expire(self, now: float) -> None:
         """Drop the reports of sources that have sent none for too long."""
         silent = [
--- a/src/hickorymux/_internal/coordination/load_exchange.py
+++ b/src/hickorymux/_internal/coordination/load_exchange.py
@@ -120,13 +120,24 @@
                 usage_rows, usage_from_report(self.sent_report)
             )
         source = f'zone {report.zone}' if report.zone else sender_id
-        self.allocator.load_tracker.replace_report(source, rows, now)
+        self.allocator.load_tracker.replace_report(
+            source, rows, now, self._covered_routers(report)
+        )
         if usage_rows:
             self.allocator.usage_tracker.replace_report(source, usage_rows, now)
         is_other_zone = report.zone and report.zone != zone
         if is_other_zone and self.members.is_delegate():
             self._send_all(self._zone_members(), report)
 
+    def _covered_routers(self, report: LoadReport) -> int:
+        """Return how many routers, without this one, a report is about.
+
+        A zone's report that doesn't say so counts as one router.
+        """
+        own_zone = self.members.me.zone
+        own = 1 if report.zone == own_zone and report.routers else 0
+        return max(1, report.routers) - own
+
     def _send_own(
         self,
         members: Sequence[Member],
@@ -162,11 +173,15 @@
         member_ids = {member.router_id for member in self._zone_members()}
         totals: dict[str, EngineLoad] = {}
         _add_all(totals, self.allocator.load_tracker.own_loads)
+        routers = 1
         for source, peer in self.allocator.load_tracker.peer_reports.items():
             if source in member_ids:
                 _add_all(totals, peer.rows)
+                routers += 1
         zone = self.members.me.zone
-        report = dataclasses.replace(report_from_loads(totals), zone=zone)
+        report = dataclasses.replace(
+            report_from_loads(totals), zone=zone, routers=routers
+        )
         if has_usage:
             report = with_usage(report, self._zone_usage(member_ids))
         others = [
--- a/src/hickorymux/_internal/coordination/load_messages.py
+++ b/src/hickorymux/_internal/coordination/load_messages.py
@@ -12,6 +12,8 @@
     their unprocessed prompt tokens and the tokens that they occupy in the
     engine's memory. The second has a row for each pool and customer: the
     recent service of the customer and its recent demand that was not met.
+    ``routers`` is how many routers the report of a zone sums up, 0 for a single
+    router.
     """
 
     zone: str = ''
@@ -23,6 +25,7 @@
     customers: list[str] = dataclasses.field(default_factory=list)
     given: list[int] = dataclasses.field(default_factory=list)
     unmet: list[int] = dataclasses.field(default_factory=list)
+    routers: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/hickorymux/_internal/protocol/idl/load.thrift
+++ b/src/hickorymux/_internal/protocol/idl/load.thrift
@@ -13,6 +13,7 @@
   8: optional list<i64> given = [],
   // Field 9 was the number of waiting requests.
   10: optional list<i64> unmet = [],
+  11: optional i32 routers = 0,
 }
 
 // Request rates that upstreams have named, as columns of equal length.
--- a/tests/unit/engines/test_request_limits.py
+++ b/tests/unit/engines/test_request_limits.py
@@ -15,6 +15,7 @@
     due_part,
 )
 from hickorymux._internal.coordination.limit_exchange import LimitExchange
+from hickorymux._internal.coordination.load_messages import LoadReport
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.protocol.thrift_codec import thrift_codec
 from tests.lib.claim_fleet import StaticMemberView
@@ -218,3 +219,31 @@
     loads += [Load(f'small-{n}', 2, [routers[n]]) for n in range(7)]
     fleet.run(loads, 20)
     assert fleet.starved_spans() == []
+
+
+@pytest.mark.parametrize('seed', range(2))
+def test_customer_of_one_router_starved_where_zones_report(seed):
+    """Routers that hear of all others by zone took them for a few routers.
+
+    They split nearly the whole rate evenly then, and a customer got the even
+    part of its one router.
+    """
+    fleet = LoadFleet(4, 6, 12, seed, requests_per_second=11.5)
+    routers = fleet.router_ids
+    small = {'own': 600, 'shared': 400, 'output': 50}
+    loads = [Load('everywhere', 300, routers, **small)]
+    loads += [Load('one router', 60, routers[3:4], **small)]
+    fleet.run(loads, 12)
+    assert fleet.starved_spans() == []
+
+
+def test_zone_report_of_the_previous_version_counts_as_many_routers():
+    """It doesn't say how many routers it sums up."""
+    fleet = LoadFleet(2, 2, 1, 0)
+    exchange = fleet.exchanges[fleet.router_ids[1]]
+    tracker = exchange.allocator.load_tracker
+    exchange.on_message('r1-0', LoadReport(zone='z1'))
+    assert tracker.known_routers() == 1
+    exchange.on_message('r1-0', LoadReport(zone='z1', routers=2))
+    exchange.on_message('r0-0', LoadReport(zone='z0', routers=2))
+    assert tracker.known_routers() == 3
