--- a/src/hickorymux/_internal/transport/connection_policy.py
+++ b/src/hickorymux/_internal/transport/connection_policy.py
@@ -48,6 +48,13 @@
 IDLE_SHARE: Final = 0.5
 # Idle connections that are kept to an upstream that states no limit.
 DEFAULT_IDLE_CONNECTIONS: Final = 8
+# How long connections beyond this router's share are kept. A router that gets
+# most of the requests for a while needs more than its share, and the others
+# less; as each connection was used within this time, all routers together keep
+# no more than the upstream got requests in it.
+EXCESS_IDLE_SECONDS: Final = 2.0
+# Share of an upstream's connections that one router may keep idle at all.
+MAX_ROUTER_SHARE: Final = 0.1
 # How long an upstream is remembered that gets no requests.
 FORGET_SECONDS: Final = 600.0
 
@@ -73,12 +80,15 @@
 
     No connection is kept idle for longer than ``max_idle``. Requests that may
     not be repeated are sent only on connections that have been idle for at
-    most ``unrepeatable_idle``; zero gives each a connection of its own.
+    most ``unrepeatable_idle``; zero gives each a connection of its own. For
+    streams it is ``stream_idle``: a caller may ask for a stream again that has
+    not begun, while an order that may have run needs to be looked into.
     """
 
     reuse: ReuseMode = ReuseMode.auto
     max_idle: dt.timedelta = dt.timedelta(seconds=60)
     unrepeatable_idle: dt.timedelta = dt.timedelta(seconds=1)
+    stream_idle: dt.timedelta = dt.timedelta(seconds=5)
 
 
 @final
@@ -231,7 +241,9 @@
             limit = min(limit, learned.current_seconds(self.clock.monotonic()))
         return limit
 
-    def reuse_limit(self, address: str, *, may_be_resent: bool) -> float:
+    def reuse_limit(
+        self, address: str, *, may_be_resent: bool, is_stream: bool
+    ) -> float:
         """Return how long idle a connection may be for a request.
 
         ``may_be_resent`` tells that the request is sent again if it is reset.
@@ -239,17 +251,31 @@
         limit = self.idle_limit(address)
         if may_be_resent or not self.is_active(address):
             return limit
-        trusted = self.settings.unrepeatable_idle.total_seconds()
-        return min(trusted, limit * TRUSTED_SHARE)
+        settings = self.settings
+        trusted = (
+            settings.stream_idle if is_stream else settings.unrepeatable_idle
+        )
+        return min(trusted.total_seconds(), limit * TRUSTED_SHARE)
 
-    def max_idle_connections(self, address: str) -> int:
-        """Return how many idle connections to an upstream are kept."""
+    def idle_share(self, address: str) -> int:
+        """Return how many idle connections are kept for the whole limit.
+
+        Those beyond are kept for ``EXCESS_IDLE_SECONDS``.
+        """
         upstream = self.upstreams.get(address)
         if upstream is None or not upstream.max_connections:
             return DEFAULT_IDLE_CONNECTIONS
         share = upstream.max_connections * IDLE_SHARE / self.router_count
         return max(1, int(share))
 
+    def max_idle_connections(self, address: str) -> int:
+        """Return how many idle connections to an upstream are kept at most."""
+        share = self.idle_share(address)
+        upstream = self.upstreams.get(address)
+        if upstream is None:
+            return share
+        return max(share, int(upstream.max_connections * MAX_ROUTER_SHARE))
+
     def prune(self) -> None:
         """Forget the upstreams that have had no requests for a time."""
         oldest = self.clock.monotonic() - FORGET_SECONDS
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -453,6 +453,7 @@
             headers=headers,
             body=call.body,
             may_reuse_connection=is_stream or call.route.is_repeatable,
+            is_stream=is_stream,
             may_be_resent=self._may_be_resent(call),
             needs_new_connection=call.needs_new_connection,
             pool=reservation.upstream.pool,
--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -25,6 +25,7 @@
 from hickorymux._internal.protocol import http
 from hickorymux._internal.transport.bounded_reads import BoundedReads
 from hickorymux._internal.transport.connection_policy import (
+    EXCESS_IDLE_SECONDS,
     ConnectionEvent,
     ConnectionPolicy,
     ConnectionSettings,
@@ -149,6 +150,7 @@
     verify_connection: Callable[[Any], Awaitable[None]]
     check_before_send: Callable[[], None]
     sent: bool = False
+    is_stream: bool = False
     may_be_resent: bool = False
     needs_new_connection: bool = False
     pool: str = ''
@@ -560,7 +562,9 @@
         if attempt is not None and attempt.needs_new_connection:
             return None
         limit = self.policy.reuse_limit(
-            address, may_be_resent=attempt is None or attempt.may_be_resent
+            address,
+            may_be_resent=attempt is None or attempt.may_be_resent,
+            is_stream=attempt is not None and attempt.is_stream,
         )
         if idle_seconds > limit:
             return None
@@ -604,13 +608,17 @@
         idle = self._conns.get(key)
         if not idle:
             return
-        oldest = self.policy.clock.monotonic() - self.policy.idle_limit(address)
+        now = self.policy.clock.monotonic()
+        limit = self.policy.idle_limit(address)
+        share = self.policy.idle_share(address)
         kept: collections.deque[Any] = collections.deque()
         for protocol, stamp in idle:
             reusing: Any = protocol
+            if self.policy.is_active(address) and len(kept) >= share:
+                limit = min(limit, EXCESS_IDLE_SECONDS)
             if not reusing.is_connected():
                 self.policy.count(address, ConnectionEvent.closed_idle)
-            elif reusing.idle_since >= oldest:
+            elif now - reusing.idle_since <= limit:
                 kept.append((protocol, stamp))
                 continue
             reusing.close()
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -67,6 +67,7 @@
     reuse: ReuseMode = ReuseMode.auto
     max_idle_ms: float = 60_000
     unrepeatable_idle_ms: float = 1000
+    stream_idle_ms: float = 5000
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -153,7 +154,11 @@
 
 
 def _to_connections(parsed: _Connections) -> ConnectionSettings:
-    times = (parsed.max_idle_ms, parsed.unrepeatable_idle_ms)
+    times = (
+        parsed.max_idle_ms,
+        parsed.unrepeatable_idle_ms,
+        parsed.stream_idle_ms,
+    )
     if not all(0 <= milliseconds <= _MAX_IDLE_MS for milliseconds in times):
         raise ConfigError(
             f'idle times {times} ms must be 0 to {_MAX_IDLE_MS} ms',
@@ -165,6 +170,7 @@
         unrepeatable_idle=dt.timedelta(
             milliseconds=parsed.unrepeatable_idle_ms
         ),
+        stream_idle=dt.timedelta(milliseconds=parsed.stream_idle_ms),
     )
 
 
