Account for incomplete events of streams in the memory budget

An event without an end was bounded to 1 MB by stream, but not counted: many streams at once could hold more than the budget of the process.

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -490,6 +490,7 @@
                 self.dialect.headers_to_caller(answer.response.headers),
                 functools.partial(self._record_first_event, call, reservation),
                 needs_end_marker=False,
+                hold=call.hold,
             )
         await call.relay.run(answer.chunks(), is_framed=answer.is_framed)
         await call.relay.finish()
--- a/src/hickorymux/_internal/transport/relay.py
+++ b/src/hickorymux/_internal/transport/relay.py
@@ -73,7 +73,8 @@
     ``needs_end_marker`` tells whether a complete stream ends with an event
     whose data is ``[DONE]``, and ``has_end_marker`` whether the last event
     relayed is one. ``event_count`` is the number of events relayed. ``rest`` is
-    what follows the last event of a complete answer.
+    what follows the last event of a complete answer. ``hold`` is charged with
+    the bytes of an event that is not complete.
     """
 
     reply: Reply
@@ -88,6 +89,8 @@
         default_factory=EventStreamParser
     )
     position: StreamPosition = dataclasses.field(default_factory=StreamPosition)
+    hold: MemoryHold | None = None
+    charged_bytes: int = 0
 
     @property
     def last_event_id(self) -> str:
@@ -148,11 +151,24 @@
             self._count(relayed)
             await self._write(b''.join([ready.raw for ready in relayed]))
         waiting = self.parser.buffered_bytes + self.position.held_bytes
+        if waiting > SMALL_ANSWER_BYTES or self.charged_bytes:
+            self._charge(waiting)
         if waiting > MAX_EVENT_BYTES:
             raise UpstreamCut(
                 f'event of over {MAX_EVENT_BYTES} bytes without an end'
             )
 
+    def _charge(self, waiting: int) -> None:
+        """Account for the bytes of an event that is not complete."""
+        if self.hold is None:
+            return
+        change = waiting - self.charged_bytes
+        self.charged_bytes = waiting
+        if change > 0:
+            self.hold.charge(change)
+        else:
+            self.hold.release(-change)
+
     def _count(self, blocks: list[StreamBlock]) -> None:
         events = [block for block in blocks if block.has_data]
         if events:
--- a/tests/functional/test_memory_bounds.py
+++ b/tests/functional/test_memory_bounds.py
@@ -19,6 +19,7 @@
 HUGE = 32_000_000
 ROUTES = (
     route('/put/', 'non_idempotent'),
+    route('/stream/', 'streaming'),
     route('/get/', 'idempotent', maxAttempts=2, timeoutMs=20000),
 )
 LIMITS = {
@@ -38,6 +39,12 @@
     elif kind == 'huge':
         head = received.head('200 OK', f'Content-Length: {HUGE}')
         received.writer.write(head + b'x' * HUGE)
+    elif kind == 'event':
+        line = 'Content-Type: text/event-stream'
+        head = received.head('200 OK', line, 'Content-Length: 90000')
+        received.writer.write(head + b'id: 1\ndata: ' + b'x' * 80_000)
+        await asyncio.sleep(0.3)
+        received.writer.write(b'x' * (90_000 - 80_000 - 14) + b'\n\n')
     elif kind == 'large':
         head = received.head('200 OK', f'Content-Length: {LARGE}')
         received.writer.write(head + b'x' * LARGE)
@@ -145,6 +152,19 @@
     assert await is_released(fleet)
 
 
+async def test_incomplete_event_is_not_charged(fleet):
+    budget = fleet.process.server.budget
+    async with Caller(fleet) as caller:
+        caller.send(request_head('GET', '/stream/event'))
+        async with asyncio.timeout(5):
+            while budget.used_bytes < 80_000:
+                await asyncio.sleep(0.01)
+            received = b''
+            while b'x\n\n' not in received:
+                received += await caller.reader.read(65536)
+        assert await is_released(fleet)
+
+
 async def test_memory_stays_charged_when_the_process_ends(fleet):
     budget = fleet.process.server.budget
     async with Caller(fleet) as first, Caller(fleet) as second:
