Test the bounds on accepted connections

Two unit tests on both event loops: no more connections are accepted than there is room for, and no more sockets await their heads than the bound.

--- a/tests/unit/test_listener.py
+++ b/tests/unit/test_listener.py
@@ -201,3 +201,38 @@
     await asyncio.sleep(0.01)
     assert Greeter.greeted == 1
     callers[0].close()
+
+
+async def test_more_connections_are_accepted_than_there_is_room_for():
+    Greeter.greeted = 0
+    room = 3
+
+    def find_room(starting):
+        return room - Greeter.greeted - starting
+
+    opened = Listener(Greeter, find_room=find_room)
+    opened.start('127.0.0.1', 0)
+    callers = connect(opened, 8)
+    await asyncio.sleep(5 * SHEDDING_PAUSE_SECONDS)
+    assert Greeter.greeted == 3
+    room = 8
+    await asyncio.sleep(5 * SHEDDING_PAUSE_SECONDS)
+    assert Greeter.greeted == 8
+    opened.close()
+    for caller in callers:
+        caller.close()
+
+
+async def test_sockets_that_await_heads_take_all_descriptors(monkeypatch):
+    monkeypatch.setattr(listener_module, 'MAX_AWAITING_HEADS', 3)
+    opened = Listener(Greeter, Shedder(EarlyDecision.awaited))
+    opened.start('127.0.0.1', 0)
+    callers = connect(opened, 8)
+    highest = 0
+    for _ in range(50):
+        await asyncio.sleep(0)
+        highest = max(highest, len(opened.awaiting_heads))
+    assert highest == 3
+    opened.close()
+    for caller in callers:
+        caller.close()
