--- a/src/hickorymux/_internal/state/routing.py
+++ b/src/hickorymux/_internal/state/routing.py
@@ -86,13 +86,15 @@
 
     ``cold_period`` is how long an upstream is cold after its start, and
     ``cold_rate`` the requests per second that a cold upstream can serve.
-    ``engine`` is ``None`` for plain services.
+    ``engine`` is ``None`` for plain services. ``max_connections`` is how many
+    connections an upstream accepts from all routers together, 0 if unknown.
     """
 
     name: str
     cold_period: dt.timedelta
     cold_rate: float
     engine: EngineModel | None = None
+    max_connections: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/hickorymux/_internal/state/upstream_registry.py
+++ b/src/hickorymux/_internal/state/upstream_registry.py
@@ -40,8 +40,6 @@
     with the same id apart. Until ``cold_until``, in monotonic seconds, the
     upstream can serve only the cold rate of its pool. ``version`` is that of
     its software. ``entry_number`` counts how often it has written its entry.
-    ``max_connections`` is how many connections it accepts from all routers
-    together, 0 if it does not say.
     """
 
     upstream_id: str
@@ -54,7 +52,6 @@
     born_ms: int = 0
     version: str = ''
     entry_number: int = 0
-    max_connections: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/src/hickorymux/_internal/transport/connection_policy.py
+++ b/src/hickorymux/_internal/transport/connection_policy.py
@@ -66,7 +66,7 @@
     """In which pools connections are kept for longer than by default.
 
     ``auto`` is in the pools of which an upstream announces a ``Keep-Alive``
-    timeout or a limit of connections.
+    timeout.
     """
 
     auto = 'auto'
@@ -180,8 +180,6 @@
         else:
             known.max_connections = max_connections
             known.seen_at = now
-        if max_connections:
-            self.active_pools.add(pool)
 
     def on_response(self, address: str, keep_alive: str) -> None:
         """Record the ``Keep-Alive`` header of a response, empty if none."""
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -457,7 +457,7 @@
             may_be_resent=self._may_be_resent(call),
             needs_new_connection=call.needs_new_connection,
             pool=reservation.upstream.pool,
-            max_connections=reservation.upstream.max_connections,
+            max_connections=call.demand.pool.max_connections,
             verify_connection=_accept_any_connection,
             check_before_send=functools.partial(
                 self._check_send, call, reservation
--- a/src/hickorymux/platform/engine_entries.py
+++ b/src/hickorymux/platform/engine_entries.py
@@ -33,9 +33,6 @@
     seq: int
     # Start of this incarnation of the upstream, in Unix milliseconds.
     born: int = 0
-    # Connections that the upstream accepts from all routers together. An
-    # invalid number counts as none, as an upstream is usable without it.
-    max_connections: object = None
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -68,7 +65,6 @@
         born_ms=entry.born,
         version=entry.version,
         entry_number=entry.seq,
-        max_connections=_connection_limit(entry.max_connections),
     )
 
 
@@ -102,13 +98,6 @@
         )
 
 
-def _connection_limit(stated: object) -> int:
-    """Return a limit of connections, 0 if there is no valid one."""
-    if isinstance(stated, bool) or not isinstance(stated, int):
-        return 0
-    return stated if 0 < stated <= _MAX_INTEGER else 0
-
-
 def _is_address(text: str) -> bool:
     """Return whether a text is an IPv4 address and a port."""
     host, _, port = text.rpartition(':')
--- a/src/hickorymux/platform/manifest.py
+++ b/src/hickorymux/platform/manifest.py
@@ -63,6 +63,8 @@
     # Requests per second, from all routers, that an upstream can serve shortly
     # after its start.
     cold_per_s: float = 0
+    # Connections that an upstream accepts from all routers together.
+    max_connections: int = 0
     engine: _Engine | None = None
 
 
@@ -163,6 +165,7 @@
         cold_period=dt.timedelta(seconds=service.cold_start_s),
         cold_rate=service.cold_per_s,
         engine=_to_engine(service.engine),
+        max_connections=max(0, service.max_connections),
     )
 
 
--- a/src/hickorymux/platform/settings.py
+++ b/src/hickorymux/platform/settings.py
@@ -63,7 +63,7 @@
 
 class _Connections(msgspec.Struct, rename='camel'):
     # Where connections to upstreams are kept for long: "auto" is where the
-    # upstreams announce a Keep-Alive timeout or maxConnections.
+    # upstreams announce a Keep-Alive timeout.
     reuse: ReuseMode = ReuseMode.auto
     max_idle_ms: float = 60_000
     unrepeatable_idle_ms: float = 1000
--- a/tests/functional/test_upstream_connections.py
+++ b/tests/functional/test_upstream_connections.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
-from hickorymux._internal.transport.connection_policy import ConnectionEvent
+from hickorymux._internal.transport.connection_policy import (
+    ConnectionEvent,
+    ConnectionPolicy,
+)
 from tests.lib.platform_engine import PlatformEngine
 from tests.lib.platform_fleet import platform_fleet, route
 
@@ -89,3 +92,25 @@
         await asyncio.sleep(1.4)
         assert await status_of(fleet, 'GET', '/read', next(numbers)) == 200
         assert engine.dropped == dropped
+
+
+async def test_a_burst_at_one_router_does_not_hoard_connections(monkeypatch):
+    """Guards against new connections for each burst, and against keeping them.
+
+    The router's share is one idle connection, and a tenth of the 100 that the
+    pool states for a while.
+    """
+    monkeypatch.setattr(ConnectionPolicy, 'idle_share', lambda *_: 1)
+    async with platform_fleet(READ) as fleet:
+        engine = PlatformEngine('e1', answer_after_a_while)
+        await fleet.add_engine(engine)
+        await fleet.wait_until_ready()
+        assert await status_of(fleet, 'GET', '/read', 99) == 200
+        for burst in range(2):
+            numbers = range(burst * 10, burst * 10 + 10)
+            reads = [status_of(fleet, 'GET', '/read', n) for n in numbers]
+            assert set(await asyncio.gather(*reads)) == {200}
+        assert engine.connections == 10
+        await asyncio.sleep(3.5)
+        (idle,) = fleet.process.client.session.connector._conns.values()
+        assert len(idle) == 1
