Serve a pool whose only version is the target of an order

Callers would have been refused at a router that can't reach the store, in a pool with no other version or after the judging router had told the stage. Cause: such a router never knew the status, and sent nothing to the target. Change: the target is used if there is no other version; a directive tells the status as well. Tests of slow streams through a router.

--- a/src/hickorymux/_internal/coordination/rollouts/controller.py
+++ b/src/hickorymux/_internal/coordination/rollouts/controller.py
@@ -435,6 +435,7 @@
             return
         rollout = active.rollout
         rollout.directive_at = now
+        rollout.is_status_known = True
         if stage.is_verdict and rollout.stage.is_verdict:
             if stage is not rollout.stage:
                 # One of them was decided but not written.
--- a/src/hickorymux/_internal/coordination/rollouts/gate.py
+++ b/src/hickorymux/_internal/coordination/rollouts/gate.py
@@ -86,7 +86,8 @@
 class PoolRollout:
     """The roll-out of one pool, as this router follows it.
 
-    ``is_status_known`` tells whether the status record has been read. Until
+    ``is_status_known`` tells whether this or the judging router has read the
+    status record. Until
     then the target gets nothing, as it may have been found to be bad before
     this router started. ``canary_ids`` are the target's upstreams that get the
     requests of the exposure budget.
@@ -119,7 +120,7 @@
         self.stage_since = now
         self.directive_at = -math.inf
         self.is_status_known = False
-        self.has_old = False
+        self.has_old = True
         self.has_target = False
         self.canary_ids: frozenset[str] = frozenset()
         self.tally = Tally()
@@ -346,7 +347,7 @@
         self, rollout: PoolRollout, demand: Demand
     ) -> tuple[Side, ...]:
         if not rollout.has_old:
-            return _ANY if rollout.is_status_known else _OLD
+            return _ANY
         if not rollout.has_target or not rollout.is_status_known:
             return _OLD
         is_directed = (
--- a/tests/functional/test_rollouts.py
+++ b/tests/functional/test_rollouts.py
@@ -18,6 +18,27 @@
     )
 
 
+def stream(begin, gap):
+    """Return a script that streams events at these intervals, in seconds."""
+
+    async def script(received):
+        received.writer.write(
+            received.head(
+                '200 OK',
+                'Content-Type: text/event-stream',
+                'Transfer-Encoding: chunked',
+            )
+        )
+        await asyncio.sleep(begin)
+        for number in range(1, 13):
+            event = f'id: {number}\ndata: x\n\n'
+            received.writer.write(f'{len(event):x}\r\n{event}\r\n'.encode())
+            await asyncio.sleep(gap)
+        received.writer.write(b'0\r\n\r\n')
+
+    return script
+
+
 async def add_engines(fleet, version, script, count=2):
     """Start engines of a version; return them."""
     engines = []
@@ -106,6 +127,21 @@
         assert sum(len(engine.received) for engine in new) == before
 
 
+@pytest.mark.parametrize(('begin', 'gap'), [(0.8, 0.01), (0.05, 0.08)])
+async def test_slow_streams_lead_to_a_roll_back(begin, gap):
+    """Only failures are noticed, or only slow starts."""
+    async with platform_fleet(route(PATH, 'streaming')) as fleet:
+        await add_engines(fleet, 'v1', stream(0.05, 0.01))
+        new = await add_engines(fleet, 'v2', stream(begin, gap))
+        await fleet.wait_until_ready()
+        await fleet.store.put('keyed.op', 'rollout/pool', ORDER)
+        await send_until(
+            fleet, lambda: 'rolled_back' in states(fleet), 6, rate=40
+        )
+        assert states(fleet)[-1] == 'rolled_back'
+        assert sum(len(engine.received) for engine in new) <= 74
+
+
 @pytest.mark.parametrize('state', ['rolled_back', 'succeeded'])
 async def test_verdict_holds_after_the_loss_of_all_routers(state):
     """A router that forgets the verdict would ask the store too late."""
--- a/tests/unit/coordination/test_rollouts.py
+++ b/tests/unit/coordination/test_rollouts.py
@@ -147,6 +147,17 @@
     assert gate.sides(demand) == (Side.canary, Side.old)
 
 
+def test_pool_without_another_version_is_served():
+    """All requests are refused until the status can be read."""
+    fleet = RolloutFleet(old=0)
+    gate = RolloutGate(fleet.registry, fleet.loop, fleet.rng)
+    order = RolloutOrder('plain', 'v2', dt.timedelta(seconds=12))
+    rollout = PoolRollout(order, ExposureBudget(0.1, fleet.rng), 0)
+    gate.pools['plain'] = rollout
+    gate.update(rollout, 1, 50)
+    assert gate.sides(PlainDemand('r', 'ann', PLAIN, 0, 1, 10)) == (Side.all,)
+
+
 def test_restarted_routers_keep_the_time_budget():
     """The time budget begins anew, so the verdict comes too late."""
     fleet = play(restart_in_between, seconds=11)
