--- a/src/hickorymux/_internal/coordination/rollouts/controller.py
+++ b/src/hickorymux/_internal/coordination/rollouts/controller.py
@@ -65,7 +65,7 @@
 # How long a verdict is repeated to the other routers.
 REPEAT_VERDICT_SECONDS: Final = 5.0
 # How long a verdict may be pending before the next router tries to write it.
-HELP_SECONDS: Final = 1.0
+PENDING_SECONDS: Final = 1.0
 RETRY_SECONDS: Final = 0.3
 # Part of the slots of the target's upstreams that requests may fill when they
 # are all sent there.
@@ -264,7 +264,7 @@
         elif self._is_judge(active, judges, now):
             self._judge(active, live, now)
         else:
-            self._help(active, judges, now)
+            self._write_pending(active, judges, now)
         if rollout.stage.is_verdict and active.is_writer:
             self._send_directive(active, live, now)
             active.is_writer = (
@@ -342,10 +342,10 @@
         if me not in ids:
             return False
         rank = ids.index(me)
-        patience = TAKEOVER_SECONDS + TAKEOVER_STEP_SECONDS * rank
+        min_silence = TAKEOVER_SECONDS + TAKEOVER_STEP_SECONDS * rank
         first_seen = active.evidence.started_at
         return all(
-            now - active.heard_at.get(router_id, first_seen) >= patience
+            now - active.heard_at.get(router_id, first_seen) >= min_silence
             for router_id in ids[:rank]
         )
 
@@ -371,7 +371,7 @@
         if not rollout.stage.is_verdict or active.written is not rollout.stage:
             self._send_directive(active, live, now)
 
-    def _help(
+    def _write_pending(
         self, active: ActiveRollout, judges: Sequence[Member], now: float
     ) -> None:
         """Write a verdict that the judging router can't write."""
@@ -379,7 +379,7 @@
         ids = [judge.router_id for judge in judges]
         if active.pending is None or me not in ids:
             return
-        if now - active.pending_since >= HELP_SECONDS * ids.index(me):
+        if now - active.pending_since >= PENDING_SECONDS * ids.index(me):
             self._start_task(active, self._write(active, active.pending))
 
     def _situation(
