Find the prompt part that crashes engines by trials that tell parts apart

Cause: document and page have the same crashes, the first in the prompt was refused and its crashes dropped from the page; a trial went to any request with the document, and peers spread the refusal without its evidence.

Change: the evidence of each suspect is kept with its times, a request is a trial as far as suspects that it does not have explain the crashes, routers announce trials and exchange evidence and ages of answers. The end of a stream whose begin was reported no longer counts as a second answer.

--- a/src/hickorymux/_internal/coordination/suspect_messages.py
+++ b/src/hickorymux/_internal/coordination/suspect_messages.py
@@ -90,16 +90,45 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PartsCleared:
-    """Suspect prompt parts with which an upstream has begun an answer."""
+    """Prompt parts with which an upstream has begun an answer.
+
+    ``ages_ms`` is how long ago it began, in the order of the parts. Absent ages
+    stand for 0.
+    """
 
     parts: list[int] = dataclasses.field(default_factory=list)
+    ages_ms: list[int] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PartsRefused:
-    """Prompt parts that the sender refuses, as they crash upstreams."""
+    """Prompt parts that the sender refuses, and the crashes that they were in.
+
+    ``ages_ms`` is how long ago the crashes were recorded. ``requests`` are
+    some of the requests that were lost in them, and ``failed_trials`` is how
+    many trials of the parts crashed an upstream. ``rivals`` are other suspect
+    parts of the same crashes; the bits of ``rival_crashes`` tell which ones,
+    the lowest bit stands for the first.
+    """
+
+    parts: list[int] = dataclasses.field(default_factory=list)
+    crashes: list[str] = dataclasses.field(default_factory=list)
+    ages_ms: list[int] = dataclasses.field(default_factory=list)
+    requests: list[int] = dataclasses.field(default_factory=list)
+    failed_trials: int = 0
+    rivals: list[int] = dataclasses.field(default_factory=list)
+    rival_crashes: list[int] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PartsTried:
+    """Refused prompt parts of which the sender starts a trial.
+
+    ``doubt`` is the number of the ``Doubt`` in which it does.
+    """
 
     parts: list[int] = dataclasses.field(default_factory=list)
+    doubt: int = 0
 
 
 def signed_fingerprint(fingerprint: int) -> int:
--- a/src/hickorymux/_internal/coordination/trial_owner.py
+++ b/src/hickorymux/_internal/coordination/trial_owner.py
@@ -1,4 +1,4 @@
-"""Chooses the one router that may try again what all routers refuse."""
+"""Chooses which routers may try again what all routers refuse."""
 
 import xxhash
 
@@ -15,6 +15,15 @@
     return owner.router_id == members.myself.router_id
 
 
+def trial_rank(fingerprint: int, members: MemberView) -> int:
+    """Return how many routers may try it before this one.
+
+    The order is that of the rendezvous hash, so the owner's rank is 0.
+    """
+    mine = _rank(fingerprint, members.myself)
+    return sum(_rank(fingerprint, member) > mine for member in members.live())
+
+
 def _rank(fingerprint: int, member: Member) -> int:
     # All routers must hash the same text to choose the same owner.
     text = f'{fingerprint:016x}/{member.router_id}'
--- a/src/hickorymux/_internal/protocol/idl/suspect.thrift
+++ b/src/hickorymux/_internal/protocol/idl/suspect.thrift
@@ -35,11 +35,23 @@
 }
 
 struct PartsCleared {
-  1: optional list<i64> parts
+  1: optional list<i64> parts,
+  2: optional list<i64> ages_ms
 }
 
 struct PartsRefused {
-  1: optional list<i64> parts
+  1: optional list<i64> parts,
+  2: optional list<string> crashes,
+  3: optional list<i64> ages_ms,
+  4: optional list<i64> requests,
+  5: optional i64 failed_trials = 0,
+  6: optional list<i64> rivals,
+  7: optional list<i64> rival_crashes
+}
+
+struct PartsTried {
+  1: optional list<i64> parts,
+  2: optional i32 doubt = 0
 }
 
 struct SuspectKnown {
--- a/src/hickorymux/_internal/protocol/peer_messages.py
+++ b/src/hickorymux/_internal/protocol/peer_messages.py
@@ -34,6 +34,7 @@
     (59, 'suspect', 'SuspectKnown'),
     (60, 'load', 'LoadReport'),
     (61, 'load', 'LimitReport'),
+    (62, 'suspect', 'PartsTried'),
     (70, 'topic', 'TopicAsk'),
     (71, 'topic', 'TopicPage'),
     (80, 'stream', 'StreamBegun'),
--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -373,7 +373,8 @@
         is_success = _STATUS_OK <= answer.status < _FIRST_NOT_OK
         if call.route.kind is RequestKind.streaming and is_success:
             await self._relay_stream(call, reservation, answer, reply)
-            self.part_guard.on_answer_begun(call.shared_parts)
+            if call.attempt_events < MIN_PROOF_EVENTS:
+                self.part_guard.on_answer_begun(call.shared_parts)
             self.suspects.on_answered(call.fingerprint)
             return
         headers = self.dialect.headers_to_caller(answer.response.headers)
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -57,6 +57,7 @@
     PartCrash,
     PartsCleared,
     PartsRefused,
+    PartsTried,
 )
 from hickorymux._internal.coordination.retained_versions import (
     RetainedVersions,
@@ -560,7 +561,9 @@
             self.limit_exchange.on_message(message)
         elif isinstance(message, TopicAsk | TopicPage):
             self.shared_log.on_message(sender_id, message)
-        elif isinstance(message, PartCrash | PartsCleared | PartsRefused):
+        elif isinstance(
+            message, PartCrash | PartsCleared | PartsRefused | PartsTried
+        ):
             self.part_guard.on_message(sender_id, message)
         else:
             # Each ignores messages that are not its own.
--- a/tests/functional/test_crashing_prompt_parts.py
+++ b/tests/functional/test_crashing_prompt_parts.py
@@ -62,9 +62,9 @@
         await asyncio.sleep(1)
 
 
-async def status_of(fleet: PlatformFleet, *parts: str) -> int:
+async def status_of(fleet: PlatformFleet, *parts: str, own: str = 'own') -> int:
     """Send a request with these prompt parts; return its status."""
-    prefix = ','.join(f'{part}:50' for part in (*parts, 'own'))
+    prefix = ','.join(f'{part}:50' for part in (*parts, own))
     headers = {
         'X-Model': 'm',
         'X-Token-Count': '200,20',
@@ -97,6 +97,23 @@
         assert statuses == [200] * len(statuses)
 
 
+async def test_document_with_a_page_that_crashes_engines():
+    """The document was refused in place of the page, with all its requests."""
+    async with platform_fleet(STREAM) as fleet:
+        engines = CrashingEngines(fleet)
+        for _ in range(6):
+            await engines.start()
+        await fleet.wait_until_ready()
+        assert await status_of(fleet, 'system', 'other') == 200
+        lost = ('system', 'document', DEADLY)
+        for number in range(4):
+            assert await status_of(fleet, *lost, own=f'own-{number}') >= 500
+        for _ in range(4):
+            assert await status_of(fleet, 'system', 'document') == 200
+        assert await status_of(fleet, *lost, own='own-4') == 503
+        assert engines.deadly_sent <= MAX_DEADLY_SENT
+
+
 async def test_error_answer_clears_a_suspect_part():
     """An engine that fails without an answer proves nothing about a part."""
 
--- a/tests/unit/coordination/test_part_guard.py
+++ b/tests/unit/coordination/test_part_guard.py
@@ -4,10 +4,14 @@
 
 import pytest
 
-from hickorymux._internal.coordination.part_guard import PartGuard
+from hickorymux._internal.coordination.part_guard import (
+    PartGuard,
+    fingerprint_of,
+)
 from hickorymux._internal.coordination.ports import Member
 from hickorymux._internal.exceptions import CrashSuspect
-from hickorymux._internal.state.trials import FIRST_TRIAL_SECONDS
+from hickorymux._internal.state.part_doubt import Doubt
+from hickorymux._internal.state.part_suspects import TRIAL_WAITS
 from tests.lib.claim_fleet import StaticMemberView
 from tests.lib.manual_clock import ManualClock
 
@@ -113,7 +117,7 @@
 def test_one_router_tries_a_refused_part_with_one_request():
     fleet = GuardFleet(1)
     fleet.run(4)
-    fleet.clock.advance(FIRST_TRIAL_SECONDS)
+    fleet.clock.advance(TRIAL_WAITS[Doubt.none])
     sent = 0
     for guard in [*fleet.guards.values()] * 3:
         try:
@@ -126,14 +130,60 @@
 def test_sound_part_that_one_router_refuses_is_cleared_by_its_peers():
     fleet = GuardFleet(1)
     guard = fleet.guards['r3']
-    for peer in fleet.guards.values():
-        peer.on_answer_begun(SOUND)
-    for part in guard.table.answered_at:
-        guard.table.refuse(part, fleet.clock.monotonic())
+    fleet.loss = 1
+    for number in range(3):
+        guard.on_crash(f'e{number}#1', number, SOUND)
+    assert guard.table.implicated
+    fleet.clock.advance(1)
+    for name, peer in fleet.guards.items():
+        if name != 'r3':
+            peer.on_answer_begun(SOUND)
+    fleet.loss = 0
     guard.tick()
     assert not guard.admit(SOUND)
 
 
+def test_peer_that_missed_a_clearing_does_not_undo_it():
+    """A peer refused a document that was cleared, and so did all others then."""
+    fleet = GuardFleet(1)
+    for number in range(3):
+        fleet.guards['r0'].on_crash(f'e{number}#1', number, DEADLY)
+    fleet.clock.advance(0.1)
+    late = fleet.guards.pop('r5')
+    fleet.guards['r5'] = fleet.guards['r4']
+    assert fleet.guards['r2'].admit(SOUND)
+    fleet.guards['r2'].on_answer_begun(SOUND)
+    fleet.guards['r5'] = late
+    fleet.clock.advance(12)
+    for _ in range(4):
+        late.tick()
+        for guard in fleet.guards.values():
+            assert not guard.table.refused(map(fingerprint_of, SOUND))
+
+
+def test_only_one_router_at_a_time_tries_a_part_in_doubt():
+    """Each router would lose an engine if the wide part were the cause."""
+    fleet = GuardFleet(1)
+    for number in range(3):
+        fleet.guards['r0'].on_crash(f'e{number}#1', number, DEADLY)
+    assert fleet.guards['r2'].admit(SOUND)
+    for guard in fleet.guards.values():
+        with pytest.raises(CrashSuspect):
+            guard.admit(SOUND)
+
+
+def test_peer_that_sends_on_a_refused_part_is_told_at_once():
+    """A router that has just started retries a request before the next tick."""
+    fleet = GuardFleet(1)
+    for number in range(3):
+        fleet.guards['r0'].on_crash(f'e{number}#1', number, DEADLY)
+    guard = fleet.start(fleet.members[2])
+    assert not guard.admit(DEADLY)
+    guard.on_crash('e9#1', 9, DEADLY)
+    with pytest.raises(CrashSuspect):
+        guard.admit(DEADLY)
+
+
 def test_refused_part_that_is_answered_in_a_trial_is_admitted_everywhere():
     fleet = GuardFleet(1)
     fleet.run(4)
