Show where a request would be sent now, without sending it

Operators could see why a request had been placed or refused only after it was sent. They could not ask a running router which upstreams it excludes now.

GET /explain on the metrics address returns the upstreams of a pool with their load, the age of the stated load, the reason of an exclusion, and the choice or why there is none; `hickorymux where ADDRESS POOL` prints it. The report uses the allocator's own decisions on copies of the parts whose questions change state (cold shares, request limits, wait queue, caches, the roll-out's draw). Some of the allocator's methods are public for this; nothing else changed there.

--- a/src/hickorymux/_internal/cli/main.py
+++ b/src/hickorymux/_internal/cli/main.py
@@ -52,6 +52,9 @@
     'explain': CommandEntry(
         'ExplainCommand', 'show the decisions on a request'
     ),
+    'where': CommandEntry(
+        'WhereCommand', 'show where a request would be sent now'
+    ),
 }
 
 
--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -210,8 +210,8 @@
         run. Raises ``StreamVersionGone`` as soon as no upstream is left that
         has the version of the stream.
         """
-        self._check_version(demand)
-        self._check_notices(demand)
+        self.check_version(demand)
+        self.check_notices(demand)
         queue = self.wait_queue_of(demand.pool.name)
         if not queue.by_customer:
             reservation = self._try_reserve(demand, queue)
@@ -392,7 +392,7 @@
             for upstream in self.registry.available_in_pool(demand.pool.name)
             if upstream.upstream_id not in demand.excluded_ids
             and self._takes_requests(upstream, now)
-            and self._is_region_allowed(demand, upstream)
+            and self.is_region_allowed(demand, upstream)
             and self._is_version_allowed(demand, upstream, side)
         ]
         warm = [one for one in found if not self.registry.is_cold(one, now)]
@@ -413,7 +413,7 @@
             return False
         return self.request_limits.may_send(upstream, now)
 
-    def _check_version(self, demand: Demand) -> None:
+    def check_version(self, demand: Demand) -> None:
         """Raise unless an upstream that the request may get has its version."""
         if demand.version is None or any(
             upstream.version == demand.version
@@ -427,7 +427,7 @@
             f' "{demand.version}", which began the stream'
         )
 
-    def _check_notices(self, demand: Demand) -> None:
+    def check_notices(self, demand: Demand) -> None:
         """Raise if all upstreams for a request pause or leave."""
         if not self.notices.paused_until:
             return
@@ -453,7 +453,7 @@
             ),
         )
 
-    def _is_region_allowed(
+    def is_region_allowed(
         self,
         demand: Demand,
         upstream: RegisteredUpstream,
@@ -474,7 +474,7 @@
         future = asyncio.get_running_loop().create_future()
         self.futures[demand] = future
         queue.push(demand)
-        if not self._clears_by(queue, refusal.give_up_at(demand)):
+        if not self.clears_by(queue, refusal.give_up_at(demand)):
             self._shed(queue)
         self._tick_later()
         try:
@@ -499,7 +499,7 @@
         outcome = Outcome.full
         choice: Choice | None = None
         for side in self.rollout_gate.sides(demand):
-            choice, outcome = self._choose(demand, queue, now, side)
+            choice, outcome = self.choose(demand, queue, now, side)
             if choice is not None:
                 break
         self._count(demand, outcome)
@@ -518,7 +518,7 @@
         queue.rate.add(cost_of(demand), now)
         return Reservation(self, demand, choice, now)
 
-    def _choose(
+    def choose(
         self, demand: Demand, queue: WaitQueue, now: float, side: Side
     ) -> tuple[Choice | None, Outcome]:
         """Return the choice that the request may use now, and the outcome."""
@@ -609,8 +609,8 @@
         """
         for demand in tuple(queue.all_waiting()):
             try:
-                self._check_version(demand)
-                self._check_notices(demand)
+                self.check_version(demand)
+                self.check_notices(demand)
             except (NoCapacity, StreamVersionGone) as error:
                 self._fail(queue, demand, error)
 
@@ -627,13 +627,13 @@
             (refusal.give_up_at(other) - now for other in queue.all_waiting()),
             default=0,
         )
-        while not self._clears_by(queue, now + longest_wait):
+        while not self.clears_by(queue, now + longest_wait):
             demand = queue.next_to_refuse(now)
-            if self._is_owed_room(queue, demand, now):
+            if self.is_owed_room(queue, demand, now):
                 break
             self._refuse(queue, demand, 'the wait queue is too long')
 
-    def _is_owed_room(
+    def is_owed_room(
         self, queue: WaitQueue, demand: Demand, now: float
     ) -> bool:
         """Return whether other customers must leave room for the request."""
@@ -643,7 +643,7 @@
             return False
         return bool(self.candidates(demand, now).upstreams)
 
-    def _clears_by(self, queue: WaitQueue, deadline: float) -> bool:
+    def clears_by(self, queue: WaitQueue, deadline: float) -> bool:
         """Return whether the whole queue is expected to clear by a deadline.
 
         The estimate uses the recent dispatch rate.
--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -199,7 +199,7 @@
         best: Choice | None = None
         best_seconds = math.inf
         for upstream in candidates.upstreams:
-            running = self._total_load(upstream.upstream_id, now).running
+            running = self.total_load(upstream.upstream_id, now).running
             if running >= upstream.slots * PLAIN_OVERCOMMIT:
                 continue
             seconds = self.speeds.service_seconds(
@@ -291,7 +291,7 @@
             default=None,
         )
 
-    def _total_load(self, upstream_id: str, now: float) -> EngineLoad:
+    def total_load(self, upstream_id: str, now: float) -> EngineLoad:
         """Return the load of all routers, corrected by what engines state."""
         total = self.load_tracker.total_load(upstream_id)
         total.running = self.reported_loads.running(
@@ -320,7 +320,7 @@
         return cached
 
     def _is_idle(self, upstream: RegisteredUpstream, now: float) -> bool:
-        total = self._total_load(upstream.upstream_id, now)
+        total = self.total_load(upstream.upstream_id, now)
         is_quiet = total.running <= upstream.slots * MAX_IDLE_RUNNING_SHARE
         return (
             is_quiet and total.unprocessed_tokens <= MAX_IDLE_UNPROCESSED_TOKENS
@@ -339,7 +339,7 @@
         another engine fetches them from there.
         """
         prompt = demand.prompt
-        total = self._total_load(upstream.upstream_id, now)
+        total = self.total_load(upstream.upstream_id, now)
         unprocessed = prompt.unshared_tokens
         shared = prompt.tokens - unprocessed
         load = EngineLoad(
--- a/src/hickorymux/_internal/coordination/engines/reported_loads.py
+++ b/src/hickorymux/_internal/coordination/engines/reported_loads.py
@@ -92,6 +92,16 @@
             return 1
         return 1 + (statement.work_time - 1) * statement.weight(now)
 
+    def age(self, upstream_id: str, now: float) -> float | None:
+        """Return the age of the statement in seconds, ``None`` without one.
+
+        Statements that no longer count are treated as absent.
+        """
+        statement = self.statements.get(upstream_id)
+        if statement is None or not statement.weight(now):
+            return None
+        return now - statement.heard_at
+
     def running(
         self, upstream_id: str, tracked: int, own_running: int, now: float
     ) -> int:
--- a/src/hickorymux/_internal/exceptions.py
+++ b/src/hickorymux/_internal/exceptions.py
@@ -314,6 +314,13 @@
     code = 'router_unreachable'
 
 
+class ParameterInvalid(UsageError):
+    """A query parameter is missing or malformed; ``where`` is its name."""
+
+    code = 'parameter_invalid'
+    http_status = 400
+
+
 class DecisionsNotFound(CommandError):
     """The router has no decisions on the request."""
 
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -85,6 +85,7 @@
 )
 from hickorymux._internal.protocol.frames import FrameSealer
 from hickorymux._internal.protocol.msgpack_codec import msgpack_codec
+from hickorymux._internal.protocol.placement_messages import PLACEMENT_PATH
 from hickorymux._internal.state.routing import HttpRoute, PoolPolicy
 from hickorymux._internal.transport.address import Address
 from hickorymux._internal.transport.deployment import Deployment
@@ -95,6 +96,9 @@
 from hickorymux._internal.transport.listener import Listener
 from hickorymux._internal.transport.metrics import RouterMetrics
 from hickorymux._internal.transport.peer_network import PeerNetwork
+from hickorymux._internal.transport.placement_page import (
+    answer_placement_query,
+)
 from hickorymux._internal.transport.upstream_client import (
     UpstreamClient,
     UpstreamTimeouts,
@@ -741,9 +745,13 @@
 
     async def _handle_metrics(
         self,
-        _request: web.BaseRequest,
+        request: web.BaseRequest,
     ) -> web.StreamResponse:
-        """Return all metrics."""
+        """Return all metrics, or where a request would be sent now."""
+        if request.path == PLACEMENT_PATH:
+            return answer_placement_query(
+                request, self.view.table, self.allocator
+            )
         return web.Response(body=self.metrics.render())
 
     async def _listen(
