Keep the verdict of a roll-out over a restore that lost its order

After a restore of the store, callers could get responses of a version that had been rolled back, and the status record could change from one verdict to the other: an order that the first listing of the new era lacked ended at once, its verdict was forgotten, and the order that the operators wrote again began anew with its canary stage. A status written while the era rose counted as written in the new one, so it was missing from the store.

A call to the store that began in the former era no longer marks the state as written.

Result: in the simulated fleet a bad version gets no request after such a restore, and the status reads "rolled_back" again.

--- a/src/hickorymux/_internal/coordination/rollouts/controller.py
+++ b/src/hickorymux/_internal/coordination/rollouts/controller.py
@@ -46,6 +46,7 @@
     StatusLog,
 )
 from hickorymux._internal.exceptions import ConfigError, LogUnavailable
+from hickorymux._internal.state.upstream_registry import LAPSE_GRACE_SECONDS
 from hickorymux._internal.utils.clock import Clock
 from hickorymux._internal.utils.json_logging import FIELDS
 
@@ -130,13 +131,17 @@
 
     ``running`` returns the number of requests at the upstreams of a pool, and
     ``on_change`` runs when the allowed versions of a pool have changed.
+    ``unlisted`` are the pools whose orders the last listing lacks and that are
+    kept until ``held_until``, in monotonic seconds.
     """
 
     __slots__ = (
         'active',
         'clock',
         'gate',
+        'eras_seen',
         'has_listing',
+        'held_until',
         'incarnation',
         'members',
         'on_change',
@@ -145,6 +150,7 @@
         'send',
         'status_log',
         'tasks',
+        'unlisted',
     )
 
     def __init__(
@@ -170,6 +176,9 @@
         self.active: dict[str, ActiveRollout] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.has_listing = False
+        self.eras_seen = 0
+        self.held_until = -math.inf
+        self.unlisted: set[str] = set()
 
     @property
     def record_format(self) -> RolloutFormat:
@@ -190,6 +199,7 @@
         service = self.record_format.rollout_service(record.key)
         if service is None or self.gate.bounds is None:
             return
+        self.unlisted.discard(service)
         if not record.value:
             self._end(service)
             return
@@ -204,8 +214,16 @@
         """End the roll-outs of which a full listing lacks the order."""
         self.has_listing = True
         services = {self.record_format.rollout_service(key) for key in keys}
-        for service in self.active.keys() - services:
-            self._end(service)
+        self.unlisted = self.active.keys() - services
+        self._end_unlisted()
+
+    def hold_orders(self) -> None:
+        """Keep orders that the next listing lacks for a grace period.
+
+        A restored store may lack an order until the operators have written it
+        again. Its verdict must not be forgotten meanwhile.
+        """
+        self.held_until = self.clock.monotonic() + LAPSE_GRACE_SECONDS
 
     def on_message(self, sender_id: str, message: Any) -> None:
         """Apply a report or a directive; ignore all other messages."""
@@ -226,6 +244,7 @@
 
     def on_era_change(self, _era: int) -> None:
         """Write the states again; the store may have lost them."""
+        self.eras_seen += 1
         for active in self.active.values():
             active.written = None
             active.is_start_written = False
@@ -236,6 +255,7 @@
         Returns the seconds until the next tick.
         """
         bounds = self.gate.bounds
+        self._end_unlisted()
         if bounds is None:
             for service in tuple(self.active):
                 self._end(service)
@@ -300,6 +320,13 @@
         self.on_change()
         _report('rollout_ended', 'no order any more', pool=service)
 
+    def _end_unlisted(self) -> None:
+        if self.clock.monotonic() < self.held_until:
+            return
+        for service in self.unlisted:
+            self._end(service)
+        self.unlisted = set()
+
     def _slack(self, active: ActiveRollout, bounds: RolloutBounds) -> float:
         has_slack = active.rollout.budget.has_slack
         return bounds.exposure_slack if has_slack else 0
@@ -484,7 +511,7 @@
             self._start_task(active, self._write(active, stage))
 
     async def _write(self, active: ActiveRollout, stage: Stage) -> None:
-        order = active.order
+        order, eras_seen = active.order, self.eras_seen
         try:
             held = await self.status_log.write(
                 order.service, order.target, stage
@@ -496,7 +523,7 @@
             await self.clock.sleep(RETRY_SECONDS)
             return
         active.is_writer = held is stage and held.is_verdict
-        self._adopt(active, held)
+        self._adopt(active, held, eras_seen)
 
     async def _write_start(self, active: ActiveRollout) -> None:
         order = active.order
@@ -508,7 +535,7 @@
         active.is_start_written = True
 
     async def _read_status(self, active: ActiveRollout) -> None:
-        order = active.order
+        order, eras_seen = active.order, self.eras_seen
         try:
             known = await self.status_log.read(order.service, order.target)
         except LogUnavailable as error:
@@ -518,7 +545,7 @@
         self._apply_start(active, known)
         active.rollout.is_status_known = True
         if known.stage is not None:
-            self._adopt(active, known.stage)
+            self._adopt(active, known.stage, eras_seen)
 
     def _apply_start(self, active: ActiveRollout, known: KnownStatus) -> None:
         """Continue a roll-out that began before this router started."""
@@ -531,9 +558,18 @@
         rollout = active.rollout
         rollout.started_at = min(rollout.started_at, started_at)
 
-    def _adopt(self, active: ActiveRollout, stage: Stage) -> None:
-        """Record what the status record tells; its verdict always holds."""
-        active.written = stage
+    def _adopt(
+        self, active: ActiveRollout, stage: Stage, eras_seen: int
+    ) -> None:
+        """Record what the status record tells; its verdict always holds.
+
+        ``eras_seen`` is the number of eras when the call to the store began.
+        If another began since, the record may be lost and is written again.
+        """
+        if eras_seen == self.eras_seen:
+            active.written = stage
+        else:
+            active.is_start_written = False
         if not stage.is_verdict:
             return
         active.pending = None
--- a/src/hickorymux/_internal/transport/entry_process.py
+++ b/src/hickorymux/_internal/transport/entry_process.py
@@ -405,7 +405,7 @@
             TABLE_READ_TIMING,
             self._apply_operator_record,
             self._apply_operator_listing,
-            self.view.hold_evacuations,
+            self._on_operator_log_recovery,
         )
         self.upstream_follower = KeyedFollower(
             self.shared_log,
@@ -588,6 +588,11 @@
         self.metrics.gauges['store_restores'] = restores + 1
         self.era_changed.set()
 
+    def _on_operator_log_recovery(self) -> None:
+        """Give operators time to write again what a restored store lacks."""
+        self.view.hold_evacuations()
+        self.rollouts.hold_orders()
+
     def _on_upstream_log_recovery(self) -> None:
         """Give upstreams time to renew their entries after an outage."""
         if self.view.has_upstream_listing:
--- a/tests/unit/coordination/test_rollouts.py
+++ b/tests/unit/coordination/test_rollouts.py
@@ -124,6 +124,65 @@
     ]
 
 
+async def restore_without_order(fleet):
+    """Restore the store from a copy older than the order, once judged.
+
+    The operators write the order again a second after the routers have listed
+    the topic.
+    """
+    while 'rolled_back' not in fleet.log.states():
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(1)
+    fleet.log.records.clear()
+    fleet.restored_at = fleet.loop.time()
+    for router in fleet.routers.values():
+        router.controller.on_era_change(2)
+        router.controller.hold_orders()
+        router.controller.apply_listing(frozenset())
+    await asyncio.sleep(1)
+    fleet.order()
+
+
+def test_verdict_outlives_a_restore_that_lost_the_order():
+    """A bad version gets requests again when a listing lacks its order."""
+    fleet = play(restore_without_order, defect=Defect(0.5))
+    assert fleet.log.states() == ['rolled_back']
+    assert not [
+        at
+        for at, version in fleet.sent
+        if version == 'v2' and at > fleet.restored_at
+    ]
+
+
+async def withdraw_in_an_outage(fleet):
+    """Withdraw the order while the log can't be read."""
+    await asyncio.sleep(2)
+    for router in fleet.routers.values():
+        router.controller.hold_orders()
+        router.controller.apply_listing(frozenset())
+
+
+def test_withdrawn_order_ends_after_the_grace_period():
+    """An order that was withdrawn in an outage is followed for ever."""
+    fleet = play(withdraw_in_an_outage, seconds=5)
+    assert not any(router.gate.pools for router in fleet.routers.values())
+
+
+async def restore_during_a_write(fleet):
+    """Restore the store while the judging router's first write runs."""
+    while not fleet.log.states():
+        await asyncio.sleep(0.001)
+    fleet.log.records.clear()
+    for router in fleet.routers.values():
+        router.controller.on_era_change(2)
+
+
+def test_state_is_written_again_if_the_store_is_restored_during_a_write():
+    """A write of the former era counts as one of the present era."""
+    fleet = play(restore_during_a_write, seconds=3)
+    assert fleet.log.states() == ['running']
+
+
 async def restart_in_between(fleet):
     """Kill and start all routers at a third of the time budget."""
     await asyncio.sleep(4)
