Count idle upstream connections toward the limit of connections

A router could run out of descriptors, and then refuse callers, after bursts at different engines: the limit of upstream connections held for those in use only, as aiohttp counts it, while up to a tenth of each engine's connections (67 of 670, at 30 engines) may stay idle since connections are kept for longer.

Before a connection is opened, the least recently used idle ones beyond the limit are closed. The counter is `upstream_idle_surplus`; below the limit nothing changes.

--- a/src/hickorymux/_internal/transport/upstream_client.py
+++ b/src/hickorymux/_internal/transport/upstream_client.py
@@ -526,7 +526,8 @@
 
     The policy decides which idle connections are kept and reused. Where it is
     active, the one that was used last is reused first, so that the others can
-    expire.
+    expire. Idle connections count toward the limit, though aiohttp counts only
+    those in use: the ones that were used least recently are closed for new ones.
     """
 
     def __init__(
@@ -534,6 +535,7 @@
     ) -> None:
         super().__init__(socket_factory=open_keepalive_socket, **options)
         self.policy = policy
+        self.counts = counts
         self.idle_check: asyncio.TimerHandle | None = None
         self._factory: Any = functools.partial(
             _StrictResponseHandler,
@@ -549,6 +551,26 @@
         self.policy.count(_address_of(req.connection_key), event)
         return connection
 
+    async def _create_connection(
+        self, req: Any, traces: Any, timeout: Any
+    ) -> Any:
+        """Open a connection, and close idle ones beyond the limit before."""
+        self._close_surplus()
+        return await super()._create_connection(req, traces, timeout)
+
+    def _close_surplus(self) -> None:
+        """Close idle connections, least recently used first."""
+        if not self.limit:
+            return
+        idle = sum(len(kept) for kept in self._conns.values())
+        # Those in use include the one that is about to be opened.
+        for _ in range(min(idle, idle + len(self._acquired) - self.limit)):
+            kept: Any = min(filter(None, self._conns.values()), key=_oldest_use)
+            is_first = _oldest_use(kept) == kept[0][0].idle_since
+            protocol, _ = kept.popleft() if is_first else kept.pop()
+            protocol.close()
+            self.counts['upstream_idle_surplus'] += 1
+
     async def _get(self, key: Any, traces: Any) -> Any:
         """Take an idle connection, ``None`` if none may be reused."""
         address = _address_of(key)
@@ -625,6 +647,15 @@
         self._conns[key] = kept
 
 
+def _oldest_use(idle: Any) -> float:
+    """Return when the least recently used idle connection was used last.
+
+    The idle connections to an upstream are in the order of their use or in the
+    opposite order.
+    """
+    return float(min(idle[0][0].idle_since, idle[-1][0].idle_since))
+
+
 def _address_of(key: Any) -> str:
     return f'{key.host}:{key.port}'
 
