Count attempts that end at the deadline in the roll-out of their pool

Callers of a route with a short time (600 ms) lost requests to a new version that answered too late: such attempts ended with the deadline of the request, which is a cancellation, and were forgotten without a result. They end before the 1.5 s after which a late answer is counted, so nothing told against the version until its exposure budget was used up.

One that ends as its caller leaves or the process stops does not.

--- a/src/hickorymux/_internal/transport/entry_dispatcher.py
+++ b/src/hickorymux/_internal/transport/entry_dispatcher.py
@@ -62,6 +62,7 @@
 from hickorymux._internal.transport.upstream_client import (
     Attempt,
     AttemptError,
+    AttemptTimeout,
     ConnectFailed,
     IdleDrop,
     UpstreamAnswer,
@@ -198,7 +199,7 @@
         try:
             async with limit:
                 while not is_answered:
-                    is_answered = await self._run_attempt(call, reply)
+                    is_answered = await self._run_attempt(call, reply, limit)
         except TimeoutError:
             raise self._timeout_error(call) from None
         finally:
@@ -222,7 +223,9 @@
             if not call.sent_attempts and not limit.expired():
                 limit.reschedule(now)
 
-    async def _run_attempt(self, call: EntryCall, reply: Reply) -> bool:
+    async def _run_attempt(
+        self, call: EntryCall, reply: Reply, limit: asyncio.Timeout
+    ) -> bool:
         """Run one attempt; return whether the whole answer was relayed."""
         self._raise_if_refused(call)
         reservation = await self._acquire(call)
@@ -237,6 +240,15 @@
             await self._note_failure(call, race.kept, error)
             self._raise_unless_retryable(call, race.kept, error)
             return False
+        except asyncio.CancelledError:
+            if limit.expired() and race.kept.attempt.sent:
+                # Not so if the caller has left, or the process stops.
+                self._note_result(
+                    call,
+                    race.kept.reservation,
+                    AttemptTimeout('no complete answer before the deadline'),
+                )
+            raise
         finally:
             race.kept.reservation.release()
             if call.watch is not None:
--- a/tests/functional/test_rollouts.py
+++ b/tests/functional/test_rollouts.py
@@ -39,6 +39,11 @@
     return script
 
 
+async def stall(received):
+    """Never respond."""
+    await asyncio.sleep(60)
+
+
 async def add_engines(fleet, version, script, count=2):
     """Start engines of a version; return them."""
     engines = []
@@ -127,6 +132,24 @@
         assert sum(len(engine.received) for engine in new) == before
 
 
+async def test_version_whose_answers_are_late_is_rolled_back():
+    """Guards against requests that end at their deadline and count for nothing.
+
+    Their time is shorter than the one after which a late answer is counted.
+    """
+    read = route(PATH, 'idempotent', timeoutMs=600, targetLatencyMs=200)
+    async with platform_fleet(read) as fleet:
+        await fleet.add_router()
+        await add_engines(fleet, 'v1', answer_ok)
+        new = await add_engines(fleet, 'v2', stall)
+        await fleet.wait_until_ready()
+        await fleet.store.put('keyed.op', 'rollout/pool', ORDER)
+        await send_until(fleet, lambda: 'rolled_back' in states(fleet), 5)
+        assert states(fleet)[-1] == 'rolled_back'
+        # Without counting them it gets as many as the exposure budget allows: 54.
+        assert sum(len(engine.received) for engine in new) <= 25
+
+
 @pytest.mark.parametrize(('begin', 'gap'), [(0.8, 0.01), (0.05, 0.08)])
 async def test_slow_streams_lead_to_a_roll_back(begin, gap):
     """Only failures are noticed, or only slow starts."""
