Send no hedge while a roll-out compares the versions of a pool

A request whose first copy was sent before the order of a roll-out arrived could get a second copy during it. Neither copy is observed, and the second one could be at the other version, so it counted in the exposure without a result. Only the first copy was checked for a roll-out.

`Allocator.try_acquire_hedge` returns no reservation until there is a verdict.

Result: the new unit test gets no hedge before the verdict and one after it; it fails without the change.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -225,11 +225,12 @@
         """Return a reservation for a second copy of a request.
 
         It is at another upstream than the first copy, and at none that is cold
-        or names a request limit. ``None`` if there is none with room now or
-        other requests wait for the pool.
+        or names a request limit. ``None`` if there is none with room now,
+        other requests wait for the pool, or a roll-out compares its versions.
         """
         queue = self.wait_queue_of(demand.pool.name)
-        if queue.by_customer:
+        is_comparing = self.rollout_gate.is_comparing(demand.pool.name)
+        if queue.by_customer or is_comparing:
             return None
         now = self.clock.monotonic()
         excluded = {
--- a/src/hickorymux/_internal/coordination/rollouts/gate.py
+++ b/src/hickorymux/_internal/coordination/rollouts/gate.py
@@ -230,6 +230,11 @@
             return not is_target
         return is_target or rollout.stage is not Stage.succeeded
 
+    def is_comparing(self, pool: str) -> bool:
+        """Return whether the versions of a pool are being compared."""
+        rollout = self.pools.get(pool)
+        return rollout is not None and not rollout.stage.is_verdict
+
     def on_reserved(self, upstream: RegisteredUpstream, demand: Demand) -> None:
         """Count a request against the exposure budget."""
         rollout = self.pools.get(upstream.pool)
--- a/tests/unit/engines/test_hedging.py
+++ b/tests/unit/engines/test_hedging.py
@@ -1,6 +1,7 @@
 """When a second copy of a slow request is sent, without a network."""
 
 import asyncio
+import datetime as dt
 import random
 
 import pytest
@@ -10,6 +11,12 @@
     group_of,
     may_hedge,
 )
+from hickorymux._internal.coordination.rollouts.exposure import ExposureBudget
+from hickorymux._internal.coordination.rollouts.gate import PoolRollout
+from hickorymux._internal.coordination.rollouts.orders import (
+    RolloutOrder,
+    Stage,
+)
 from hickorymux._internal.state.routing import RequestKind
 from hickorymux._internal.transport.hedge_race import HedgeRace
 from tests.lib.demands import plain_demand, prompt_demand, upstream
@@ -137,6 +144,23 @@
     assert allocator.try_acquire_hedge(prompt_demand(), 'e0') is None
 
 
+async def test_no_hedge_while_versions_are_compared():
+    """Guards against copies that a roll-out does not observe.
+
+    The order may arrive while the first copy is at its upstream.
+    """
+    allocator, clock = make_allocator(2)
+    demand = prompt_demand()
+    order = RolloutOrder(demand.pool.name, 'v2', dt.timedelta(seconds=12))
+    rollout = PoolRollout(
+        order, ExposureBudget(0.1, random.Random(1)), clock.monotonic()
+    )
+    allocator.rollout_gate.pools[demand.pool.name] = rollout
+    assert allocator.try_acquire_hedge(demand, 'e0') is None
+    rollout.enter(Stage.rolled_back, clock.monotonic())
+    assert allocator.try_acquire_hedge(demand, 'e0') is not None
+
+
 async def test_hedge_never_waits():
     """Guards against hedges that take the place of other requests."""
     allocator, clock = make_allocator(1)
