Let a body be closed for memory as its time ends

A caller could get status 500 when memory was short: its request closed a slow body of another caller whose time had ended in the same turn of the event loop, and asyncio refuses to change a time limit that is expiring. Clients that send many bodies at once and stop make this likely, as their times end together.

The limit is left as it is when it has expired; the body is closed by it.

Result: the new unit test got a RuntimeError in the evicting request before, and both requests end as they should after; the budget returns to zero.

--- a/src/hickorymux/_internal/transport/body_reader.py
+++ b/src/hickorymux/_internal/transport/body_reader.py
@@ -97,7 +97,7 @@
         async with asyncio.timeout(
             min(limits.idle_seconds, limits.total_seconds)
         ) as limit:
-            hold.evict = functools.partial(limit.reschedule, loop.time())
+            hold.evict = functools.partial(_end_now, limit, loop)
             while chunk := await request.content.readany():
                 body += chunk
                 if len(body) > limits.max_bytes:
@@ -118,5 +118,11 @@
         raise MemoryShort('no memory is left for the body of the request')
 
 
+def _end_now(limit: asyncio.Timeout, loop: asyncio.AbstractEventLoop) -> None:
+    """End a time limit, unless its time is over already."""
+    if not limit.expired():
+        limit.reschedule(loop.time())
+
+
 def _too_large(limits: BodyLimits) -> BodyTooLarge:
     return BodyTooLarge(f'the body exceeds {limits.max_bytes} bytes')
--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -2,7 +2,13 @@
 
 import asyncio
 import random
+import time
+from typing import ClassVar
 
+import pytest
+
+from hickorymux._internal.exceptions import MemoryShort
+from hickorymux._internal.transport.body_reader import BodyLimits, BodyReader
 from hickorymux._internal.transport.entry_settings import (
     DEFAULT_DESCRIPTORS,
     DEFAULT_MEMORY_BYTES,
@@ -155,3 +161,52 @@
     assert given.buffer_bytes == 3 << 20
     assert given.owner_bytes == 2 << 20
     assert given.max_callers == 7
+
+
+class StalledRequest:
+    """A request whose body never goes on."""
+
+    content_length = 100
+    headers: ClassVar[dict[str, str]] = {}
+
+    @property
+    def content(self):
+        return self
+
+    def is_eof(self):
+        return False
+
+    async def readany(self):
+        await asyncio.Event().wait()
+
+
+async def test_body_that_is_out_of_time_can_be_evicted():
+    """Guards against an error in the request that needs the memory.
+
+    Both happen in one turn of a loop that is busy: the time ends, and another
+    request evicts the body before its task has seen that.
+    """
+    budget = new_budget()
+    hold = budget.open_hold('ann', 0)
+    reading = asyncio.create_task(
+        BodyReader(budget).read(
+            StalledRequest(), hold, BodyLimits(1000, 0.02, 1.0)
+        )
+    )
+    await asyncio.sleep(0)
+    assert hold in budget.receiving
+    errors = []
+
+    def evict():
+        try:
+            budget._evict(hold)
+        except RuntimeError as error:
+            errors.append(error)
+
+    asyncio.get_running_loop().call_later(0.03, evict)
+    time.sleep(0.05)
+    with pytest.raises(MemoryShort):
+        await reading
+    assert not errors
+    hold.close()
+    assert budget.used_bytes == 0
