Give waiting bodies the memory that pipelined requests release

When memory was short, a body could be refused with 503 although there was room again: the bytes of pipelined requests were released by a negative charge, which does not let the bodies go on that wait for room.

They are released like all others.

Result: in the new unit test a body that waits for that room was refused after its time before, and gets it now.

--- a/src/hickorymux/_internal/transport/caller_connections.py
+++ b/src/hickorymux/_internal/transport/caller_connections.py
@@ -169,8 +169,13 @@
             handler._pause_reading_for_buffer()
 
     def _set_pipelined(self, size: int) -> None:
-        self.connections.budget.charge(size - self.pipelined_bytes)
+        change = size - self.pipelined_bytes
         self.pipelined_bytes = size
+        if change > 0:
+            self.connections.budget.charge(change)
+        elif change:
+            # Also lets the bodies go on that wait for room.
+            self.connections.budget.release(-change)
 
     def _add_pending(self, nbytes: int) -> None:
         connections = self.connections
--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -9,6 +9,10 @@
 
 from hickorymux._internal.exceptions import MemoryShort
 from hickorymux._internal.transport.body_reader import BodyLimits, BodyReader
+from hickorymux._internal.transport.caller_connections import (
+    CallerConnection,
+    CallerConnections,
+)
 from hickorymux._internal.transport.entry_settings import (
     DEFAULT_DESCRIPTORS,
     DEFAULT_MEMORY_BYTES,
@@ -210,3 +214,18 @@
     assert not errors
     hold.close()
     assert budget.used_bytes == 0
+
+
+async def test_body_gets_the_room_of_pipelined_requests():
+    """Guards against bodies that are refused although memory is free again."""
+    budget = new_budget()
+    connections = CallerConnections(budget, None)
+    connection = CallerConnection(None, None, connections)
+    connection._set_pipelined(100 * UNIT)
+    hold = budget.open_hold('ann', 0)
+    waiting = asyncio.create_task(budget.acquire(hold, UNIT, 0.2))
+    await asyncio.sleep(0)
+    connection._set_pipelined(0)
+    assert await waiting
+    hold.close()
+    assert budget.used_bytes == 0
