Place long prompts by load only where engines state their speed

The deployments in service so far are to be served as before, and the choice of an engine for long prompts by load had no switch. It applies now to pools of which an engine has stated how long work takes; others keep the hash.

tests/unit/engines passes, with a new test that silent pools keep the hash.

--- a/src/hickorymux/_internal/coordination/engines/allocator.py
+++ b/src/hickorymux/_internal/coordination/engines/allocator.py
@@ -328,6 +328,7 @@
         upstream_id = reservation.upstream.upstream_id
         self.placement.reported_loads.on_answer(
             upstream_id,
+            reservation.upstream.pool,
             load,
             self.load_tracker.own_running(upstream_id),
             self.clock.monotonic(),
--- a/src/hickorymux/_internal/coordination/engines/placement.py
+++ b/src/hickorymux/_internal/coordination/engines/placement.py
@@ -9,10 +9,10 @@
 the other is idle. It then fetches the shared parts from the preferred engine,
 which takes a small part of the time of processing them.
 
-Long prompts are processed on engines of their own, each on the one that begins
-it first, as they are long enough to delay whatever shares an engine with them.
-They fetch their shared parts from the preferred engine in any case, so nothing
-ties them to a particular one.
+Long prompts are processed on engines of their own. In pools whose engines state
+how long work takes, each goes to the one of them that begins it first, as it is
+long enough to delay whatever shares an engine with it. It fetches its shared
+parts from the preferred engine in any case, so nothing ties it to one engine.
 
 Load pattern for plain services: short requests with little variance in their
 duration. So a request goes to the upstream that is expected to finish it
@@ -103,8 +103,7 @@
     """The engines for long prompts, and those for all other requests.
 
     The size classes and preferred engines depend only on the set of engines,
-    so all routers that know the same engines agree on them. ``short`` has the
-    engines that shared parts are kept at.
+    so all routers that know the same engines agree on them.
     """
 
     __slots__ = ('preferred_ids', 'long', 'short')
@@ -114,16 +113,17 @@
         size = round(len(ranked_ids) * LONG_PROMPT_ENGINE_SHARE)
         self.long = ranked_ids[:size] or ranked_ids
         self.short = ranked_ids[size:] or ranked_ids
-        self.preferred_ids: dict[str, str] = {}
+        self.preferred_ids: dict[tuple[str, bool], str] = {}
 
-    def preferred_id(self, key: str) -> str:
+    def preferred_id(self, key: str, *, is_long: bool) -> str:
         """Return the id of the engine preferred for a shared prompt part."""
-        cached = self.preferred_ids.get(key)
+        cached = self.preferred_ids.get((key, is_long))
         if cached is None:
-            cached = max(self.short, key=partial(_rank, key))
+            engines = self.long if is_long else self.short
+            cached = max(engines, key=partial(_rank, key))
             if len(self.preferred_ids) >= MAX_CACHED_PREFERENCES:
                 self.preferred_ids.clear()
-            self.preferred_ids[key] = cached
+            self.preferred_ids[key, is_long] = cached
         return cached
 
 
@@ -147,9 +147,11 @@
         self.size_classes = size_classes
         self.by_id = {one.upstream_id: one for one in upstreams}
 
-    def preferred_engine(self, key: str) -> RegisteredUpstream:
+    def preferred_engine(
+        self, key: str, *, is_long: bool
+    ) -> RegisteredUpstream:
         """Return the engine preferred for a shared prompt part."""
-        return self.by_id[self.size_classes.preferred_id(key)]
+        return self.by_id[self.size_classes.preferred_id(key, is_long=is_long)]
 
 
 @final
@@ -233,13 +235,8 @@
         if not candidates.upstreams:
             return None
         key = demand.prompt.affinity_key or demand.request_id
-        cache_owner = candidates.preferred_engine(key)
-        if is_long(demand.prompt):
-            preferred = self._choose_for_long(
-                demand, candidates, cache_owner, now
-            )
-        else:
-            preferred = self._evaluate(demand, cache_owner, cache_owner, now)
+        cache_owner = candidates.preferred_engine(key, is_long=False)
+        preferred = self._preferred(demand, candidates, cache_owner, now)
         remaining = demand.start_deadline - now
         if preferred is not None and preferred.expected_seconds <= remaining:
             return preferred
@@ -264,6 +261,22 @@
             self._size_classes_of(upstreams),
         )
 
+    def _preferred(
+        self,
+        demand: PromptDemand,
+        candidates: 'Candidates',
+        cache_owner: RegisteredUpstream,
+        now: float,
+    ) -> Choice | None:
+        """Return the engine of the prompt's size class, if it has room."""
+        if not is_long(demand.prompt):
+            return self._evaluate(demand, cache_owner, cache_owner, now)
+        if demand.pool.name in self.reported_loads.pools:
+            return self._choose_for_long(demand, candidates, cache_owner, now)
+        key = demand.prompt.affinity_key or demand.request_id
+        engine = candidates.preferred_engine(key, is_long=True)
+        return self._evaluate(demand, engine, cache_owner, now)
+
     def _choose_for_long(
         self,
         demand: PromptDemand,
--- a/src/hickorymux/_internal/coordination/engines/reported_loads.py
+++ b/src/hickorymux/_internal/coordination/engines/reported_loads.py
@@ -11,7 +11,7 @@
 
 Example::
 
-    reported_loads.on_answer('engine-7', load, own_running=3, now=now)
+    reported_loads.on_answer('engine-7', 'drafting', load, own_running=3, now=now)
     reported_loads.work_time('engine-7', now)
 """
 
@@ -54,18 +54,21 @@
 class ReportedLoads:
     """The last statement of each upstream that tells how long work takes.
 
-    Times are monotonic seconds.
+    ``pools`` are those of which any upstream has stated it. Times are monotonic
+    seconds.
     """
 
-    __slots__ = ('statements', 'warned_at')
+    __slots__ = ('pools', 'statements', 'warned_at')
 
     def __init__(self) -> None:
+        self.pools: set[str] = set()
         self.statements: dict[str, _Statement] = {}
         self.warned_at = -WARNING_INTERVAL_SECONDS
 
     def on_answer(
         self,
         upstream_id: str,
+        pool: str,
         load: UpstreamLoad | None,
         own_running: int,
         now: float,
@@ -77,6 +80,7 @@
         if load is None or load.work_time is None:
             self.statements.pop(upstream_id, None)
             return
+        self.pools.add(pool)
         work_time = min(MAX_WORK_TIME, max(MIN_WORK_TIME, load.work_time))
         self.statements[upstream_id] = _Statement(
             load, work_time, own_running, now
--- a/tests/unit/engines/test_placement.py
+++ b/tests/unit/engines/test_placement.py
@@ -96,6 +96,7 @@
 
 def test_long_prompts_of_one_subject_do_not_wait_for_each_other(placement):
     """A burst of long prompts shares its first parts, and so a hash."""
+    placement.reported_loads.pools.add('models')
     engines = [upstream(number) for number in range(24)]
     used = {
         place(
@@ -106,11 +107,25 @@
     assert len(used) == 6
 
 
+def test_long_prompts_of_silent_pools_are_placed_as_before(placement):
+    """Engines that state no speed keep the hash, which caches by subject."""
+    engines = [upstream(number) for number in range(24)]
+    used = {
+        place(
+            placement, prompt_demand(own=12_000, objective=5), engines
+        ).upstream.upstream_id
+        for _ in range(4)
+    }
+    assert len(used) == 1
+
+
 def test_long_prompts_avoid_an_engine_that_is_slow_now(placement):
     """Its host does other work for a moment, which only the engine tells."""
     engines = [upstream(number) for number in range(8)]
     slow, other = placement.candidates(engines, 0).size_classes.long
-    placement.reported_loads.on_answer(slow, UpstreamLoad(0, 0, 64, 2.5), 0, 0)
+    placement.reported_loads.on_answer(
+        slow, 'models', UpstreamLoad(0, 0, 64, 2.5), 0, 0
+    )
     for moment in (0, 0.2):
         demand = prompt_demand(own=20_000, objective=5)
         candidates = placement.candidates(engines, moment)
--- a/tests/unit/engines/test_placement_report.py
+++ b/tests/unit/engines/test_placement_report.py
@@ -110,7 +110,7 @@
     )
     tracker.add('free', EngineLoad(2, 300, 4000))
     allocator.placement.reported_loads.on_answer(
-        'free', UpstreamLoad(2, 0, 64, 2.0), 2, NOW - 0.25
+        'free', 'models', UpstreamLoad(2, 0, 64, 2.0), 2, NOW - 0.25
     )
     return allocator
 
--- a/tests/unit/engines/test_reported_loads.py
+++ b/tests/unit/engines/test_reported_loads.py
@@ -14,7 +14,7 @@
 @pytest.fixture
 def loads():
     found = ReportedLoads()
-    found.on_answer('e1', SLOW, own_running=6, now=10)
+    found.on_answer('e1', 'models', SLOW, own_running=6, now=10)
     return found
 
 
@@ -42,15 +42,17 @@
 
 def test_upstreams_that_do_not_state_their_speed_are_not_corrected(loads):
     """That is the switch; a lost figure ends the use of the former one."""
-    loads.on_answer('e1', UpstreamLoad(20, 4, 48), own_running=6, now=11)
-    loads.on_answer('e2', None, own_running=1, now=11)
+    loads.on_answer(
+        'e1', 'models', UpstreamLoad(20, 4, 48), own_running=6, now=11
+    )
+    loads.on_answer('e2', 'models', None, own_running=1, now=11)
     for upstream_id in ('e1', 'e2'):
         assert loads.work_time(upstream_id, 11) == 1
         assert loads.running(upstream_id, 3, 1, 11) == 3
 
 
 def test_absurd_times_of_work_are_bounded(loads):
-    loads.on_answer('e1', UpstreamLoad(1, 0, 48, 10_000), 1, 12)
+    loads.on_answer('e1', 'models', UpstreamLoad(1, 0, 48, 10_000), 1, 12)
     assert loads.work_time('e1', 12) <= 10
 
 
