--- a/review/stand_ins/engine.py
+++ b/review/stand_ins/engine.py
@@ -26,8 +26,8 @@
 class Engine:
     """An engine on a loopback address that registers itself in the store.
 
-    All engines of a case share ``runs``. A stream has ``event_count`` events,
-    one every ``gap_seconds``.
+    All engines of a case share ``runs``. A stream has as many events as
+    ``event_counts`` says for the prefix of its path, one every ``gap_seconds``.
     """
 
     def __init__(self, store, runs, engine_id, service, zone, **options):
@@ -39,7 +39,7 @@
         self.version = options.get('version', 'v1')
         self.slots = options.get('slots', 64)
         self.work_seconds = options.get('work_seconds', 0.02)
-        self.event_count = options.get('event_count', 40)
+        self.event_counts = options.get('event_counts', {})
         self.gap_seconds = options.get('gap_seconds', 0.1)
         self.beat_seconds = 1.2
         self.born = 0
@@ -50,13 +50,14 @@
         self.writers = set()
         self.tasks = set()
         self.beat_task = None
-        self.beats_at = []
+        self.state = 'ready'
 
     async def start(self):
         """Start, at the former address if there is one, and register."""
         host, _, port = self.address.rpartition(':')
         self.born = int(time.time() * 1000)
         self.seq = 0
+        self.state = 'ready'
         self.server = await asyncio.start_server(
             self._serve, host or '127.0.0.1', int(port or 0), reuse_address=True
         )
@@ -64,6 +65,13 @@
         self.address = f'{host}:{port}'
         self.beat_task = asyncio.create_task(self._beat())
 
+    async def drain(self, seconds):
+        """Report that it leaves, serve on for a time, and end."""
+        self.state = 'draining'
+        self._write_entry()
+        await asyncio.sleep(seconds)
+        self.crash()
+
     def crash(self):
         """End at once; the port refuses channels, the open ones are reset."""
         self.server.close()
@@ -80,23 +88,26 @@
 
     async def _beat(self):
         while True:
-            self.seq += 1
-            entry = {
-                'service': self.service,
-                'address': self.address,
-                'zone': self.zone,
-                'version': self.version,
-                'slots': self.slots,
-                'state': 'ready',
-                'coldRemainingMs': 0,
-                'seq': self.seq,
-                'born': self.born,
-            }
-            if not self.store.is_down:
-                self.store.put('keyed.servers', self.engine_id, entry)
-                self.beats_at.append(time.monotonic())
+            self._write_entry()
             await asyncio.sleep(self.beat_seconds)
 
+    def _write_entry(self):
+        if self.store.is_down:
+            return
+        self.seq += 1
+        entry = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': self.version,
+            'slots': self.slots,
+            'state': self.state,
+            'coldRemainingMs': 0,
+            'seq': self.seq,
+            'born': self.born,
+        }
+        self.store.put('keyed.servers', self.engine_id, entry)
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self.tasks.add(task)
@@ -169,10 +180,11 @@
         headers += [
             ('Content-Type', 'text/event-stream'),
             ('Transfer-Encoding', 'chunked'),
+            ('X-Weight-Versions', '1'),
         ]
         writer.write(render('HTTP/1.1 200 OK', headers))
         first = int(run.after) + 1 if run.after else 1
-        for number in range(first, self.event_count + 1):
+        for number in range(first, self._event_count(run.path) + 1):
             await asyncio.sleep(self.gap_seconds)
             if reader.at_eof():
                 raise ConnectionResetError('the caller has left')
@@ -183,5 +195,12 @@
         writer.write(b'0\r\n\r\n')
         await writer.drain()
 
+    def _event_count(self, path):
+        return next(
+            count
+            for prefix, count in self.event_counts.items()
+            if path.startswith(prefix)
+        )
+
     def _load(self):
         return f'{self.running},0,{self.slots}'
