--- a/review/stand_ins/router.py
+++ b/review/stand_ins/router.py
@@ -195,15 +195,21 @@
     """
 
     def __init__(self, routers):
-        self.routers = routers
+        self.routers = list(routers)
         self.misses = dict.fromkeys(routers, 0)
         self.turn = 0
 
+    def add(self, router):
+        """Add a router; it gets channels once it has answered with 200."""
+        self.routers.append(router)
+        self.misses[router] = 2
+
     async def run(self):
         """Ask for the readiness until cancelled."""
         while True:
-            answers = await asyncio.gather(*(r.is_ready() for r in self.routers))
-            for router, is_ready in zip(self.routers, answers, strict=True):
+            asked = tuple(self.routers)
+            answers = await asyncio.gather(*(each.is_ready() for each in asked))
+            for router, is_ready in zip(asked, answers, strict=True):
                 self.misses[router] = 0 if is_ready else self.misses[router] + 1
             await asyncio.sleep(1)
 
