--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -77,6 +77,16 @@
         self.entry_task = asyncio.create_task(self.entry.run())
         self.say(f'{len(self.routers)} routers are ready')
 
+    def say_runs(self):
+        """Add a line for each run at an engine."""
+        for run in self.runs:
+            self.say(
+                f'{run.request_id} of {run.tenant or "nobody"} ran at'
+                f' {run.engine_id} in {run.zone}, of version {run.version},'
+                f' from {self.seconds(run.started_at):.3f}, after event'
+                f' "{run.after}", {run.events} events'
+            )
+
     async def sleep_until(self, seconds):
         """Wait until so many seconds after the case began."""
         await asyncio.sleep(max(0, seconds - self.seconds()))
