--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPYCACHEPREFIX=target/review
-python3 -m compileall -q review/stand_ins review/6 review/7 review/8 review/9
-PYTHONPATH=review python3 -c 'import stand_ins.case, stand_ins.engine, stand_ins.caller'
+python3 -m compileall -q review/lib/stand_ins review/6 review/7 review/8 review/9
+PYTHONPATH=review/lib python3 -c 'import stand_ins.case, stand_ins.engine, stand_ins.caller'
--- a/review/stand_ins/router.py
+++ b/review/lib/stand_ins/router.py
@@ -10,7 +10,7 @@
 
 from stand_ins.store import watch_pid
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 
 SETTINGS = """
 node = "{node}"
