End all processes of a case that is ended from outside

A run that got SIGTERM left its three routers running. They are ended on SIGTERM, SIGHUP and SIGINT now; none was left after SIGTERM. The metrics port is checked to be free too, and engines that leave as planned close their channels.

--- a/review/lib/stand_ins/case.py
+++ b/review/lib/stand_ins/case.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -95,6 +96,7 @@
         """End all processes and stand-ins."""
         for router in self.routers:
             router.kill()
+        self.say(f'{len(self.routers)} routers are ended')
         if self.entry_task is not None:
             self.entry_task.cancel()
         for engine in self.engines:
@@ -123,6 +125,10 @@
 
 
 async def _play(case, play):
+    # A case that is ended from outside ends its processes first.
+    task, loop = asyncio.current_task(), asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     with tempfile.TemporaryDirectory(prefix='review-') as scratch:
         case.scratch = pathlib.Path(scratch)
         try:
--- a/review/lib/stand_ins/engine.py
+++ b/review/lib/stand_ins/engine.py
@@ -70,14 +70,17 @@
         self.state = 'draining'
         self._write_entry()
         await asyncio.sleep(seconds)
-        self.crash()
+        self._end(close=lambda writer: writer.close())
 
     def crash(self):
         """End at once; the port refuses channels, the open ones are reset."""
+        self._end(close=reset)
+
+    def _end(self, close):
         self.server.close()
         self.beat_task.cancel()
         for writer in tuple(self.writers):
-            reset(writer)
+            close(writer)
         for task in tuple(self.tasks):
             task.cancel()
         self.running = 0
--- a/review/lib/stand_ins/router.py
+++ b/review/lib/stand_ins/router.py
@@ -1,8 +1,10 @@
 """Starts router processes with the command of the deploy file."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -10,6 +12,8 @@
 
 from stand_ins.store import watch_pid
 
+# Fixed in deploy/system.toml.
+METRICS_PORT = 9464
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 
 SETTINGS = """
@@ -86,6 +90,15 @@
 """
 
 
+def _free_host(number):
+    """Return a loopback address at which the metrics port is free."""
+    while True:
+        host = f'127.{random.randint(1, 250)}.{number}.1'
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, METRICS_PORT))
+            return host
+
+
 def _free_port(ip):
     with socket.socket() as probe:
         probe.bind((ip, 0))
@@ -113,7 +126,7 @@
     def __init__(self, folder, node, number, zone, zones, store_address):
         self.node = node
         self.zone = zone
-        self.ip = f'127.{1 + os.getpid() % 250}.{number}.1'
+        self.ip = _free_host(number)
         self.front = f'{self.ip}:{_free_port(self.ip)}'
         self.ready = f'{self.ip}:{_free_port(self.ip)}'
         inner = _free_port_range(self.ip, 16)
